--- /dev/null
+++ b/packages/common/event_log.cc
@@ -0,0 +1,94 @@
+#include "common/event_log.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <array>
+
+#include "common/invariant.h"
+
+namespace wagtailshore::common {
+namespace {
+
+constexpr std::array kCatalogue = {
+    EventSpec{EventId::kProcessStarted, Severity::kInfo, "process started",
+              "The daemon read its settings and opened its addresses.",
+              "None."},
+    EventSpec{EventId::kProcessDraining, Severity::kInfo, "process draining",
+              "A stop signal came; new work is refused, work in flight ends.",
+              "Wait for WS-1003."},
+    EventSpec{EventId::kProcessStopped, Severity::kInfo, "process stopped",
+              "Everything in flight has ended.", "None."},
+    EventSpec{EventId::kSettingsRefused, Severity::kError, "settings refused",
+              "A flag or environment variable is missing or out of range.",
+              "Correct every place the line names; see docs/SETTINGS.md."},
+    EventSpec{EventId::kManifestInForce, Severity::kInfo, "manifest in force",
+              "A higher manifest version was learned and is now used.",
+              "None."},
+    EventSpec{EventId::kManifestRefused, Severity::kWarning, "manifest refused",
+              "A submitted manifest has findings.",
+              "Correct the places named and submit again."},
+    EventSpec{EventId::kManifestConflict, Severity::kWarning,
+              "manifest conflict",
+              "Another manifest was accepted since the base version was read.",
+              "Compare with the version in force and submit again."},
+    EventSpec{EventId::kEndpointLeaving, Severity::kInfo, "endpoint leaving",
+              "The endpoint announced that it stops; it gets no new work.",
+              "None."},
+    EventSpec{EventId::kPeerUnreachable, Severity::kWarning, "peer unreachable",
+              "A process did not answer an exchange in time.",
+              "If it persists, check the instance and the network."},
+    EventSpec{EventId::kAttemptFailed, Severity::kWarning, "attempt failed",
+              "An endpoint refused, broke or went silent during an attempt.",
+              "None; the request is tried elsewhere while its budget lasts."},
+    EventSpec{EventId::kRequestRefused, Severity::kInfo, "request refused",
+              "A caller's request ended without an answer; see its reason.",
+              "If frequent, check capacity and the customer's limit."},
+    EventSpec{EventId::kStreamResumed, Severity::kInfo, "stream resumed",
+              "A cut stream goes on at its offset on a new connection.",
+              "None."},
+    EventSpec{EventId::kOutcomeUnknown, Severity::kError, "outcome unknown",
+              "A non-idempotent call started and its answer was lost.",
+              "Look the outcome up at the service before repeating by hand."},
+    EventSpec{
+        EventId::kPlatformUnavailable, Severity::kWarning,
+        "platform unavailable",
+        "The table, object store or instance list does not answer.",
+        "Check the platform; see the outage table in docs/OPERATIONS.md."},
+    EventSpec{EventId::kPlatformBack, Severity::kInfo, "platform back",
+              "The platform answers again.", "None."},
+};
+
+int ToLogLevel(Severity severity) {
+  switch (severity) {
+    case Severity::kInfo:
+      return google::GLOG_INFO;
+    case Severity::kWarning:
+      return google::GLOG_WARNING;
+    case Severity::kError:
+      return google::GLOG_ERROR;
+  }
+  return google::GLOG_ERROR;
+}
+
+}  // namespace
+
+std::span<const EventSpec> EventCatalogue() {
+  return kCatalogue;
+}
+
+const EventSpec& SpecOf(EventId id) {
+  const auto* found =
+      std::find_if(kCatalogue.begin(), kCatalogue.end(),
+                   [id](const EventSpec& spec) { return spec.id == id; });
+  WS_INVARIANT(found != kCatalogue.end()) << "every event is in the catalogue";
+  return *found;
+}
+
+void LogEvent(EventId id, std::string_view fields) {
+  const EventSpec& spec = SpecOf(id);
+  google::LogMessage(__FILE__, __LINE__, ToLogLevel(spec.severity)).stream()
+      << "WS-" << static_cast<int>(id) << ' ' << spec.title << ' ' << fields;
+}
+
+}  // namespace wagtailshore::common
--- /dev/null
+++ b/packages/common/event_log.h
@@ -0,0 +1,52 @@
+#ifndef COMMON_EVENT_LOG_H_
+#define COMMON_EVENT_LOG_H_
+
+#include <span>
+#include <string>
+#include <string_view>
+
+// Numbered log events. Operators look a number up in docs/EVENTS.md or with
+// `wagtailshore events NUMBER`; both come from the catalogue in event_log.cc.
+namespace wagtailshore::common {
+
+enum class EventId {
+  kProcessStarted = 1001,
+  kProcessDraining = 1002,
+  kProcessStopped = 1003,
+  kSettingsRefused = 1004,
+  kManifestInForce = 1101,
+  kManifestRefused = 1102,
+  kManifestConflict = 1103,
+  kEndpointLeaving = 1203,
+  kPeerUnreachable = 1204,
+  kAttemptFailed = 1301,
+  kRequestRefused = 1302,
+  kStreamResumed = 1303,
+  kOutcomeUnknown = 1401,
+  kPlatformUnavailable = 1501,
+  kPlatformBack = 1502,
+};
+
+enum class Severity { kInfo, kWarning, kError };
+
+struct EventSpec {
+  EventId id;
+  Severity severity;
+  std::string_view title;
+  std::string_view cause;
+  std::string_view action;
+};
+
+// Every event, ordered by number.
+std::span<const EventSpec> EventCatalogue();
+
+// The event's entry in the catalogue.
+const EventSpec& SpecOf(EventId id);
+
+// Writes "WS-<number> <title> <fields>" to the log. `fields` is "name=value"
+// pairs separated by blanks, and must not hold secrets.
+void LogEvent(EventId id, std::string_view fields);
+
+}  // namespace wagtailshore::common
+
+#endif  // COMMON_EVENT_LOG_H_
