--- /dev/null
+++ b/packages/coordination/membership/peer_table.cc
@@ -0,0 +1,48 @@
+#include "coordination/membership/peer_table.h"
+
+namespace wagtailshore::membership {
+
+PeerChange PeerTable::OnHeard(const PeerInfo& info, common::Time now) {
+  Peer& peer = peers_[info.peer_address];
+  const bool same_process = peer.info.incarnation == info.incarnation;
+  PeerChange change;
+  change.restarted = !same_process && !peer.info.incarnation.empty();
+  const bool was_leaving = same_process && peer.info.leaving;
+  change.began_leaving = info.leaving && !was_leaving;
+  peer.info = info;
+  peer.info.leaving = info.leaving || was_leaving;
+  peer.last_heard = now;
+  peer.unanswered = 0;
+  return change;
+}
+
+uint32_t PeerTable::OnUnanswered(const std::string& address) {
+  const auto found = peers_.find(address);
+  if (found == peers_.end()) {
+    return 0;
+  }
+  return ++found->second.unanswered;
+}
+
+std::set<std::string> PeerTable::Addresses(common::Time now,
+                                           common::Duration horizon) const {
+  std::set<std::string> addresses = seeds_;
+  for (const auto& [address, peer] : peers_) {
+    if (now - peer.last_heard <= horizon) {
+      addresses.insert(address);
+    }
+  }
+  return addresses;
+}
+
+void PeerTable::AddSeeds(const std::vector<std::string>& addresses) {
+  seeds_.insert(addresses.begin(), addresses.end());
+}
+
+void PeerTable::Expire(common::Time now, common::Duration horizon) {
+  std::erase_if(peers_, [&](const auto& item) {
+    return now - item.second.last_heard > horizon;
+  });
+}
+
+}  // namespace wagtailshore::membership
