--- /dev/null
+++ b/packages/protocol/messages/messages.cc
@@ -0,0 +1,253 @@
+#include "protocol/messages/messages.h"
+
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <utility>
+
+#include "protocol/messages/depth_check.h"
+
+namespace wagtailshore::messages {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr size_t kSizeBytes = 4;
+constexpr int kBitsPerByte = 8;
+
+// Strings in msgpack messages may hold any bytes, so they travel as binary.
+Json Bytes(const std::string& text) {
+  return Json::binary(std::vector<uint8_t>(text.begin(), text.end()));
+}
+
+std::string FromBytes(const Json& json) {
+  const auto& bytes = json.get_binary();
+  return {bytes.begin(), bytes.end()};
+}
+
+std::string Pack(const Json& json) {
+  const std::vector<uint8_t> bytes = Json::to_msgpack(json);
+  return {bytes.begin(), bytes.end()};
+}
+
+template <typename Enum, size_t N>
+Enum EnumFrom(const Json& json, const common::EnumNames<Enum, N>& names) {
+  const auto value = common::ValueOf(names, json.get_ref<const std::string&>());
+  if (!value.has_value()) {
+    throw std::invalid_argument("unknown name in a message");
+  }
+  return *value;
+}
+
+// Runs `build` on the decoded message and turns every fault into a status.
+template <typename Message, typename Build>
+absl::StatusOr<Message> Decode(std::string_view bytes, Build build) {
+  if (!NestsWithinLimit(bytes)) {
+    return absl::InvalidArgumentError("not a message, or nested too deep");
+  }
+  try {
+    return build(Json::from_msgpack(bytes));
+  } catch (const std::exception& error) {
+    return absl::InvalidArgumentError(error.what());
+  }
+}
+
+Json ToJson(const stream::AttemptId& id) {
+  return {{"request", id.request}, {"attempt", id.attempt}};
+}
+
+stream::AttemptId AttemptIdFrom(const Json& json) {
+  return {.request = json.at("request"), .attempt = json.at("attempt")};
+}
+
+Json ToJson(const claims::Dispatch& dispatch) {
+  return {{"row_key", dispatch.row_key},
+          {"row_version", dispatch.row_version},
+          {"row", Bytes(claims::Serialize(dispatch.row))}};
+}
+
+claims::Dispatch DispatchFrom(const Json& json) {
+  absl::StatusOr<claims::ClaimRow> row =
+      claims::Parse(FromBytes(json.at("row")));
+  if (!row.ok()) {
+    throw std::invalid_argument(std::string(row.status().message()));
+  }
+  return {.row_key = json.at("row_key"),
+          .row_version = json.at("row_version"),
+          .row = *std::move(row)};
+}
+
+Json ToJson(const membership::PeerInfo& info) {
+  return {{"name", info.name},
+          {"incarnation", info.incarnation},
+          {"role", common::NameOf(membership::kRoleNames, info.role)},
+          {"failure_domain", info.failure_domain},
+          {"peer_address", info.peer_address},
+          {"manifest_version", info.manifest_version},
+          {"leaving", info.leaving}};
+}
+
+membership::PeerInfo PeerInfoFrom(const Json& json) {
+  return {.name = json.at("name"),
+          .incarnation = json.at("incarnation"),
+          .role = EnumFrom(json.at("role"), membership::kRoleNames),
+          .failure_domain = json.at("failure_domain"),
+          .peer_address = json.at("peer_address"),
+          .manifest_version = json.at("manifest_version"),
+          .leaving = json.at("leaving")};
+}
+
+}  // namespace
+
+std::string Encode(const GenerateAttempt& message) {
+  return Pack({{"id", ToJson(message.id)},
+               {"customer", message.customer},
+               {"model", message.model},
+               {"prompt", Bytes(message.prompt)},
+               {"offset", message.offset},
+               {"text_so_far", Bytes(message.text_so_far)},
+               {"max_tokens", message.max_tokens},
+               {"deadline_ms", message.deadline_ms},
+               {"priority", message.priority}});
+}
+
+absl::StatusOr<GenerateAttempt> DecodeGenerateAttempt(std::string_view bytes) {
+  return Decode<GenerateAttempt>(bytes, [](const Json& json) {
+    return GenerateAttempt{.id = AttemptIdFrom(json.at("id")),
+                           .customer = json.at("customer"),
+                           .model = json.at("model"),
+                           .prompt = FromBytes(json.at("prompt")),
+                           .offset = json.at("offset"),
+                           .text_so_far = FromBytes(json.at("text_so_far")),
+                           .max_tokens = json.at("max_tokens"),
+                           .deadline_ms = json.at("deadline_ms"),
+                           .priority = json.at("priority")};
+  });
+}
+
+std::string Encode(const CallAttempt& message) {
+  Json json = {{"id", ToJson(message.id)},
+               {"customer", message.customer},
+               {"service", message.service},
+               {"call", message.call},
+               {"body", Bytes(message.body)},
+               {"idempotency_key", Bytes(message.idempotency_key)},
+               {"deadline_ms", message.deadline_ms}};
+  if (message.dispatch.has_value()) {
+    json["dispatch"] = ToJson(*message.dispatch);
+  }
+  return Pack(json);
+}
+
+absl::StatusOr<CallAttempt> DecodeCallAttempt(std::string_view bytes) {
+  return Decode<CallAttempt>(bytes, [](const Json& json) {
+    CallAttempt message{
+        .id = AttemptIdFrom(json.at("id")),
+        .customer = json.at("customer"),
+        .service = json.at("service"),
+        .call = json.at("call"),
+        .body = FromBytes(json.at("body")),
+        .idempotency_key = FromBytes(json.at("idempotency_key")),
+        .deadline_ms = json.at("deadline_ms"),
+        .dispatch = std::nullopt};
+    if (json.contains("dispatch")) {
+      message.dispatch = DispatchFrom(json.at("dispatch"));
+    }
+    return message;
+  });
+}
+
+std::string Encode(const CallReply& message) {
+  return Pack({{"id", ToJson(message.id)},
+               {"result", common::NameOf(kCallResultNames, message.result)},
+               {"status", message.answer.status},
+               {"body", Bytes(message.answer.body)},
+               {"code", common::NameOf(refusal::kCodeNames, message.code)},
+               {"retry_after_ms", message.retry_after_ms}});
+}
+
+absl::StatusOr<CallReply> DecodeCallReply(std::string_view bytes) {
+  return Decode<CallReply>(bytes, [](const Json& json) {
+    return CallReply{.id = AttemptIdFrom(json.at("id")),
+                     .result = EnumFrom(json.at("result"), kCallResultNames),
+                     .answer = {.status = json.at("status"),
+                                .body = FromBytes(json.at("body"))},
+                     .code = EnumFrom(json.at("code"), refusal::kCodeNames),
+                     .retry_after_ms = json.at("retry_after_ms")};
+  });
+}
+
+std::string Encode(const PeerExchange& message) {
+  Json json = {{"info", ToJson(message.info)},
+               {"queued", message.load.queued},
+               {"running", message.load.running},
+               {"entries", message.entries}};
+  if (message.manifest.has_value()) {
+    json["manifest"] = {{"version", message.manifest->version},
+                        {"body", Bytes(message.manifest->body)}};
+  }
+  return Pack(json);
+}
+
+absl::StatusOr<PeerExchange> DecodePeerExchange(std::string_view bytes) {
+  return Decode<PeerExchange>(bytes, [](const Json& json) {
+    PeerExchange message{
+        .info = PeerInfoFrom(json.at("info")),
+        .load = {.queued = json.at("queued"), .running = json.at("running")},
+        .manifest = std::nullopt,
+        .entries = json.at("entries")};
+    if (json.contains("manifest")) {
+      const Json& manifest = json.at("manifest");
+      message.manifest =
+          ManifestTransfer{.version = manifest.at("version"),
+                           .body = FromBytes(manifest.at("body"))};
+    }
+    return message;
+  });
+}
+
+std::string Encode(const stream::Frame& message) {
+  return Pack({{"id", ToJson(message.id)},
+               {"offset", message.offset},
+               {"tokens", message.tokens},
+               {"text", Bytes(message.text)},
+               {"last", message.last}});
+}
+
+absl::StatusOr<stream::Frame> DecodeFrame(std::string_view bytes) {
+  return Decode<stream::Frame>(bytes, [](const Json& json) {
+    return stream::Frame{.id = AttemptIdFrom(json.at("id")),
+                         .offset = json.at("offset"),
+                         .tokens = json.at("tokens"),
+                         .text = FromBytes(json.at("text")),
+                         .last = json.at("last")};
+  });
+}
+
+absl::StatusOr<std::optional<std::string>> MessageSplitter::Next() {
+  if (buffer_.size() < kSizeBytes) {
+    return std::nullopt;
+  }
+  size_t size = 0;
+  for (size_t i = 0; i < kSizeBytes; ++i) {
+    size = (size << kBitsPerByte) | static_cast<unsigned char>(buffer_[i]);
+  }
+  if (size > max_message_bytes_) {
+    return absl::ResourceExhaustedError("a message is beyond the size limit");
+  }
+  if (buffer_.size() < kSizeBytes + size) {
+    return std::nullopt;
+  }
+  std::string message = buffer_.substr(kSizeBytes, size);
+  buffer_.erase(0, kSizeBytes + size);
+  return message;
+}
+
+std::string WithSize(std::string_view message) {
+  std::string bytes;
+  for (size_t i = kSizeBytes; i > 0; --i) {
+    bytes += static_cast<char>(message.size() >> ((i - 1) * kBitsPerByte));
+  }
+  return bytes.append(message);
+}
+
+}  // namespace wagtailshore::messages
