--- /dev/null
+++ b/packages/transport/http_client/http_client.cc
@@ -0,0 +1,187 @@
+#include "transport/http_client/http_client.h"
+
+#include <curl/curl.h>
+
+#include <algorithm>
+
+#include "common/invariant.h"
+#include "common/strings.h"
+
+namespace wagtailshore::http_client {
+namespace {
+
+struct EasyDeleter {
+  void operator()(CURL* easy) const { curl_easy_cleanup(easy); }
+};
+struct MultiDeleter {
+  void operator()(CURLM* multi) const { curl_multi_cleanup(multi); }
+};
+struct HeadersDeleter {
+  void operator()(curl_slist* list) const { curl_slist_free_all(list); }
+};
+
+size_t AppendBody(char* data, size_t size, size_t count, void* into) {
+  static_cast<std::string*>(into)->append(data, size * count);
+  return size * count;
+}
+
+}  // namespace
+
+class Exchange::Impl {
+ public:
+  explicit Impl(Request request)
+      : request_(std::move(request)),
+        easy_(curl_easy_init()),
+        multi_(curl_multi_init()) {
+    WS_INVARIANT(easy_ != nullptr && multi_ != nullptr) << "out of memory";
+    SetOptions();
+    curl_multi_add_handle(multi_.get(), easy_.get());
+  }
+
+  // A handle has to leave its multi handle before either is freed.
+  ~Impl() { curl_multi_remove_handle(multi_.get(), easy_.get()); }
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  ReadOutcome Read(common::Duration timeout) {
+    const common::Time give_up = common::Clock::now() + timeout;
+    while (true) {
+      int running = 0;
+      curl_multi_perform(multi_.get(), &running);
+      if (!received_.empty()) {
+        return Data{std::exchange(received_, {})};
+      }
+      if (running == 0) {
+        return Result();
+      }
+      const common::Time now = common::Clock::now();
+      if (now >= give_up) {
+        return TimedOut{};
+      }
+      const int64_t wait_ms =
+          std::max<int64_t>(1, common::ToMilliseconds(give_up - now));
+      curl_multi_poll(multi_.get(), nullptr, 0, static_cast<int>(wait_ms),
+                      nullptr);
+    }
+  }
+
+  int status() const {
+    long status = 0;
+    curl_easy_getinfo(easy_.get(), CURLINFO_RESPONSE_CODE, &status);
+    return static_cast<int>(status);
+  }
+
+  std::optional<common::Duration> retry_after() const {
+    curl_off_t seconds = 0;
+    curl_easy_getinfo(easy_.get(), CURLINFO_RETRY_AFTER, &seconds);
+    if (seconds <= 0) {
+      return std::nullopt;
+    }
+    return common::seconds(seconds);
+  }
+
+ private:
+  void SetOptions() {
+    CURL* easy = easy_.get();
+    curl_easy_setopt(easy, CURLOPT_URL, request_.url.c_str());
+    curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
+    // The peers are IP numbers of our own; no proxy may step in between.
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(
+        easy, CURLOPT_CONNECTTIMEOUT_MS,
+        static_cast<long>(common::ToMilliseconds(request_.connect_timeout)));
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &AppendBody);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, &received_);
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request_.method.c_str());
+    if (request_.method == "POST" || request_.method == "PUT") {
+      curl_easy_setopt(easy, CURLOPT_POST, 1L);
+      curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request_.body.data());
+      curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                       static_cast<curl_off_t>(request_.body.size()));
+      // Waiting for "100 Continue" would cost a round trip per request.
+      AddHeader("Expect:");
+    }
+    for (const auto& [name, value] : request_.headers) {
+      AddHeader(common::StrCat(name, ": ", value));
+    }
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers_.get());
+  }
+
+  void AddHeader(const std::string& line) {
+    headers_.reset(curl_slist_append(headers_.release(), line.c_str()));
+  }
+
+  ReadOutcome Result() const {
+    int left = 0;
+    const CURLMsg* message = curl_multi_info_read(multi_.get(), &left);
+    if (message != nullptr) {
+      result_ = message->data.result;
+    }
+    if (result_ == CURLE_OK) {
+      return Finished{};
+    }
+    curl_off_t connected_us = 0;
+    curl_easy_getinfo(easy_.get(), CURLINFO_CONNECT_TIME_T, &connected_us);
+    const bool connected = result_ != CURLE_COULDNT_CONNECT && connected_us > 0;
+    return Failed{.sent = connected, .reason = curl_easy_strerror(result_)};
+  }
+
+  Request request_;
+  std::unique_ptr<curl_slist, HeadersDeleter> headers_;
+  std::unique_ptr<CURL, EasyDeleter> easy_;
+  std::unique_ptr<CURLM, MultiDeleter> multi_;
+  std::string received_;
+  mutable CURLcode result_ = CURLE_OK;
+};
+
+Exchange::Exchange(Request request)
+    : impl_(std::make_unique<Impl>(std::move(request))) {}
+
+Exchange::~Exchange() = default;
+
+ReadOutcome Exchange::Read(common::Duration timeout) {
+  return impl_->Read(timeout);
+}
+
+int Exchange::status() const {
+  return impl_->status();
+}
+
+std::optional<common::Duration> Exchange::retry_after() const {
+  return impl_->retry_after();
+}
+
+std::variant<Reply, CallFailure> Call(Request request,
+                                      common::Duration timeout) {
+  const common::Time give_up = common::Clock::now() + timeout;
+  Exchange exchange(std::move(request));
+  Reply reply;
+  while (true) {
+    const common::Duration left =
+        std::max(give_up - common::Clock::now(), common::Duration::zero());
+    ReadOutcome outcome = exchange.Read(left);
+    if (auto* data = std::get_if<Data>(&outcome)) {
+      reply.body += data->bytes;
+      continue;
+    }
+    if (std::holds_alternative<Finished>(outcome)) {
+      reply.status = exchange.status();
+      reply.retry_after = exchange.retry_after();
+      return reply;
+    }
+    if (const auto* failed = std::get_if<Failed>(&outcome)) {
+      return CallFailure{failed->sent, failed->reason};
+    }
+    return CallFailure{.sent = true, .reason = "timed out"};
+  }
+}
+
+void InitializeLibrary() {
+  const CURLcode done = curl_global_init(CURL_GLOBAL_DEFAULT);
+  WS_INVARIANT(done == CURLE_OK) << "the HTTP library initializes";
+}
+
+}  // namespace wagtailshore::http_client
--- /dev/null
+++ b/packages/transport/http_server/http_server.cc
@@ -0,0 +1,286 @@
+#include "transport/http_server/http_server.h"
+
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <condition_variable>
+#include <cstring>
+#include <mutex>
+#include <optional>
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/numbers.h"
+#include "common/invariant.h"
+#include "common/strings.h"
+
+namespace wagtailshore::http_server {
+namespace {
+
+constexpr size_t kStreamBlockBytes = size_t{16} << 10;
+
+absl::StatusOr<sockaddr_in> ParseAddress(const std::string& address) {
+  const size_t colon = address.rfind(':');
+  uint32_t port = 0;
+  sockaddr_in parsed{};
+  parsed.sin_family = AF_INET;
+  if (colon == std::string::npos ||
+      !absl::SimpleAtoi(address.substr(colon + 1), &port) || port > 65535 ||
+      inet_pton(AF_INET, address.substr(0, colon).c_str(), &parsed.sin_addr) !=
+          1) {
+    return absl::InvalidArgumentError(
+        common::StrCat("\"", address, "\" is not IP:port"));
+  }
+  parsed.sin_port = htons(static_cast<uint16_t>(port));
+  return parsed;
+}
+
+// A request while its body arrives.
+struct PendingRequest {
+  Request request;
+  bool too_large = false;
+};
+
+MHD_Result CollectHeader(void* into,
+                         MHD_ValueKind,
+                         const char* name,
+                         const char* value) {
+  auto& headers = *static_cast<std::map<std::string, std::string>*>(into);
+  headers[absl::AsciiStrToLower(name)] = value == nullptr ? "" : value;
+  return MHD_YES;
+}
+
+MHD_Result CollectArgument(void* into,
+                           MHD_ValueKind,
+                           const char* name,
+                           const char* value) {
+  auto& arguments = *static_cast<std::map<std::string, std::string>*>(into);
+  arguments[name] = value == nullptr ? "" : value;
+  return MHD_YES;
+}
+
+// Feeds a BodySource to the library, which asks for bytes in pieces.
+struct StreamReader {
+  std::unique_ptr<BodySource> source;
+  std::string pending;
+
+  static ssize_t Read(void* self, uint64_t, char* buffer, size_t max) {
+    return static_cast<StreamReader*>(self)->Fill(buffer, max);
+  }
+  static void Free(void* self) { delete static_cast<StreamReader*>(self); }
+
+  ssize_t Fill(char* buffer, size_t max) {
+    while (pending.empty()) {
+      BodyPart part = source->Next();
+      if (auto* chunk = std::get_if<BodyChunk>(&part)) {
+        pending = std::move(chunk->bytes);
+      } else if (std::holds_alternative<BodyEnd>(part)) {
+        return MHD_CONTENT_READER_END_OF_STREAM;
+      } else {
+        return MHD_CONTENT_READER_END_WITH_ERROR;
+      }
+    }
+    const size_t size = std::min(max, pending.size());
+    std::memcpy(buffer, pending.data(), size);
+    pending.erase(0, size);
+    return static_cast<ssize_t>(size);
+  }
+};
+
+MHD_Result Queue(MHD_Connection* connection,
+                 int status,
+                 const std::string& content_type,
+                 const ResponseHeaders& headers,
+                 MHD_Response* response) {
+  MHD_add_response_header(response, "Content-Type", content_type.c_str());
+  for (const auto& [name, value] : headers) {
+    MHD_add_response_header(response, name.c_str(), value.c_str());
+  }
+  const MHD_Result queued = MHD_queue_response(
+      connection, static_cast<unsigned int>(status), response);
+  MHD_destroy_response(response);
+  return queued;
+}
+
+MHD_Result Send(MHD_Connection* connection, FullResponse& response) {
+  return Queue(
+      connection, response.status, response.content_type, response.headers,
+      MHD_create_response_from_buffer(
+          response.body.size(), response.body.data(), MHD_RESPMEM_MUST_COPY));
+}
+
+MHD_Result Send(MHD_Connection* connection, StreamedResponse& response) {
+  auto reader = std::make_unique<StreamReader>();
+  reader->source = std::move(response.source);
+  // The response owns the reader from here on and frees it by Free().
+  MHD_Response* raw = MHD_create_response_from_callback(
+      MHD_SIZE_UNKNOWN, kStreamBlockBytes, &StreamReader::Read,
+      reader.release(), &StreamReader::Free);
+  return Queue(connection, response.status, response.content_type,
+               response.headers, raw);
+}
+
+}  // namespace
+
+class Server::Impl {
+ public:
+  Impl(ServerOptions options, Handler handler)
+      : options_(std::move(options)), handler_(std::move(handler)) {}
+
+  ~Impl() {
+    StopAccepting();
+    if (daemon_ != nullptr) {
+      MHD_stop_daemon(daemon_);
+    }
+    if (listener_ >= 0) {
+      close(listener_);
+    }
+  }
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  absl::Status Start() {
+    const absl::StatusOr<sockaddr_in> address = ParseAddress(options_.address);
+    if (!address.ok()) {
+      return address.status();
+    }
+    const auto idle_seconds = static_cast<unsigned int>(
+        std::chrono::ceil<std::chrono::seconds>(options_.idle_timeout).count());
+    daemon_ = MHD_start_daemon(
+        MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD |
+            MHD_USE_POLL | MHD_USE_ITC,
+        /*port=*/0, nullptr, nullptr, &Impl::OnData, this, MHD_OPTION_SOCK_ADDR,
+        &*address, MHD_OPTION_CONNECTION_LIMIT, options_.max_connections,
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT, options_.max_header_bytes,
+        MHD_OPTION_CONNECTION_TIMEOUT, idle_seconds,
+        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_NOTIFY_COMPLETED,
+        &Impl::OnCompleted, this, MHD_OPTION_END);
+    if (daemon_ == nullptr) {
+      return absl::UnavailableError(common::StrCat(
+          "cannot listen on ", options_.address, ": ", std::strerror(errno)));
+    }
+    return absl::OkStatus();
+  }
+
+  void StopAccepting() {
+    if (daemon_ == nullptr || listener_ >= 0) {
+      return;
+    }
+    listener_ = MHD_quiesce_daemon(daemon_);
+  }
+
+  void WaitUntilIdle() {
+    std::unique_lock lock(mutex_);
+    idle_.wait(lock, [this] { return requests_ == 0; });
+  }
+
+ private:
+  // The library calls this first without data, then with each piece of the
+  // body, and at last with size 0.
+  static MHD_Result OnData(void* self,
+                           MHD_Connection* connection,
+                           const char* path,
+                           const char* method,
+                           const char*,
+                           const char* data,
+                           size_t* size,
+                           void** state) {
+    auto* impl = static_cast<Impl*>(self);
+    if (*state == nullptr) {
+      *state = Begin(connection, path, method).release();
+      const std::lock_guard lock(impl->mutex_);
+      ++impl->requests_;
+      return MHD_YES;
+    }
+    auto* pending = static_cast<PendingRequest*>(*state);
+    if (*size > 0) {
+      impl->AppendBody(*pending, {data, *size});
+      *size = 0;
+      return MHD_YES;
+    }
+    return impl->Answer(connection, *pending);
+  }
+
+  static void OnCompleted(void* self,
+                          MHD_Connection*,
+                          void** state,
+                          MHD_RequestTerminationCode) {
+    if (*state == nullptr) {
+      return;
+    }
+    delete static_cast<PendingRequest*>(*state);
+    *state = nullptr;
+    auto* impl = static_cast<Impl*>(self);
+    const std::lock_guard lock(impl->mutex_);
+    --impl->requests_;
+    impl->idle_.notify_all();
+  }
+
+  static std::unique_ptr<PendingRequest> Begin(MHD_Connection* connection,
+                                               const char* path,
+                                               const char* method) {
+    auto pending = std::make_unique<PendingRequest>();
+    pending->request.method = method;
+    pending->request.path = path;
+    MHD_get_connection_values(connection, MHD_HEADER_KIND, &CollectHeader,
+                              &pending->request.headers);
+    MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND,
+                              &CollectArgument, &pending->request.arguments);
+    return pending;
+  }
+
+  void AppendBody(PendingRequest& pending, std::string_view data) const {
+    if (pending.request.body.size() + data.size() > options_.max_body_bytes) {
+      pending.too_large = true;
+      pending.request.body.clear();
+    }
+    if (!pending.too_large) {
+      pending.request.body.append(data);
+    }
+  }
+
+  MHD_Result Answer(MHD_Connection* connection, PendingRequest& pending) {
+    Response response =
+        pending.too_large
+            ? Response(FullResponse{.status = MHD_HTTP_CONTENT_TOO_LARGE,
+                                    .body = options_.too_large_body})
+            : handler_(std::move(pending.request));
+    return std::visit([&](auto& kind) { return Send(connection, kind); },
+                      response);
+  }
+
+  ServerOptions options_;
+  Handler handler_;
+  MHD_Daemon* daemon_ = nullptr;
+  MHD_socket listener_ = MHD_INVALID_SOCKET;
+  std::mutex mutex_;
+  std::condition_variable idle_;
+  // Requests that have begun and not ended.
+  uint64_t requests_ = 0;
+};
+
+absl::StatusOr<std::unique_ptr<Server>> Server::Start(ServerOptions options,
+                                                      Handler handler) {
+  auto impl = std::make_unique<Impl>(std::move(options), std::move(handler));
+  absl::Status status = impl->Start();
+  if (!status.ok()) {
+    return status;
+  }
+  return std::unique_ptr<Server>(new Server(std::move(impl)));
+}
+
+Server::Server(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
+
+Server::~Server() = default;
+
+void Server::StopAccepting() {
+  impl_->StopAccepting();
+}
+
+void Server::WaitUntilIdle() {
+  impl_->WaitUntilIdle();
+}
+
+}  // namespace wagtailshore::http_server
--- /dev/null
+++ b/packages/transport/platform_client/platform_client.cc
@@ -0,0 +1,144 @@
+#include "transport/platform_client/platform_client.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "common/strings.h"
+#include "transport/http_client/http_client.h"
+
+namespace wagtailshore::platform_client {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kOk = 200;
+constexpr int kConflict = 409;
+
+Json Bytes(const std::string& text) {
+  return Json::binary(std::vector<uint8_t>(text.begin(), text.end()));
+}
+
+table::Row RowFrom(const Json& json) {
+  const auto& value = json.at("value").get_binary();
+  return {.version = json.at("version"),
+          .value = {value.begin(), value.end()},
+          .token = json.at("token")};
+}
+
+// The reply of a POST with a msgpack body, or an error for anything but the
+// two statuses that the table uses.
+absl::StatusOr<std::pair<int, Json>> PostTable(const PlatformOptions& options,
+                                               std::string_view operation,
+                                               const Json& request) {
+  const std::vector<uint8_t> body = Json::to_msgpack(request);
+  const auto outcome = http_client::Call(
+      {.method = "POST",
+       .url = common::StrCat(options.url, "/table/", operation),
+       .body = {body.begin(), body.end()}},
+      options.timeout);
+  if (const auto* failure = std::get_if<http_client::CallFailure>(&outcome)) {
+    return absl::UnavailableError(failure->reason);
+  }
+  const auto& reply = std::get<http_client::Reply>(outcome);
+  if (reply.status != kOk && reply.status != kConflict) {
+    return absl::UnavailableError(common::StrCat("status ", reply.status));
+  }
+  Json json = Json::from_msgpack(reply.body, /*strict=*/true,
+                                 /*allow_exceptions=*/false);
+  if (json.is_discarded()) {
+    return absl::DataLossError("the table's reply cannot be read");
+  }
+  return std::pair(reply.status, std::move(json));
+}
+
+absl::StatusOr<http_client::Reply> CallStore(const PlatformOptions& options,
+                                             http_client::Request request) {
+  auto outcome = http_client::Call(std::move(request), options.timeout);
+  if (const auto* failure = std::get_if<http_client::CallFailure>(&outcome)) {
+    return absl::UnavailableError(failure->reason);
+  }
+  auto& reply = std::get<http_client::Reply>(outcome);
+  if (reply.status != kOk) {
+    return absl::UnavailableError(common::StrCat("status ", reply.status));
+  }
+  return std::move(reply);
+}
+
+}  // namespace
+
+PlatformClient::PlatformClient(PlatformOptions options)
+    : options_(std::move(options)) {}
+
+table::ReadOutcome PlatformClient::Read(const table::ReadRow& request) const {
+  const auto reply = PostTable(options_, "read", {{"key", request.key}});
+  if (!reply.ok()) {
+    return table::Unavailable{};
+  }
+  try {
+    return table::RowRead{RowFrom(reply->second)};
+  } catch (const Json::exception&) {
+    return table::Unavailable{};
+  }
+}
+
+table::WriteOutcome PlatformClient::Write(
+    const table::WriteRow& request) const {
+  const auto reply = PostTable(options_, "write",
+                               {{"key", request.key},
+                                {"expected_version", request.expected_version},
+                                {"value", Bytes(request.value)},
+                                {"token", request.token}});
+  if (!reply.ok()) {
+    return table::Unavailable{};
+  }
+  try {
+    const table::Row row = RowFrom(reply->second);
+    if (reply->first == kConflict) {
+      return table::WriteConflict{row};
+    }
+    return table::RowWritten{row.version};
+  } catch (const Json::exception&) {
+    return table::Unavailable{};
+  }
+}
+
+absl::Status PlatformClient::PutObject(const std::string& name,
+                                       std::string body) const {
+  return CallStore(options_,
+                   {.method = "PUT",
+                    .url = common::StrCat(options_.url, "/objects/", name),
+                    .body = std::move(body)})
+      .status();
+}
+
+absl::StatusOr<std::string> PlatformClient::GetObject(
+    const std::string& name) const {
+  auto reply = CallStore(
+      options_, {.url = common::StrCat(options_.url, "/objects/", name)});
+  if (!reply.ok()) {
+    return reply.status();
+  }
+  return std::move(reply->body);
+}
+
+absl::StatusOr<std::vector<Instance>> PlatformClient::ListInstances() const {
+  const auto reply =
+      CallStore(options_, {.url = common::StrCat(options_.url, "/instances")});
+  if (!reply.ok()) {
+    return reply.status();
+  }
+  try {
+    std::vector<Instance> instances;
+    for (const Json& item : Json::parse(reply->body)) {
+      instances.push_back({.name = item.at("name"),
+                           .peer_address = item.at("peer_address"),
+                           .failure_domain = item.at("failure_domain"),
+                           .leaving = item.at("leaving")});
+    }
+    return instances;
+  } catch (const Json::exception& error) {
+    return absl::DataLossError(error.what());
+  }
+}
+
+}  // namespace wagtailshore::platform_client
