--- /dev/null
+++ b/packages/daemon/endpoint/engine_stream.h
@@ -0,0 +1,45 @@
+#ifndef DAEMON_ENDPOINT_ENGINE_STREAM_H_
+#define DAEMON_ENDPOINT_ENGINE_STREAM_H_
+
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "common/time.h"
+#include "protocol/messages/messages.h"
+#include "transport/http_client/http_client.h"
+
+namespace wagtailshore::endpoint {
+
+// A piece of the engine's answer.
+struct EnginePiece {
+  uint64_t tokens = 0;
+  std::string text;
+  bool last = false;
+};
+// The engine refused the work before it began.
+struct EngineRefused {
+  std::optional<common::Duration> retry_after;
+};
+// The engine broke off or went silent.
+struct EngineFailed {};
+using EngineOutcome = std::variant<EnginePiece, EngineRefused, EngineFailed>;
+
+// One generation at the model engine beside this process, over HTTP: the
+// answer is one JSON object per line.
+class EngineStream {
+ public:
+  EngineStream(const std::string& engine_url,
+               const messages::GenerateAttempt& attempt);
+
+  // Waits up to `timeout` for the next piece.
+  EngineOutcome Next(common::Duration timeout);
+
+ private:
+  http_client::Exchange exchange_;
+  std::string buffer_;
+};
+
+}  // namespace wagtailshore::endpoint
+
+#endif  // DAEMON_ENDPOINT_ENGINE_STREAM_H_
--- /dev/null
+++ b/packages/daemon/entry/caller_server.cc
@@ -0,0 +1,247 @@
+#include "daemon/entry/caller_server.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+#include "common/event_log.h"
+#include "common/strings.h"
+#include "daemon/entry/call_run.h"
+#include "daemon/entry/generate_run.h"
+#include "state/manifest/manifest.h"
+
+namespace wagtailshore::entry {
+namespace {
+
+constexpr common::Duration kRetryAfter = common::seconds(1);
+
+// Streams a model's answer as server-sent events. The first piece is fetched
+// before the response begins, so that a refusal can still have its status.
+class EventSource final : public http_server::BodySource {
+ public:
+  EventSource(std::unique_ptr<GenerateRun> run, exchange::DeliverText first)
+      : run_(std::move(run)), next_(std::move(first)) {}
+
+  http_server::BodyPart Next() override {
+    if (done_) {
+      return http_server::BodyEnd{};
+    }
+    auto piece = next_.has_value() ? Piece(*std::exchange(next_, std::nullopt))
+                                   : run_->Next();
+    if (const auto* refusal = std::get_if<refusal::Refusal>(&piece)) {
+      done_ = true;
+      return http_server::BodyChunk{http_api::FormatRefusalEvent(*refusal)};
+    }
+    return Format(std::get<exchange::DeliverText>(piece));
+  }
+
+ private:
+  using Piece = std::variant<exchange::DeliverText, refusal::Refusal>;
+
+  http_server::BodyPart Format(const exchange::DeliverText& piece) {
+    std::string events;
+    if (!piece.text.empty()) {
+      events = http_api::FormatTextEvent(piece.text);
+    }
+    if (piece.last) {
+      done_ = true;
+      events += http_api::FormatDoneEvent(run_->tokens());
+    }
+    return http_server::BodyChunk{std::move(events)};
+  }
+
+  std::unique_ptr<GenerateRun> run_;
+  std::optional<exchange::DeliverText> next_;
+  bool done_ = false;
+};
+
+http_server::FullResponse AnswerResponse(const claims::CallAnswered& answered) {
+  http_server::FullResponse response{.status = answered.answer.status,
+                                     .body = answered.answer.body};
+  if (answered.replayed) {
+    response.headers.emplace_back(http_api::kReplayedHeader, "true");
+  }
+  return response;
+}
+
+http_server::FullResponse OutcomeResponse(const CallOutcome& outcome) {
+  if (const auto* answered = std::get_if<claims::CallAnswered>(&outcome)) {
+    return AnswerResponse(*answered);
+  }
+  return RefusalResponse(std::get<refusal::Refusal>(outcome));
+}
+
+refusal::Refusal Refuse(refusal::Code code, std::string message) {
+  return {.code = code, .message = std::move(message)};
+}
+
+// Why the wind-down phase refuses the call, if it does.
+std::optional<refusal::Refusal> RefusedByPhase(
+    manifest::WindDownPhase phase,
+    const manifest::Customer& customer,
+    const http_api::Call& call) {
+  using Phase = manifest::WindDownPhase;
+  const bool lookup = std::holds_alternative<http_api::OutcomeLookup>(call);
+  const bool refused =
+      phase == Phase::kOff || (phase >= Phase::kDrainGroups && !lookup) ||
+      (phase >= Phase::kNoNewCustomers && customer.new_customer && !lookup);
+  if (!refused) {
+    return std::nullopt;
+  }
+  return Refuse(refusal::Code::kWindDown, "the system is being wound down");
+}
+
+// A caller may lower its customer's priority, not raise it.
+std::string_view EffectivePriority(const manifest::Customer& customer,
+                                   const std::string& asked) {
+  const auto priority = std::min(
+      customer.priority, common::ValueOf(manifest::kPriorityNames, asked)
+                             .value_or(customer.priority));
+  return common::NameOf(manifest::kPriorityNames, priority);
+}
+
+}  // namespace
+
+http_server::FullResponse RefusalResponse(const refusal::Refusal& refusal) {
+  http_server::FullResponse response{
+      .status = refusal::HttpStatus(refusal.code),
+      .body = http_api::FormatRefusal(refusal)};
+  if (const auto seconds = http_api::RetryAfterSeconds(refusal)) {
+    response.headers.emplace_back("Retry-After", *seconds);
+  }
+  return response;
+}
+
+http_server::Response CallerServer::OnRequest(
+    const http_server::Request& request) {
+  auto envelope = http_api::ParseEnvelope(request.headers);
+  if (const auto* refusal = std::get_if<refusal::Refusal>(&envelope)) {
+    return RefusalResponse(*refusal);
+  }
+  auto call = http_api::ParseCall(request.method, request.path, request.body);
+  if (const auto* refusal = std::get_if<refusal::Refusal>(&call)) {
+    return RefusalResponse(*refusal);
+  }
+  const auto& parsed_envelope = std::get<http_api::Envelope>(envelope);
+  const auto& parsed_call = std::get<http_api::Call>(call);
+  auto admitted = Admit(parsed_envelope, parsed_call);
+  if (const auto* refusal = std::get_if<refusal::Refusal>(&admitted)) {
+    common::LogEvent(common::EventId::kRequestRefused,
+                     common::StrCat("code=", common::NameOf(refusal::kCodeNames,
+                                                            refusal->code)));
+    return RefusalResponse(*refusal);
+  }
+  return std::visit(
+      [&](const auto& kind) {
+        return Serve(std::move(std::get<Admitted>(admitted)), parsed_envelope,
+                     kind);
+      },
+      parsed_call);
+}
+
+std::variant<Admitted, refusal::Refusal> CallerServer::Admit(
+    const http_api::Envelope& envelope,
+    const http_api::Call& call) {
+  return node_.control().Call([&] { return AdmitOnControl(envelope, call); });
+}
+
+std::variant<Admitted, refusal::Refusal> CallerServer::AdmitOnControl(
+    const http_api::Envelope& envelope,
+    const http_api::Call& call) {
+  const auto& manifest = node_.manifests().current();
+  if (manifest == nullptr) {
+    refusal::Refusal refusal =
+        Refuse(refusal::Code::kNoManifest, "no manifest has been learned yet");
+    refusal.retry_after = kRetryAfter;
+    return refusal;
+  }
+  const manifest::Customer* customer =
+      manifest::FindCustomerByKeyHash(manifest->manifest, envelope.key_sha256);
+  if (customer == nullptr) {
+    return Refuse(refusal::Code::kUnauthorized, "no customer has this key");
+  }
+  auto by_phase = RefusedByPhase(manifest->manifest.phase, *customer, call);
+  if (by_phase.has_value()) {
+    return *std::move(by_phase);
+  }
+  if (!node_.gate().TryBegin()) {
+    refusal::Refusal refusal =
+        Refuse(refusal::Code::kDraining, "this entry is stopping");
+    refusal.retry_after = kRetryAfter;
+    return refusal;
+  }
+  return Admitted{
+      .request = common::StrCat(node_.incarnation(), "-", core_.next_request++),
+      .customer = customer->name,
+      .priority = std::string(EffectivePriority(*customer, envelope.priority)),
+      .deadline = common::Clock::now() + envelope.timeout,
+      .manifest = manifest,
+      .in_flight = InFlight(node_)};
+}
+
+http_server::Response CallerServer::Serve(Admitted admitted,
+                                          const http_api::Envelope&,
+                                          const http_api::GenerateCall& call) {
+  const auto& groups = admitted.manifest->manifest.groups;
+  const bool known =
+      std::any_of(groups.begin(), groups.end(),
+                  [&](const auto& group) { return group.model == call.model; });
+  if (!known) {
+    return RefusalResponse(Refuse(refusal::Code::kNotFound, "no such model"));
+  }
+  auto run = std::make_unique<GenerateRun>(control_, std::move(admitted), call);
+  auto piece = run->Next();
+  if (const auto* refusal = std::get_if<refusal::Refusal>(&piece)) {
+    return RefusalResponse(*refusal);
+  }
+  auto& first = std::get<exchange::DeliverText>(piece);
+  if (call.stream) {
+    return http_server::StreamedResponse{
+        .content_type = "text/event-stream",
+        .headers = {{"Cache-Control", "no-store"}},
+        .source =
+            std::make_unique<EventSource>(std::move(run), std::move(first))};
+  }
+  std::string text = std::move(first.text);
+  while (!std::get<exchange::DeliverText>(piece).last) {
+    piece = run->Next();
+    if (const auto* refusal = std::get_if<refusal::Refusal>(&piece)) {
+      return RefusalResponse(*refusal);
+    }
+    text += std::get<exchange::DeliverText>(piece).text;
+  }
+  return http_server::FullResponse{
+      .body = http_api::FormatAnswer(text, run->tokens())};
+}
+
+http_server::Response CallerServer::Serve(Admitted admitted,
+                                          const http_api::Envelope& envelope,
+                                          const http_api::ServiceCall& call) {
+  const manifest::Service* service =
+      manifest::FindService(admitted.manifest->manifest, call.service);
+  if (service == nullptr) {
+    return RefusalResponse(Refuse(refusal::Code::kNotFound, "no such service"));
+  }
+  if (!manifest::IsNonIdempotent(*service, call.call)) {
+    return OutcomeResponse(RunIdempotentCall(control_, admitted, call));
+  }
+  if (envelope.idempotency_key.empty()) {
+    return RefusalResponse(Refuse(refusal::Code::kBadRequest,
+                                  "this call needs an Idempotency-Key"));
+  }
+  return OutcomeResponse(
+      RunNonIdempotentCall(control_, admitted, call, envelope.idempotency_key));
+}
+
+http_server::Response CallerServer::Serve(Admitted admitted,
+                                          const http_api::Envelope& envelope,
+                                          const http_api::OutcomeLookup&) {
+  if (envelope.idempotency_key.empty()) {
+    return RefusalResponse(
+        Refuse(refusal::Code::kBadRequest, "Idempotency-Key is missing"));
+  }
+  return OutcomeResponse(LookUpOutcome(node_.platform(), admitted.customer,
+                                       envelope.idempotency_key));
+}
+
+}  // namespace wagtailshore::entry
--- /dev/null
+++ b/packages/daemon/entry/entry.cc
@@ -0,0 +1,205 @@
+#include "daemon/entry/entry.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <thread>
+#include <utility>
+
+#include "common/event_log.h"
+#include "daemon/entry/caller_server.h"
+#include "daemon/entry/entry_admin.h"
+#include "daemon/entry/entry_core.h"
+
+namespace wagtailshore::entry {
+
+std::optional<Picked> EntryControl::Pick(const Admitted& admitted,
+                                         const std::string& target,
+                                         const std::set<std::string>& avoid) {
+  const auto name = node_.control().Call(
+      [&] { return core_.router.Pick(target, avoid, common::Clock::now()); });
+  if (!name.has_value()) {
+    return std::nullopt;
+  }
+  // The request may be older than the newest manifest, which the router knows.
+  const auto manifest =
+      node_.control().Call([&] { return node_.manifests().current(); });
+  for (const auto* source : {manifest.get(), admitted.manifest.get()}) {
+    for (const manifest::Endpoint& endpoint : source->manifest.endpoints) {
+      if (endpoint.name == *name) {
+        return Picked{endpoint.name, endpoint.traffic_address};
+      }
+    }
+  }
+  return std::nullopt;
+}
+
+void EntryControl::Report(const std::string& endpoint, AttemptResult result) {
+  node_.control().Post([this, endpoint, result] {
+    switch (result) {
+      case AttemptResult::kServed:
+        core_.router.OnSuccess(endpoint);
+        break;
+      case AttemptResult::kRefused:
+      case AttemptResult::kFailed:
+        core_.router.OnFailure(endpoint, common::Clock::now());
+        break;
+    }
+  });
+}
+
+class Entry::Impl {
+ public:
+  explicit Impl(const settings::Settings& settings)
+      : core_({.failure_domain = settings.failure_domain}),
+        node_(settings, membership::Role::kEntry),
+        control_(node_, core_),
+        callers_(node_, core_, control_) {}
+
+  // Callers' connections refer to everything else and go first.
+  ~Impl() { server_.reset(); }
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  absl::Status Start() {
+    absl::Status started = node_.Start(Hooks());
+    if (!started.ok()) {
+      return started;
+    }
+    const settings::Settings& settings = node_.settings();
+    auto server = http_server::Server::Start(
+        {.address = settings.caller_address,
+         .max_connections = settings.max_connections,
+         .max_body_bytes = settings.max_body_bytes,
+         .too_large_body = http_api::FormatRefusal(
+             {.code = refusal::Code::kTooLarge,
+              .message = "the body is beyond the limit"})},
+        [this](const http_server::Request& request) {
+          return callers_.OnRequest(request);
+        });
+    if (!server.ok()) {
+      return server.status();
+    }
+    server_ = *std::move(server);
+    return absl::OkStatus();
+  }
+
+  void Drain() {
+    node_.control().Call([this] { node_.AnnounceLeaving(); });
+    std::this_thread::sleep_for(node_.settings().drain_notice);
+    node_.control().Call([this] { node_.gate().StartDraining(); });
+    node_.WaitUntilDrained();
+    server_->StopAccepting();
+    server_->WaitUntilIdle();
+  }
+
+ private:
+  node::NodeHooks Hooks() {
+    return {
+        .on_manifest =
+            [this](const rollout::VersionedManifest& manifest) {
+              OnManifest(manifest.manifest);
+            },
+        .on_peer =
+            [this](const messages::PeerExchange& exchange,
+                   membership::PeerChange change) { OnPeer(exchange, change); },
+        .on_instances =
+            [this](const std::vector<platform_client::Instance>& all) {
+              OnInstances(all);
+            },
+        .load = [] { return routing::LoadReport{}; },
+        .addresses = [this] { return endpoint_addresses_; },
+        .add_to_dump = [this](nlohmann::json& dump) { AddToDump(dump); },
+        .admin =
+            [this](const http_server::Request& request) {
+              return OnAdminRequest(node_, request);
+            }};
+  }
+
+  void OnManifest(const manifest::Manifest& manifest) {
+    std::set<std::string> names;
+    endpoint_addresses_.clear();
+    for (const manifest::Endpoint& endpoint : manifest.endpoints) {
+      const auto* replica =
+          std::get_if<manifest::ServiceReplica>(&endpoint.duty);
+      core_.router.Upsert(endpoint.name, endpoint.failure_domain,
+                          replica != nullptr ? replica->service
+                                             : std::string(manifest::ModelOf(
+                                                   manifest, endpoint)));
+      names.insert(endpoint.name);
+      endpoint_addresses_.insert(endpoint.peer_address);
+    }
+    core_.router.KeepOnly(names);
+  }
+
+  void OnPeer(const messages::PeerExchange& exchange,
+              membership::PeerChange change) {
+    if (exchange.info.role == membership::Role::kEntry) {
+      node_.peers().AddSeeds(exchange.entries);
+      return;
+    }
+    if (change.restarted) {
+      core_.router.OnRestarted(exchange.info.name);
+    }
+    core_.router.OnReport(exchange.info.name, exchange.load);
+    if (exchange.info.leaving) {
+      core_.router.OnLeaving(exchange.info.name);
+    }
+  }
+
+  void OnInstances(const std::vector<platform_client::Instance>& instances) {
+    std::vector<std::string> entries;
+    for (const platform_client::Instance& instance : instances) {
+      if (endpoint_addresses_.contains(instance.peer_address)) {
+        if (instance.leaving) {
+          core_.router.OnLeaving(instance.name);
+        }
+        continue;
+      }
+      entries.push_back(instance.peer_address);
+    }
+    node_.peers().AddSeeds(entries);
+  }
+
+  void AddToDump(nlohmann::json& dump) {
+    const common::Time now = common::Clock::now();
+    for (const auto& [name, candidate] : core_.router.candidates()) {
+      dump["endpoints"][name] = {
+          {"failure_domain", candidate.failure_domain},
+          {"target", candidate.target},
+          {"queued", candidate.report.queued},
+          {"running", candidate.report.running},
+          {"sent_since_report", candidate.sent_since_report},
+          {"leaving", candidate.leaving},
+          {"ejected_for_ms",
+           std::max<int64_t>(
+               0, common::ToMilliseconds(candidate.ejected_until - now))}};
+    }
+  }
+
+  EntryCore core_;
+  std::set<std::string> endpoint_addresses_;
+  node::Node node_;
+  EntryControl control_;
+  CallerServer callers_;
+  std::unique_ptr<http_server::Server> server_;
+};
+
+absl::StatusOr<std::unique_ptr<Entry>> Entry::Start(
+    const settings::Settings& settings) {
+  auto impl = std::make_unique<Impl>(settings);
+  absl::Status status = impl->Start();
+  if (!status.ok()) {
+    return status;
+  }
+  return std::unique_ptr<Entry>(new Entry(std::move(impl)));
+}
+
+Entry::Entry(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
+
+Entry::~Entry() = default;
+
+void Entry::Drain() {
+  impl_->Drain();
+}
+
+}  // namespace wagtailshore::entry
--- /dev/null
+++ b/packages/daemon/entry/generate_run.cc
@@ -0,0 +1,141 @@
+#include "daemon/entry/generate_run.h"
+
+#include <utility>
+
+#include "common/event_log.h"
+#include "common/strings.h"
+
+namespace wagtailshore::entry {
+namespace {
+
+constexpr size_t kMaxFrameBytes = size_t{1} << 20;
+constexpr int kOk = 200;
+
+}  // namespace
+
+GenerateRun::GenerateRun(EntryControl& control,
+                         Admitted admitted,
+                         http_api::GenerateCall call)
+    : control_(control),
+      admitted_(std::move(admitted)),
+      call_(std::move(call)),
+      exchange_(
+          {.request = admitted_.request,
+           .deadline = admitted_.deadline,
+           .progress_timeout = control.node().settings().progress_timeout}) {}
+
+std::variant<exchange::DeliverText, refusal::Refusal> GenerateRun::Next() {
+  const common::Time now = common::Clock::now();
+  exchange::Action action = std::exchange(started_, true)
+                                ? exchange_.OnDelivered(now)
+                                : exchange_.Start(now);
+  while (true) {
+    if (auto* deliver = std::get_if<exchange::DeliverText>(&action)) {
+      if (deliver->last) {
+        control_.Report(endpoint_.name, AttemptResult::kServed);
+      }
+      return std::move(*deliver);
+    }
+    if (auto* give_up = std::get_if<exchange::GiveUp>(&action)) {
+      return std::move(give_up->refusal);
+    }
+    if (const auto* start = std::get_if<exchange::StartAttempt>(&action)) {
+      action = Perform(*start);
+    } else {
+      action = Perform(std::get<exchange::ReadFrame>(action));
+    }
+  }
+}
+
+std::optional<Picked> GenerateRun::PickFor(
+    const exchange::StartAttempt& start) {
+  if (start.prefer.has_value()) {
+    return endpoint_;
+  }
+  return control_.Pick(admitted_, call_.model, start.avoid);
+}
+
+exchange::Action GenerateRun::Perform(const exchange::StartAttempt& start) {
+  connection_.reset();
+  const std::optional<Picked> picked = PickFor(start);
+  const common::Time now = common::Clock::now();
+  if (!picked.has_value()) {
+    return exchange_.OnNoEndpoint(now);
+  }
+  endpoint_ = *picked;
+  if (start.offset > 0) {
+    common::LogEvent(common::EventId::kStreamResumed,
+                     common::StrCat("request=", admitted_.request, " attempt=",
+                                    start.id.attempt, " offset=", start.offset,
+                                    " endpoint=", endpoint_.name));
+  }
+  const messages::GenerateAttempt attempt{
+      .id = start.id,
+      .customer = admitted_.customer,
+      .model = call_.model,
+      .prompt = call_.prompt,
+      .offset = start.offset,
+      .text_so_far = exchange_.assembler().text(),
+      .max_tokens = call_.max_tokens,
+      .deadline_ms = common::ToMilliseconds(admitted_.deadline - now),
+      .priority = admitted_.priority};
+  connection_ = std::make_unique<http_client::Exchange>(http_client::Request{
+      .method = "POST",
+      .url = common::StrCat("http://", endpoint_.traffic_address, "/generate"),
+      .body = messages::Encode(attempt)});
+  splitter_.emplace(kMaxFrameBytes);
+  return exchange_.OnSent(endpoint_.name, now);
+}
+
+exchange::Action GenerateRun::Perform(const exchange::ReadFrame& read) {
+  // Frames that arrived together are taken before the connection is read.
+  absl::StatusOr<std::optional<std::string>> message = splitter_->Next();
+  if (message.ok() && message->has_value()) {
+    return OnData(**message);
+  }
+  if (!message.ok()) {
+    return EndAttempt(exchange::AttemptEnd::kBroken, std::nullopt);
+  }
+  http_client::ReadOutcome outcome = connection_->Read(read.timeout);
+  if (std::holds_alternative<http_client::TimedOut>(outcome)) {
+    return EndAttempt(exchange::AttemptEnd::kSilent, std::nullopt);
+  }
+  if (const auto* failed = std::get_if<http_client::Failed>(&outcome)) {
+    return EndAttempt(failed->sent ? exchange::AttemptEnd::kBroken
+                                   : exchange::AttemptEnd::kNotSent,
+                      std::nullopt);
+  }
+  if (connection_->status() != kOk) {
+    return EndAttempt(exchange::AttemptEnd::kRefused,
+                      connection_->retry_after());
+  }
+  if (const auto* data = std::get_if<http_client::Data>(&outcome)) {
+    splitter_->Append(data->bytes);
+    return read;
+  }
+  return EndAttempt(exchange::AttemptEnd::kBroken, std::nullopt);
+}
+
+exchange::Action GenerateRun::OnData(const std::string& bytes) {
+  const auto frame = messages::DecodeFrame(bytes);
+  if (!frame.ok()) {
+    return EndAttempt(exchange::AttemptEnd::kBroken, std::nullopt);
+  }
+  return exchange_.OnFrame(*frame, common::Clock::now());
+}
+
+exchange::Action GenerateRun::EndAttempt(
+    exchange::AttemptEnd end,
+    std::optional<common::Duration> retry_after) {
+  connection_.reset();
+  const bool refused = end == exchange::AttemptEnd::kRefused;
+  control_.Report(endpoint_.name,
+                  refused ? AttemptResult::kRefused : AttemptResult::kFailed);
+  common::LogEvent(common::EventId::kAttemptFailed,
+                   common::StrCat("request=", admitted_.request,
+                                  " endpoint=", endpoint_.name,
+                                  " end=", static_cast<int>(end)));
+  return exchange_.OnAttemptEnd(end, retry_after, common::Clock::now());
+}
+
+}  // namespace wagtailshore::entry
--- /dev/null
+++ b/packages/daemon/entry/generate_run.h
@@ -0,0 +1,53 @@
+#ifndef DAEMON_ENTRY_GENERATE_RUN_H_
+#define DAEMON_ENTRY_GENERATE_RUN_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "coordination/exchange/exchange.h"
+#include "daemon/entry/entry_core.h"
+#include "protocol/http_api/http_api.h"
+#include "protocol/messages/messages.h"
+#include "transport/http_client/http_client.h"
+
+namespace wagtailshore::entry {
+
+// Serves one model request: sends its attempts to endpoints and yields the
+// answer's text piece by piece. Blocks the calling traffic thread.
+class GenerateRun {
+ public:
+  GenerateRun(EntryControl& control,
+              Admitted admitted,
+              http_api::GenerateCall call);
+
+  // The next piece of text, or the refusal that ends the request. Not to be
+  // called after either the last piece or a refusal.
+  std::variant<exchange::DeliverText, refusal::Refusal> Next();
+
+  // Tokens yielded so far.
+  uint64_t tokens() const { return exchange_.assembler().next_offset(); }
+
+ private:
+  exchange::Action Perform(const exchange::StartAttempt& start);
+  exchange::Action Perform(const exchange::ReadFrame& read);
+  exchange::Action OnData(const std::string& bytes);
+  exchange::Action EndAttempt(exchange::AttemptEnd end,
+                              std::optional<common::Duration> retry_after);
+  std::optional<Picked> PickFor(const exchange::StartAttempt& start);
+
+  EntryControl& control_;
+  Admitted admitted_;
+  http_api::GenerateCall call_;
+  exchange::Exchange exchange_;
+  Picked endpoint_;
+  // The current attempt's connection and what has arrived on it.
+  std::unique_ptr<http_client::Exchange> connection_;
+  std::optional<messages::MessageSplitter> splitter_;
+  bool started_ = false;
+};
+
+}  // namespace wagtailshore::entry
+
+#endif  // DAEMON_ENTRY_GENERATE_RUN_H_
--- /dev/null
+++ b/packages/daemon/main.cc
@@ -0,0 +1,80 @@
+#include <glog/logging.h>
+#include <signal.h>
+
+#include <iostream>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "common/event_log.h"
+#include "common/strings.h"
+#include "daemon/endpoint/endpoint.h"
+#include "daemon/entry/entry.h"
+#include "daemon/settings/settings.h"
+#include "transport/http_client/http_client.h"
+
+namespace wagtailshore {
+namespace {
+
+constexpr int kExitDone = 0;
+constexpr int kExitRefused = 1;
+constexpr int kExitUsage = 2;
+
+// Stop signals are blocked before any thread starts, so that only the main
+// thread sees them, by waiting.
+sigset_t BlockStopSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  return signals;
+}
+
+template <typename Role>
+int Run(const settings::Settings& settings, const sigset_t& stop_signals) {
+  auto role = Role::Start(settings);
+  if (!role.ok()) {
+    std::cerr << "wagtailshored: " << role.status().message() << "\n";
+    return kExitRefused;
+  }
+  common::LogEvent(common::EventId::kProcessStarted,
+                   common::StrCat("name=", settings.name,
+                                  " failure_domain=", settings.failure_domain));
+  int signal = 0;
+  sigwait(&stop_signals, &signal);
+  common::LogEvent(common::EventId::kProcessDraining,
+                   common::StrCat("signal=", signal));
+  (*role)->Drain();
+  common::LogEvent(common::EventId::kProcessStopped, "");
+  return kExitDone;
+}
+
+int Main(int argc, char** argv) {
+  google::InitGoogleLogging(argv[0]);
+  FLAGS_logtostderr = true;
+  const settings::ReadResult result =
+      settings::Read(std::vector<std::string>(argv, argv + argc),
+                     &settings::ProcessEnvironment);
+  if (std::holds_alternative<settings::NothingToRun>(result)) {
+    return kExitDone;
+  }
+  if (const auto* findings = std::get_if<common::Findings>(&result)) {
+    std::cerr << common::FormatFindings(*findings);
+    return kExitUsage;
+  }
+  const auto& settings = std::get<settings::Settings>(result);
+  const sigset_t stop_signals = BlockStopSignals();
+  signal(SIGPIPE, SIG_IGN);
+  http_client::InitializeLibrary();
+  return settings.role == settings::Role::kEntry
+             ? Run<entry::Entry>(settings, stop_signals)
+             : Run<endpoint::Endpoint>(settings, stop_signals);
+}
+
+}  // namespace
+}  // namespace wagtailshore
+
+int main(int argc, char** argv) {
+  return wagtailshore::Main(argc, argv);
+}
--- /dev/null
+++ b/packages/daemon/settings/settings.cc
@@ -0,0 +1,226 @@
+#include "daemon/settings/settings.h"
+
+#include <tclap/CmdLine.h>
+
+#include <cstdlib>
+#include <map>
+#include <memory>
+#include <utility>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_split.h"
+#include "common/strings.h"
+#include "daemon/settings/setting_table.h"
+
+namespace wagtailshore::settings {
+namespace {
+
+constexpr char kVersion[] = "0.1.0";
+constexpr std::string_view kUrlPrefix = "http://";
+
+// A setting's text and the flag or variable that it came from.
+struct Value {
+  std::string text;
+  std::string place;
+};
+using Values = std::map<std::string_view, Value>;
+
+std::string HelpOf(const SettingSpec& spec) {
+  std::string help(spec.help);
+  if (spec.type == SettingType::kNumber) {
+    common::StrAppend(&help, " (", spec.min, " to ", spec.max, " ", spec.unit,
+                      ", default ", spec.default_value, ")");
+  }
+  common::StrAppend(&help, " [", EnvironmentName(spec), "]");
+  return help;
+}
+
+std::variant<Values, common::Findings, NothingToRun> Collect(
+    std::vector<std::string> arguments,
+    const Environment& environment) {
+  Values values;
+  try {
+    TCLAP::CmdLine command(
+        "The load balancer's daemon. Every flag has an environment variable "
+        "that stands in for it; the flag goes first.",
+        '=', kVersion);
+    command.setExceptionHandling(false);
+    std::vector<std::unique_ptr<TCLAP::ValueArg<std::string>>> flags;
+    for (const SettingSpec& spec : SettingTable()) {
+      flags.push_back(std::make_unique<TCLAP::ValueArg<std::string>>(
+          "", std::string(spec.name), HelpOf(spec), /*req=*/false, "",
+          std::string(common::NameOf(kSettingTypeNames, spec.type)), command));
+    }
+    command.parse(arguments);
+    size_t index = 0;
+    for (const SettingSpec& spec : SettingTable()) {
+      const auto& flag = *flags[index++];
+      const std::string variable = EnvironmentName(spec);
+      if (flag.isSet()) {
+        values[spec.name] = {flag.getValue(), common::StrCat("--", spec.name)};
+      } else if (const auto text = environment(variable)) {
+        values[spec.name] = {*text, variable};
+      } else {
+        values[spec.name] = {std::string(spec.default_value),
+                             common::StrCat("--", spec.name)};
+      }
+    }
+  } catch (const TCLAP::ExitException&) {
+    return NothingToRun{};
+  } catch (const TCLAP::ArgException& error) {
+    return common::Findings{{error.argId(), error.error()}};
+  }
+  return values;
+}
+
+bool IsAddress(std::string_view text) {
+  const size_t colon = text.rfind(':');
+  uint32_t port = 0;
+  constexpr uint32_t kMaxPort = 65535;
+  return colon != std::string_view::npos && colon > 0 &&
+         absl::SimpleAtoi(common::AsAbsl(text.substr(colon + 1)), &port) &&
+         port <= kMaxPort;
+}
+
+std::vector<std::string> SplitList(const std::string& text) {
+  return absl::StrSplit(text, ',', absl::SkipEmpty());
+}
+
+// What is wrong with the text of a setting; empty when nothing is.
+std::string Fault(const SettingSpec& spec, const std::string& text) {
+  switch (spec.type) {
+    case SettingType::kText:
+      return "";
+    case SettingType::kAddress:
+      return IsAddress(text) ? "" : "must be IP:port";
+    case SettingType::kAddressList:
+      for (const std::string& address : SplitList(text)) {
+        if (!IsAddress(address)) {
+          return common::StrCat("\"", address, "\" is not IP:port");
+        }
+      }
+      return "";
+    case SettingType::kUrl:
+      return text.starts_with(kUrlPrefix) &&
+                     IsAddress(text.substr(kUrlPrefix.size()))
+                 ? ""
+                 : "must be http://IP:port";
+    case SettingType::kNumber: {
+      int64_t number = 0;
+      const bool good = absl::SimpleAtoi(text, &number) && number >= spec.min &&
+                        number <= spec.max;
+      return good ? ""
+                  : common::StrCat("must be a whole number from ", spec.min,
+                                   " to ", spec.max, " ", spec.unit);
+    }
+    case SettingType::kRole:
+      return text == "entry" || text == "endpoint"
+                 ? ""
+                 : "must be entry or endpoint";
+  }
+  return "";
+}
+
+bool IsNeeded(const SettingSpec& spec, std::string_view role) {
+  switch (spec.needed_by) {
+    case NeededBy::kNone:
+      return false;
+    case NeededBy::kBoth:
+      return true;
+    case NeededBy::kEntry:
+      return role == "entry";
+    case NeededBy::kEndpoint:
+      return role == "endpoint";
+  }
+  return false;
+}
+
+common::Findings CheckValues(const Values& values) {
+  common::Findings findings;
+  const std::string& role = values.at("role").text;
+  for (const SettingSpec& spec : SettingTable()) {
+    const Value& value = values.at(spec.name);
+    if (value.text.empty()) {
+      if (IsNeeded(spec, role)) {
+        findings.push_back({value.place, "is missing"});
+      }
+      continue;
+    }
+    std::string fault = Fault(spec, value.text);
+    if (!fault.empty()) {
+      findings.push_back({value.place, std::move(fault)});
+    }
+  }
+  const bool has_backend = !values.at("engine-url").text.empty() ||
+                           !values.at("service-url").text.empty();
+  if (role == "endpoint" && !has_backend) {
+    findings.push_back(
+        {"--engine-url", "an endpoint needs this or --service-url"});
+  }
+  return findings;
+}
+
+// Only for values that passed the check.
+int64_t Number(const Values& values, std::string_view name) {
+  int64_t number = 0;
+  (void)absl::SimpleAtoi(values.at(name).text, &number);
+  return number;
+}
+
+common::Duration Milliseconds(const Values& values, std::string_view name) {
+  return common::milliseconds(Number(values, name));
+}
+
+Settings Build(const Values& values) {
+  return {
+      .role =
+          values.at("role").text == "entry" ? Role::kEntry : Role::kEndpoint,
+      .name = values.at("name").text,
+      .failure_domain = values.at("failure-domain").text,
+      .caller_address = values.at("caller-address").text,
+      .traffic_address = values.at("traffic-address").text,
+      .peer_address = values.at("peer-address").text,
+      .admin_address = values.at("admin-address").text,
+      .platform_url = values.at("platform-url").text,
+      .engine_url = values.at("engine-url").text,
+      .service_url = values.at("service-url").text,
+      .seeds = SplitList(values.at("seeds").text),
+      .exchange_period = Milliseconds(values, "exchange-period"),
+      .platform_poll_period = Milliseconds(values, "platform-poll-period"),
+      .platform_timeout = Milliseconds(values, "platform-timeout"),
+      .drain_notice = Milliseconds(values, "drain-notice"),
+      .progress_timeout = Milliseconds(values, "progress-timeout"),
+      .max_connections =
+          static_cast<uint32_t>(Number(values, "max-connections")),
+      .max_body_bytes = static_cast<size_t>(Number(values, "max-body")),
+  };
+}
+
+}  // namespace
+
+ReadResult Read(std::vector<std::string> arguments,
+                const Environment& environment) {
+  auto collected = Collect(std::move(arguments), environment);
+  if (auto* findings = std::get_if<common::Findings>(&collected)) {
+    return std::move(*findings);
+  }
+  if (std::holds_alternative<NothingToRun>(collected)) {
+    return NothingToRun{};
+  }
+  const Values& values = std::get<Values>(collected);
+  common::Findings findings = CheckValues(values);
+  if (!findings.empty()) {
+    return findings;
+  }
+  return Build(values);
+}
+
+std::optional<std::string> ProcessEnvironment(const std::string& name) {
+  const char* value = std::getenv(name.c_str());
+  if (value == nullptr) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+}  // namespace wagtailshore::settings
--- /dev/null
+++ b/packages/daemon/settings/settings.h
@@ -0,0 +1,58 @@
+#ifndef DAEMON_SETTINGS_SETTINGS_H_
+#define DAEMON_SETTINGS_SETTINGS_H_
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "common/finding.h"
+#include "common/time.h"
+
+// The daemon's settings, read from flags and environment variables. A flag
+// goes before its variable.
+namespace wagtailshore::settings {
+
+enum class Role { kEntry, kEndpoint };
+
+struct Settings {
+  Role role = Role::kEntry;
+  std::string name;
+  std::string failure_domain;
+  std::string caller_address;
+  std::string traffic_address;
+  std::string peer_address;
+  std::string admin_address;
+  std::string platform_url;
+  std::string engine_url;
+  std::string service_url;
+  std::vector<std::string> seeds;
+  common::Duration exchange_period{};
+  common::Duration platform_poll_period{};
+  common::Duration platform_timeout{};
+  common::Duration drain_notice{};
+  common::Duration progress_timeout{};
+  uint32_t max_connections = 0;
+  size_t max_body_bytes = 0;
+};
+
+// Help or the version was asked for and printed.
+struct NothingToRun {};
+
+using ReadResult = std::variant<Settings, common::Findings, NothingToRun>;
+
+// Looks an environment variable up.
+using Environment =
+    std::function<std::optional<std::string>(const std::string&)>;
+
+// Reads and checks all settings. `arguments` begins with the program's name.
+ReadResult Read(std::vector<std::string> arguments,
+                const Environment& environment);
+
+// The environment of this process.
+std::optional<std::string> ProcessEnvironment(const std::string& name);
+
+}  // namespace wagtailshore::settings
+
+#endif  // DAEMON_SETTINGS_SETTINGS_H_
