--- /dev/null
+++ b/tests/standins/service_standin.cc
@@ -0,0 +1,57 @@
+// Stands in for one plain service. Counts how often each key ran.
+//
+//   POST /call    JSON in and out
+//   GET /runs     {"KEY": N, ...}
+
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "standins/standin_main.h"
+
+namespace wagtailshore::standins {
+namespace {
+
+using Json = nlohmann::json;
+
+class Service {
+ public:
+  http_server::Response OnRequest(const http_server::Request& request) {
+    const std::lock_guard lock(mutex_);
+    if (request.path == "/runs") {
+      return Reply(200, Json(runs_).dump());
+    }
+    if (request.path != "/call") {
+      return Reply(404, "{}");
+    }
+    const Json json = Json::parse(request.body);
+    const auto key = request.headers.find("idempotency-key");
+    if (key != request.headers.end() && !key->second.empty()) {
+      ++runs_[key->second];
+    }
+    return Reply(200, Json({{"call", json.at("call")},
+                            {"input", json.at("input")},
+                            {"number", ++calls_}})
+                          .dump());
+  }
+
+ private:
+  std::mutex mutex_;
+  std::map<std::string, int> runs_;
+  int calls_ = 0;
+};
+
+}  // namespace
+}  // namespace wagtailshore::standins
+
+int main(int argc, char** argv) {
+  TCLAP::CmdLine line("Stands in for one plain service.", '=');
+  TCLAP::ValueArg<std::string> address("", "address", "where to listen", true,
+                                       "", "IP:port", line);
+  line.parse(argc, argv);
+  wagtailshore::standins::Service service;
+  return wagtailshore::standins::ServeUntilStopped(
+      address.getValue(),
+      [&](const auto& request) { return service.OnRequest(request); });
+}
--- /dev/null
+++ b/tests/unit/protocol/messages/messages_test.cc
@@ -0,0 +1,94 @@
+#include "protocol/messages/messages.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace wagtailshore::messages {
+namespace {
+
+TEST(MessagesTest, GenerateAttemptComesBackWhole) {
+  const GenerateAttempt sent{.id = {"r", 3},
+                             .customer = "c",
+                             .model = "m",
+                             .prompt = std::string("p\0\xff", 3),
+                             .offset = 7,
+                             .text_so_far = "so far",
+                             .max_tokens = 9,
+                             .deadline_ms = 10,
+                             .priority = "high"};
+  const auto received = DecodeGenerateAttempt(Encode(sent));
+  ASSERT_TRUE(received.ok()) << received.status();
+  EXPECT_EQ(received->id, sent.id);
+  EXPECT_EQ(received->prompt, sent.prompt);
+  EXPECT_EQ(received->offset, sent.offset);
+  EXPECT_EQ(received->text_so_far, sent.text_so_far);
+}
+
+TEST(MessagesTest, PeerExchangeCarriesTheManifest) {
+  const PeerExchange sent{
+      .info = {.name = "n", .incarnation = "i", .peer_address = "a:1"},
+      .load = {.queued = 2, .running = 3},
+      .manifest = ManifestTransfer{.version = 4, .body = "{}"},
+      .entries = {"b:2"}};
+  const auto received = DecodePeerExchange(Encode(sent));
+  ASSERT_TRUE(received.ok()) << received.status();
+  EXPECT_EQ(received->load.running, 3u);
+  ASSERT_TRUE(received->manifest.has_value());
+  EXPECT_EQ(received->manifest->version, 4u);
+  EXPECT_EQ(received->entries, sent.entries);
+}
+
+TEST(MessagesTest, DeepNestingIsRefused) {
+  // Each byte 0x91 opens an array with one item.
+  const std::string bytes(1 << 20, '\x91');
+  EXPECT_FALSE(DecodeFrame(bytes).ok());
+}
+
+RC_GTEST_PROP(MessagesProperty, DecodersTakeAnyBytes, ()) {
+  const auto bytes = *rc::gen::arbitrary<std::string>();
+  (void)DecodeFrame(bytes);
+  (void)DecodeCallAttempt(bytes);
+  (void)DecodeCallReply(bytes);
+  (void)DecodeGenerateAttempt(bytes);
+  (void)DecodePeerExchange(bytes);
+}
+
+RC_GTEST_PROP(MessagesProperty, DecodersTakeDamagedMessages, ()) {
+  std::string bytes = Encode(stream::Frame{.id = {"r", 1}, .text = "text"});
+  const auto position = *rc::gen::inRange<size_t>(0, bytes.size());
+  bytes[position] = static_cast<char>(*rc::gen::inRange(0, 256));
+  (void)DecodeFrame(bytes);
+}
+
+RC_GTEST_PROP(MessageSplitterProperty, GivesMessagesBackInAnyPieces, ()) {
+  const auto sent = *rc::gen::arbitrary<std::vector<std::string>>();
+  std::string bytes;
+  for (const std::string& message : sent) {
+    bytes += WithSize(message);
+  }
+  constexpr size_t kLimit = 1 << 16;
+  MessageSplitter splitter(kLimit);
+  std::vector<std::string> received;
+  const auto piece = *rc::gen::inRange<size_t>(1, 9);
+  for (size_t i = 0; i < bytes.size(); i += piece) {
+    splitter.Append(std::string_view(bytes).substr(i, piece));
+    while (true) {
+      auto next = splitter.Next();
+      RC_ASSERT(next.ok());
+      if (!next->has_value()) {
+        break;
+      }
+      received.push_back(**next);
+    }
+  }
+  RC_ASSERT(received == sent);
+}
+
+TEST(MessageSplitterTest, RefusesAMessageBeyondTheLimit) {
+  MessageSplitter splitter(3);
+  splitter.Append(WithSize("four"));
+  EXPECT_FALSE(splitter.Next().ok());
+}
+
+}  // namespace
+}  // namespace wagtailshore::messages
