--- /dev/null
+++ b/tests/bench/main.cc
@@ -0,0 +1,64 @@
+// wagtailshore-bench: measures the decision code against its baselines, with
+// seeded load, fakes at the interfaces and a virtual clock.
+
+#include <tclap/CmdLine.h>
+
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include "bench/topic.h"
+
+namespace wagtailshore::bench {
+
+#define BENCH_TOPIC(function, name, help) \
+  void function(const TopicOptions&, std::ostream&);
+#include "bench/topics.inc"
+#undef BENCH_TOPIC
+
+namespace {
+
+struct Topic {
+  std::string name;
+  std::string help;
+  TopicFunction run;
+};
+
+const std::vector<Topic>& Topics() {
+  static const std::vector<Topic> topics = {
+#define BENCH_TOPIC(function, name, help) {name, help, &function},
+#include "bench/topics.inc"
+#undef BENCH_TOPIC
+  };
+  return topics;
+}
+
+int Main(int argc, char** argv) {
+  TCLAP::CmdLine line("Measures the decisions against their baselines.", '=');
+  std::string names = "one of:";
+  for (const Topic& topic : Topics()) {
+    names += "\n  " + topic.name + ": " + topic.help;
+  }
+  TCLAP::UnlabeledValueArg<std::string> name("TOPIC", names, true, "", "topic",
+                                             line);
+  TCLAP::ValueArg<uint64_t> seed("", "seed", "seed of the load", false, 1,
+                                 "number", line);
+  TCLAP::ValueArg<std::string> size("", "size", "size of the system", false,
+                                    "today", "name", line);
+  line.parse(argc, argv);
+  for (const Topic& topic : Topics()) {
+    if (topic.name == name.getValue()) {
+      topic.run({.seed = seed.getValue(), .size = size.getValue()}, std::cout);
+      return 0;
+    }
+  }
+  std::cerr << "no such topic; " << names << "\n";
+  return 2;
+}
+
+}  // namespace
+}  // namespace wagtailshore::bench
+
+int main(int argc, char** argv) {
+  return wagtailshore::bench::Main(argc, argv);
+}
