--- a/tests/bench/main.cc
+++ b/tests/bench/main.cc
@@ -7,15 +7,10 @@
 #include <string>
 #include <vector>
 
-#include "bench/topic.h"
+#include "bench/topics.h"
 
 namespace wagtailshore::bench {
 
-#define BENCH_TOPIC(function, name, help) \
-  void function(const TopicOptions&, std::ostream&);
-#include "bench/topics.inc"
-#undef BENCH_TOPIC
-
 namespace {
 
 struct Topic {
@@ -26,9 +21,7 @@
 
 const std::vector<Topic>& Topics() {
   static const std::vector<Topic> topics = {
-#define BENCH_TOPIC(function, name, help) {name, help, &function},
 #include "bench/topics.inc"
-#undef BENCH_TOPIC
   };
   return topics;
 }
--- /dev/null
+++ b/tests/bench/topics.h
@@ -0,0 +1,15 @@
+#ifndef BENCH_TOPICS_H_
+#define BENCH_TOPICS_H_
+
+#include <ostream>
+
+#include "bench/topic.h"
+
+// The function of every topic, one line each; topics.inc names them.
+namespace wagtailshore::bench {
+
+// Declarations begin here.
+
+}  // namespace wagtailshore::bench
+
+#endif  // BENCH_TOPICS_H_
--- a/tests/support/scenario.cc
+++ b/tests/support/scenario.cc
@@ -80,7 +80,7 @@
   return commands;
 }
 
-absl::Status Run(std::istream& text, World& world) {
+absl::Status RunScript(std::istream& text, World& world) {
   const auto commands = Parse(text);
   if (!commands.ok()) {
     return commands.status();
@@ -100,7 +100,7 @@
   if (!file) {
     return absl::NotFoundError(path);
   }
-  return Run(file, world);
+  return RunScript(file, world);
 }
 
 }  // namespace wagtailshore::scenario
--- a/tests/support/scenario.h
+++ b/tests/support/scenario.h
@@ -38,7 +38,7 @@
 absl::StatusOr<std::vector<Command>> Parse(std::istream& text);
 
 // Runs a scenario; the error names the file's line.
-absl::Status Run(std::istream& text, World& world);
+absl::Status RunScript(std::istream& text, World& world);
 
 // Runs the scenario file at `path`.
 absl::Status RunFile(const std::string& path, World& world);
--- a/tests/unit/support/scenario_test.cc
+++ b/tests/unit/support/scenario_test.cc
@@ -27,7 +27,7 @@
   std::istringstream text(
       "# a comment\n\nat 0s kill one\nat 250ms cut a b for=2s\n");
   RecordingWorld world;
-  EXPECT_TRUE(Run(text, world).ok());
+  EXPECT_TRUE(RunScript(text, world).ok());
   EXPECT_EQ(world.seen(), "kill@0 cut@250 ");
 }
 
@@ -42,7 +42,7 @@
 TEST_P(BadScenarioTest, NamesTheLine) {
   std::istringstream text(GetParam().text);
   RecordingWorld world;
-  EXPECT_EQ(Run(text, world).message(), GetParam().message);
+  EXPECT_EQ(RunScript(text, world).message(), GetParam().message);
 }
 
 INSTANTIATE_TEST_SUITE_P(
