--- /dev/null
+++ b/packages/state/placement/planner.cc
@@ -0,0 +1,55 @@
+#include "state/placement/planner.h"
+
+#include <chrono>
+
+#include "state/placement/improver.h"
+
+namespace wagtailshore::placement {
+namespace {
+
+using FloatSeconds = std::chrono::duration<double>;
+
+// Improvements looked at for each rank of the group.
+constexpr int kStepsPerRank = 2;
+
+}  // namespace
+
+double CostSeconds(int moves, const PlanOptions& options) {
+  const double bytes =
+      static_cast<double>(options.expert_bytes) * static_cast<double>(moves);
+  const double lost = FloatSeconds(options.lost_per_switch).count() +
+                      FloatSeconds(options.lost_per_move).count() * moves;
+  return options.cost_weight * (bytes / options.store_bytes_per_second + lost);
+}
+
+Plan MakePlan(const ExpertMap& current,
+              const Loads& demand,
+              const Loads& envelope,
+              const PlanOptions& options) {
+  const double slowest = SkewOf(current, demand).slowest;
+  const double weighted_horizon =
+      options.skew_weight * FloatSeconds(options.horizon).count();
+  Plan best{.map = current};
+  double best_net = 0;
+  Improver improver(current, envelope);
+  const int max_steps = kStepsPerRank * static_cast<int>(current.ranks.size());
+  for (int step = 0; step < max_steps && improver.Step() > 0; ++step) {
+    const int moves = CountMoves(current, improver.map());
+    if (moves * options.expert_bytes > options.budget_bytes) {
+      break;
+    }
+    const double gain = slowest - SkewOf(improver.map(), demand).slowest;
+    const double saved = weighted_horizon * gain;
+    const double cost = CostSeconds(moves, options);
+    if (gain >= options.least_gain && saved - cost > best_net) {
+      best_net = saved - cost;
+      best = {.map = improver.map(),
+              .moves = moves,
+              .saved_seconds = saved,
+              .cost_seconds = cost};
+    }
+  }
+  return best;
+}
+
+}  // namespace wagtailshore::placement
