Placement: go on past changes that help only together

Cause, by a trial that printed each plan's end: on drift at the target size the improver stopped after some ten moves at 1.06 to 1.14, as an expert with too few replicas fits no other rank until two experts have left it. When no single change helps, a replica of the slowest rank's heaviest expert is now added where it harms least, up to 32 times a plan.

--- a/packages/state/placement/improver.cc
+++ b/packages/state/placement/improver.cc
@@ -61,6 +61,43 @@
   return best->moves;
 }
 
+int Improver::Unblock() {
+  const int hot = Slowest();
+  const int expert = Heaviest(hot);
+  std::optional<Change> best;
+  for (int rank = 0; rank < std::ssize(map_.ranks); ++rank) {
+    if (Holds(rank, expert)) {
+      continue;
+    }
+    for (int slot = 0; slot < std::ssize(map_.ranks[rank]); ++slot) {
+      if (counts_[map_.ranks[rank][slot]] < 2) {
+        continue;
+      }
+      const double peak = PeakAfterReplace(hot, rank, slot, expert);
+      if (!best || peak < best->peak) {
+        best = {.rank = rank, .slot = slot, .expert = expert, .peak = peak};
+      }
+    }
+  }
+  if (!best) {
+    return 0;
+  }
+  Carry(*best);
+  return best->moves;
+}
+
+int Improver::Heaviest(int rank) const {
+  const auto weight = [&](int expert) {
+    double weight = 0;
+    for (size_t scenario = 0; scenario < loads_.size(); ++scenario) {
+      weight = std::max(weight, Share(scenario, expert));
+    }
+    return weight;
+  };
+  return *std::max_element(map_.ranks[rank].begin(), map_.ranks[rank].end(),
+                           [&](int a, int b) { return weight(a) < weight(b); });
+}
+
 int Improver::Slowest() const {
   const auto lighter = [](const RankLoad& a, const RankLoad& b) {
     return a.peak < b.peak;
--- a/packages/state/placement/improver.h
+++ b/packages/state/placement/improver.h
@@ -20,6 +20,11 @@
   // helps.
   int Step();
 
+  // Once no single change helps: adds a replica of the expert that weighs most
+  // on the slowest rank where it harms least, though another rank may then be
+  // slower until further steps relieve it. Returns the experts moved.
+  int Unblock();
+
   const ExpertMap& map() const { return map_; }
   // The slowest rank in the worst scenario, over the mean.
   double slowest() const { return loads_of_ranks_[Slowest()].peak; }
@@ -55,6 +60,8 @@
     return held_[static_cast<size_t>(rank) * counts_.size() + expert];
   }
   int Slowest() const;
+  // The expert with the highest share on the rank, over all scenarios.
+  int Heaviest(int rank) const;
   void Offer(const Change& change, std::optional<Change>& best) const;
   // The highest load after `expert` replaces what is in the slot.
   double PeakAfterReplace(int hot, int rank, int slot, int expert) const;
--- a/packages/state/placement/planner.cc
+++ b/packages/state/placement/planner.cc
@@ -12,6 +12,9 @@
 // Improvements looked at for each rank of the group.
 constexpr int kStepsPerRank = 2;
 
+// Times that a plan goes on after no single change helps.
+constexpr int kMaxUnblocks = 32;
+
 }  // namespace
 
 double CostSeconds(int moves, const PlanOptions& options) {
@@ -36,8 +39,13 @@
   double best_net = 0;
   Improver improver(current, scenarios);
   const int max_steps = kStepsPerRank * static_cast<int>(current.ranks.size());
+  int unblocks_left = kMaxUnblocks;
   for (int step = 0; step < max_steps; ++step) {
-    if (improver.slowest() - 1 < options.good_enough || improver.Step() == 0) {
+    if (improver.slowest() - 1 < options.good_enough) {
+      break;
+    }
+    if (improver.Step() == 0 &&
+        (unblocks_left-- == 0 || improver.Unblock() == 0)) {
       break;
     }
     const int moves = CountMoves(current, improver.map());
