--- a/packages/state/placement/improver.cc
+++ b/packages/state/placement/improver.cc
@@ -26,6 +26,7 @@
 Improver::Improver(const ExpertMap& map, const Scenarios& scenarios)
     : map_(map),
       counts_(ReplicaCounts(map, scenarios.front().size())),
+      unblocked_(counts_.size()),
       loads_of_ranks_(map.ranks.size()),
       held_(map.ranks.size() * counts_.size()),
       holders_(counts_.size()) {
@@ -70,7 +71,7 @@
       continue;
     }
     for (int slot = 0; slot < std::ssize(map_.ranks[rank]); ++slot) {
-      if (counts_[map_.ranks[rank][slot]] < 2) {
+      if (!MayDrop(map_.ranks[rank][slot])) {
         continue;
       }
       const double peak = PeakAfterReplace(hot, rank, slot, expert);
@@ -83,6 +84,7 @@
     return 0;
   }
   Carry(*best);
+  unblocked_[expert] = true;
   return best->moves;
 }
 
@@ -177,7 +179,7 @@
         continue;
       }
       for (int slot = 0; slot < std::ssize(map_.ranks[rank]); ++slot) {
-        if (counts_[map_.ranks[rank][slot]] < 2) {
+        if (!MayDrop(map_.ranks[rank][slot])) {
           continue;
         }
         Offer({.rank = rank,
@@ -192,7 +194,7 @@
 
 void Improver::OfferDrops(int hot, std::optional<Change>& best) const {
   for (int slot = 0; slot < std::ssize(map_.ranks[hot]); ++slot) {
-    if (counts_[map_.ranks[hot][slot]] < 2) {
+    if (!MayDrop(map_.ranks[hot][slot])) {
       continue;
     }
     for (int partner : partners_) {
--- a/packages/state/placement/improver.h
+++ b/packages/state/placement/improver.h
@@ -59,6 +59,10 @@
   bool Holds(int rank, int expert) const {
     return held_[static_cast<size_t>(rank) * counts_.size() + expert];
   }
+  // Whether one replica of the expert less is allowed.
+  bool MayDrop(int expert) const {
+    return counts_[expert] > 1 && !unblocked_[expert];
+  }
   int Slowest() const;
   // The expert with the highest share on the rank, over all scenarios.
   int Heaviest(int rank) const;
@@ -79,6 +83,8 @@
   // By scenario and expert, scaled so that the mean load of a rank is 1.
   Scenarios loads_;
   std::vector<int> counts_;
+  // Experts that Unblock replicated; a step would undo it at once.
+  std::vector<bool> unblocked_;
   std::vector<RankLoad> loads_of_ranks_;
   // The slowest rank's load before this step.
   double peak_ = 0;
