Placement: search less in each plan

Cause: a plan counted its moves and each rank's load anew after every step, and looked at all replicas of an expert after one rank was already too slow. Both are now done only where the step could still be the best one.

--- a/packages/state/placement/improver.cc
+++ b/packages/state/placement/improver.cc
@@ -1,6 +1,7 @@
 #include "state/placement/improver.h"
 
 #include <algorithm>
+#include <limits>
 #include <numeric>
 
 namespace wagtailshore::placement {
@@ -74,7 +75,9 @@
       if (!MayDrop(map_.ranks[rank][slot])) {
         continue;
       }
-      const double peak = PeakAfterReplace(hot, rank, slot, expert);
+      const double limit =
+          best ? best->peak : std::numeric_limits<double>::infinity();
+      const double peak = PeakAfterReplace(hot, rank, slot, expert, limit);
       if (!best || peak < best->peak) {
         best = {.rank = rank, .slot = slot, .expert = expert, .peak = peak};
       }
@@ -88,6 +91,14 @@
   return best->moves;
 }
 
+double Improver::SlowestNow() const {
+  double slowest = 0;
+  for (const RankLoad& load : loads_of_ranks_) {
+    slowest = std::max(slowest, load.by_scenario.front());
+  }
+  return slowest;
+}
+
 int Improver::Heaviest(int rank) const {
   const auto weight = [&](int expert) {
     double weight = 0;
@@ -135,7 +146,8 @@
 double Improver::PeakAfterReplace(int hot,
                                   int rank,
                                   int slot,
-                                  int expert) const {
+                                  int expert,
+                                  double limit) const {
   const int dropped = map_.ranks[rank][slot];
   double peak = 0;
   for (size_t scenario = 0; scenario < loads_.size(); ++scenario) {
@@ -153,6 +165,9 @@
     if (rank != hot) {
       peak = std::max(peak, load_after(hot));
     }
+    if (peak >= limit) {
+      return peak;
+    }
     for (int holder : holders_[dropped]) {
       if (holder != rank) {
         peak = std::max(peak, load_after(holder));
@@ -185,7 +200,7 @@
         Offer({.rank = rank,
                .slot = slot,
                .expert = expert,
-               .peak = PeakAfterReplace(hot, rank, slot, expert)},
+               .peak = PeakAfterReplace(hot, rank, slot, expert, peak_)},
               best);
       }
     }
@@ -203,7 +218,7 @@
           Offer({.rank = hot,
                  .slot = slot,
                  .expert = expert,
-                 .peak = PeakAfterReplace(hot, hot, slot, expert)},
+                 .peak = PeakAfterReplace(hot, hot, slot, expert, peak_)},
                 best);
         }
       }
--- a/packages/state/placement/improver.h
+++ b/packages/state/placement/improver.h
@@ -28,6 +28,8 @@
   const ExpertMap& map() const { return map_; }
   // The slowest rank in the worst scenario, over the mean.
   double slowest() const { return loads_of_ranks_[Slowest()].peak; }
+  // The slowest rank in the first scenario, over the mean.
+  double SlowestNow() const;
 
  private:
   // In `rank`, slot `slot` takes `expert` in; with `swap_rank` set, that rank's
@@ -67,8 +69,13 @@
   // The expert with the highest share on the rank, over all scenarios.
   int Heaviest(int rank) const;
   void Offer(const Change& change, std::optional<Change>& best) const;
-  // The highest load after `expert` replaces what is in the slot.
-  double PeakAfterReplace(int hot, int rank, int slot, int expert) const;
+  // The highest load after `expert` replaces what is in the slot; any load of
+  // `limit` or above ends the search for a higher one.
+  double PeakAfterReplace(int hot,
+                          int rank,
+                          int slot,
+                          int expert,
+                          double limit) const;
   // The highest load of both ranks after the two experts change places.
   double PeakAfterSwap(int hot, int out, int rank, int in) const;
   void OfferReplicas(int hot, std::optional<Change>& best) const;
--- a/packages/state/placement/planner.cc
+++ b/packages/state/placement/planner.cc
@@ -48,14 +48,16 @@
         (unblocks_left-- == 0 || improver.Unblock() == 0)) {
       break;
     }
-    const int moves = CountMoves(current, improver.map());
-    if (moves * options.expert_bytes > options.budget_bytes) {
-      break;
-    }
-    const double gain = slowest - SkewOf(improver.map(), demand).slowest;
+    const double gain = slowest - improver.SlowestNow();
     const double saved = weighted_horizon * gain;
+    if (gain < options.least_gain || saved <= best_net) {
+      continue;
+    }
+    const int moves = CountMoves(current, improver.map());
     const double cost = CostSeconds(moves, options);
-    if (gain >= options.least_gain && saved - cost > best_net) {
+    const bool affordable =
+        moves * options.expert_bytes <= options.budget_bytes;
+    if (affordable && saved - cost > best_net) {
       best_net = saved - cost;
       best = {.map = improver.map(),
               .moves = moves,
