--- a/tests/standins/engine_standin.cc
+++ b/tests/standins/engine_standin.cc
@@ -10,8 +10,7 @@
 #include <string>
 #include <thread>
 
-#include "common/digest.h"
-#include "common/strings.h"
+#include "standins/answer_text.h"
 #include "standins/standin_main.h"
 
 namespace wagtailshore::standins {
@@ -24,14 +23,6 @@
   std::atomic<uint64_t> finished{0};
 };
 
-// The token at `index` of the answer to `prompt`.
-std::string TokenAt(const std::string& prompt, uint64_t index) {
-  constexpr size_t kTokenLength = 4;
-  return common::Sha256Hex(common::StrCat(prompt, "/", index))
-             .substr(0, kTokenLength) +
-         " ";
-}
-
 class TokenSource final : public http_server::BodySource {
  public:
   TokenSource(const Json& request,
--- a/tests/standins/service_standin.cc
+++ b/tests/standins/service_standin.cc
@@ -3,10 +3,12 @@
 //   POST /call    JSON in and out
 //   GET /runs     {"KEY": N, ...}
 
+#include <chrono>
 #include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <thread>
 
 #include "standins/standin_main.h"
 
@@ -17,7 +19,13 @@
 
 class Service {
  public:
+  explicit Service(std::chrono::milliseconds call_time)
+      : call_time_(call_time) {}
+
   http_server::Response OnRequest(const http_server::Request& request) {
+    if (request.path == "/call") {
+      std::this_thread::sleep_for(call_time_);
+    }
     const std::lock_guard lock(mutex_);
     if (request.path == "/runs") {
       return Reply(200, Json(runs_).dump());
@@ -37,6 +45,7 @@
   }
 
  private:
+  std::chrono::milliseconds call_time_;
   std::mutex mutex_;
   std::map<std::string, int> runs_;
   int calls_ = 0;
@@ -49,8 +58,11 @@
   TCLAP::CmdLine line("Stands in for one plain service.", '=');
   TCLAP::ValueArg<std::string> address("", "address", "where to listen", true,
                                        "", "IP:port", line);
+  TCLAP::ValueArg<int> call_ms("", "call-ms", "time per call", false, 0, "ms",
+                               line);
   line.parse(argc, argv);
-  wagtailshore::standins::Service service;
+  wagtailshore::standins::Service service(
+      std::chrono::milliseconds(call_ms.getValue()));
   return wagtailshore::standins::ServeUntilStopped(
       address.getValue(),
       [&](const auto& request) { return service.OnRequest(request); });
