Tests: see at the endpoint that a graceful stop cuts nothing off

Cause: with the wait for running work taken out of the endpoint's drain, the scenario still passed: the entry resumed the cut stream elsewhere. Ruled out: a drain that waits by accident. Now the entry's log must hold no failed attempt and the stopped engine no second start.

--- a/tests/e2e/deployment.cc
+++ b/tests/e2e/deployment.cc
@@ -82,12 +82,8 @@
   return Url(Address(name, kAdminPort));
 }
 
-std::string Deployment::platform_url() const {
-  return Url(Address("platform", kStandinPort));
-}
-
-std::string Deployment::service_url() const {
-  return Url(Address("service", kStandinPort));
+std::string Deployment::StandinUrl(const std::string& name) const {
+  return Url(Address(name, kStandinPort));
 }
 
 std::vector<std::string> Deployment::DaemonCommand(
@@ -99,7 +95,7 @@
           common::StrCat("--failure-domain=d", NumberOf(name)),
           "--peer-address=" + Address(name, kPeerPort),
           "--admin-address=" + Address(name, kAdminPort),
-          "--platform-url=" + platform_url(),
+          "--platform-url=" + StandinUrl("platform"),
           "--seeds=" + Address("entry1", kPeerPort) + "," +
               Address("entry2", kPeerPort) + "," +
               Address("entry3", kPeerPort)};
@@ -133,11 +129,10 @@
   auto command = DaemonCommand(name, "endpoint");
   command.push_back("--traffic-address=" + Address(name, kTrafficPort));
   if (IsKind(name, "print")) {
-    command.push_back("--service-url=" + service_url());
+    command.push_back("--service-url=" + StandinUrl("service"));
   } else {
-    command.push_back(
-        "--engine-url=" +
-        Url(Address(common::StrCat("engine", NumberOf(name)), kStandinPort)));
+    command.push_back("--engine-url=" +
+                      StandinUrl(common::StrCat("engine", NumberOf(name))));
   }
   return command;
 }
@@ -150,8 +145,8 @@
 absl::Status Deployment::Start() {
   Launch("platform");
   Launch("service");
-  if (!WaitUntilOk(platform_url() + "/instances", kStartTimeout) ||
-      !WaitUntilOk(service_url() + "/runs", kStartTimeout)) {
+  if (!WaitUntilOk(StandinUrl("platform") + "/instances", kStartTimeout) ||
+      !WaitUntilOk(StandinUrl("service") + "/runs", kStartTimeout)) {
     return absl::UnavailableError("a stand-in does not start");
   }
   for (int i = 1; i <= kDomains; ++i) {
--- a/tests/e2e/deployment.h
+++ b/tests/e2e/deployment.h
@@ -45,8 +45,7 @@
 
   std::string CallerUrl(const std::string& entry) const;
   std::string AdminUrl(const std::string& name) const;
-  std::string platform_url() const;
-  std::string service_url() const;
+  std::string StandinUrl(const std::string& name) const;
   // Every process's log, in one folder.
   const std::string& log_folder() const { return log_folder_; }
 
--- a/tests/e2e/process_world.cc
+++ b/tests/e2e/process_world.cc
@@ -2,6 +2,7 @@
 
 #include <signal.h>
 
+#include <fstream>
 #include <nlohmann/json.hpp>
 #include <thread>
 #include <utility>
@@ -163,11 +164,11 @@
 }
 
 absl::Status ProcessWorld::DoPlatform(const Command& command) {
-  const auto outcome =
-      http_client::Call({.method = "POST",
-                         .url = common::StrCat(deployment_->platform_url(),
-                                               "/fault/", Word(command, 0))},
-                        common::seconds(2));
+  const auto outcome = http_client::Call(
+      {.method = "POST",
+       .url = common::StrCat(deployment_->StandinUrl("platform"), "/fault/",
+                             Word(command, 0))},
+      common::seconds(2));
   return std::holds_alternative<http_client::Reply>(outcome)
              ? absl::OkStatus()
              : Failed("the platform stand-in does not answer");
@@ -195,6 +196,8 @@
       {"runs", &ProcessWorld::ExpectRuns},
       {"exited", &ProcessWorld::ExpectExited},
       {"version", &ProcessWorld::ExpectVersion},
+      {"logged", &ProcessWorld::ExpectLogged},
+      {"starts", &ProcessWorld::ExpectStarts},
   };
   const auto found = expectations.find(Word(command, 0));
   if (found == expectations.end()) {
@@ -250,7 +253,7 @@
 }
 
 absl::Status ProcessWorld::ExpectRuns(const Command& command) {
-  const auto runs = GetJson(deployment_->service_url() + "/runs");
+  const auto runs = GetJson(deployment_->StandinUrl("service") + "/runs");
   if (!runs.ok()) {
     return runs.status();
   }
@@ -290,4 +293,30 @@
   return Failed(common::StrCat("its version is ", version));
 }
 
+absl::Status ProcessWorld::ExpectLogged(const Command& command) {
+  std::ifstream log(
+      common::StrCat(deployment_->log_folder(), "/", Word(command, 1), ".log"));
+  const std::string event = Option(command, "event") + " ";
+  int64_t count = 0;
+  std::string line;
+  while (std::getline(log, line)) {
+    count += line.find(event) == std::string::npos ? 0 : 1;
+  }
+  return count == Number(command, "count")
+             ? absl::OkStatus()
+             : Failed(common::StrCat("it logged the event ", count, " times"));
+}
+
+absl::Status ProcessWorld::ExpectStarts(const Command& command) {
+  const auto stats =
+      GetJson(deployment_->StandinUrl(Word(command, 1)) + "/stats");
+  if (!stats.ok()) {
+    return stats.status();
+  }
+  const int64_t count = stats->value("started", int64_t{-1});
+  return count == Number(command, "count")
+             ? absl::OkStatus()
+             : Failed(common::StrCat("it began ", count, " generations"));
+}
+
 }  // namespace wagtailshore::e2e
--- a/tests/e2e/process_world.h
+++ b/tests/e2e/process_world.h
@@ -28,6 +28,8 @@
 //   expect runs key=K count=N                at the service
 //   expect exited PROCESS code=C
 //   expect version entry=E is=V
+//   expect logged PROCESS event=WS-N count=N
+//   expect starts ENGINE count=N             generations begun there
 class ProcessWorld final : public scenario::World {
  public:
   ProcessWorld();
@@ -54,6 +56,8 @@
   absl::Status ExpectRuns(const scenario::Command& command);
   absl::Status ExpectExited(const scenario::Command& command);
   absl::Status ExpectVersion(const scenario::Command& command);
+  absl::Status ExpectLogged(const scenario::Command& command);
+  absl::Status ExpectStarts(const scenario::Command& command);
 
   // Waits for the answer to the request called `name`.
   absl::StatusOr<CallerAnswer> Answer(const std::string& name);
