Transport: bound requests at once, slow bodies and large replies

Cause: past the library's connection limit a caller got a closed connection instead of an answer, and a body that drips could hold a connection for ever. Ruled out: the library's own limits alone; they close without a reply. Before: no test reached these bounds. Slow headers are still bounded only by the idle timeout and the connection limit.

--- a/packages/daemon/endpoint/endpoint.cc
+++ b/packages/daemon/endpoint/endpoint.cc
@@ -41,7 +41,7 @@
     const settings::Settings& settings = node_.settings();
     auto server =
         http_server::Server::Start({.address = settings.traffic_address,
-                                    .max_connections = settings.max_connections,
+                                    .max_requests = settings.max_connections,
                                     .max_body_bytes = settings.max_body_bytes},
                                    [this](const http_server::Request& request) {
                                      return attempts_.OnRequest(request);
--- a/packages/daemon/entry/entry.cc
+++ b/packages/daemon/entry/entry.cc
@@ -68,11 +68,15 @@
     const settings::Settings& settings = node_.settings();
     auto server = http_server::Server::Start(
         {.address = settings.caller_address,
-         .max_connections = settings.max_connections,
+         .max_requests = settings.max_connections,
          .max_body_bytes = settings.max_body_bytes,
          .too_large_body = http_api::FormatRefusal(
              {.code = refusal::Code::kTooLarge,
-              .message = "the body is beyond the limit"})},
+              .message = "the body is beyond the limit"}),
+         .overloaded_body =
+             http_api::FormatRefusal({.code = refusal::Code::kOverloaded,
+                                      .message = "too many requests at once",
+                                      .retry_after = common::seconds(1)})},
         [this](const http_server::Request& request) {
           return callers_.OnRequest(request);
         });
--- a/packages/transport/http_client/http_client.cc
+++ b/packages/transport/http_client/http_client.cc
@@ -157,6 +157,7 @@
 std::variant<Reply, CallFailure> Call(Request request,
                                       common::Duration timeout) {
   const common::Time give_up = common::Clock::now() + timeout;
+  const size_t max_reply_bytes = request.max_reply_bytes;
   Exchange exchange(std::move(request));
   Reply reply;
   while (true) {
@@ -165,6 +166,9 @@
     ReadOutcome outcome = exchange.Read(left);
     if (auto* data = std::get_if<Data>(&outcome)) {
       reply.body += data->bytes;
+      if (reply.body.size() > max_reply_bytes) {
+        return CallFailure{.sent = true, .reason = "the reply is too large"};
+      }
       continue;
     }
     if (std::holds_alternative<Finished>(outcome)) {
--- a/packages/transport/http_client/http_client.h
+++ b/packages/transport/http_client/http_client.h
@@ -22,6 +22,8 @@
   std::vector<std::pair<std::string, std::string>> headers;
   std::string body;
   common::Duration connect_timeout = common::milliseconds(500);
+  // Call() fails on a longer body.
+  size_t max_reply_bytes = size_t{64} << 20;
 };
 
 struct Reply {
--- a/packages/transport/http_server/http_server.cc
+++ b/packages/transport/http_server/http_server.cc
@@ -20,6 +20,10 @@
 namespace {
 
 constexpr size_t kStreamBlockBytes = size_t{16} << 10;
+// Connections beyond `max_requests`, so that what is too much can still be
+// refused with a reply, and idle connections do not count as requests.
+constexpr uint32_t kSpareConnections = 256;
+constexpr char kRetryAfterSeconds[] = "1";
 
 absl::StatusOr<sockaddr_in> ParseAddress(const std::string& address) {
   const size_t colon = address.rfind(':');
@@ -40,6 +44,7 @@
 // A request while its body arrives.
 struct PendingRequest {
   Request request;
+  common::Time begun;
   bool too_large = false;
 };
 
@@ -152,7 +157,8 @@
         MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD |
             MHD_USE_POLL | MHD_USE_ITC,
         /*port=*/0, nullptr, nullptr, &Impl::OnData, this, MHD_OPTION_SOCK_ADDR,
-        &*address, MHD_OPTION_CONNECTION_LIMIT, options_.max_connections,
+        &*address, MHD_OPTION_CONNECTION_LIMIT,
+        options_.max_requests + kSpareConnections,
         MHD_OPTION_CONNECTION_MEMORY_LIMIT, options_.max_header_bytes,
         MHD_OPTION_CONNECTION_TIMEOUT, idle_seconds,
         MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_NOTIFY_COMPLETED,
@@ -190,12 +196,13 @@
     auto* impl = static_cast<Impl*>(self);
     if (*state == nullptr) {
       *state = Begin(connection, path, method).release();
-      const std::lock_guard lock(impl->mutex_);
-      ++impl->requests_;
-      return MHD_YES;
+      return impl->CountIn() ? MHD_YES : impl->RefuseOverload(connection);
     }
     auto* pending = static_cast<PendingRequest*>(*state);
     if (*size > 0) {
+      if (common::Clock::now() - pending->begun > impl->options_.body_timeout) {
+        return MHD_NO;
+      }
       impl->AppendBody(*pending, {data, *size});
       *size = 0;
       return MHD_YES;
@@ -222,6 +229,7 @@
                                                const char* path,
                                                const char* method) {
     auto pending = std::make_unique<PendingRequest>();
+    pending->begun = common::Clock::now();
     pending->request.method = method;
     pending->request.path = path;
     MHD_get_connection_values(connection, MHD_HEADER_KIND, &CollectHeader,
@@ -231,6 +239,20 @@
     return pending;
   }
 
+  // Counts a request that begins; false when it is one too many.
+  bool CountIn() {
+    const std::lock_guard lock(mutex_);
+    ++requests_;
+    return requests_ <= options_.max_requests;
+  }
+
+  MHD_Result RefuseOverload(MHD_Connection* connection) const {
+    FullResponse response{.status = MHD_HTTP_SERVICE_UNAVAILABLE,
+                          .headers = {{"Retry-After", kRetryAfterSeconds}},
+                          .body = options_.overloaded_body};
+    return Send(connection, response);
+  }
+
   void AppendBody(PendingRequest& pending, std::string_view data) const {
     if (pending.request.body.size() + data.size() > options_.max_body_bytes) {
       pending.too_large = true;
--- a/packages/transport/http_server/http_server.h
+++ b/packages/transport/http_server/http_server.h
@@ -66,14 +66,20 @@
 struct ServerOptions {
   // "IP:port"
   std::string address;
-  uint32_t max_connections = 512;
+  // Requests at once; one more is refused at its head with 503.
+  uint32_t max_requests = 512;
   size_t max_body_bytes = size_t{4} << 20;
   // Bound on one connection's header memory, in bytes.
   size_t max_header_bytes = size_t{32} << 10;
   // A connection on which nothing moves for this long is closed.
   common::Duration idle_timeout = common::seconds(30);
+  // A request whose body takes longer to arrive is dropped, however steadily
+  // its bytes come.
+  common::Duration body_timeout = common::seconds(30);
   // Body sent for a request beyond `max_body_bytes`.
   std::string too_large_body;
+  // Body sent for a request beyond `max_requests`.
+  std::string overloaded_body;
 };
 
 class Server {
