Entry: tell the truth when an engine fails before its first token

Cause: the endpoint's 502 for an engine that failed after it took the work was read as a refusal, so the caller was told not_run although the request had begun. Before: real_engine_killed fails with ran=not_run. After: ran=unknown.

--- a/packages/daemon/entry/generate_run.cc
+++ b/packages/daemon/entry/generate_run.cc
@@ -10,6 +10,7 @@
 
 constexpr size_t kMaxFrameBytes = size_t{1} << 20;
 constexpr int kOk = 200;
+constexpr int kBadGateway = 502;
 
 }  // namespace
 
@@ -105,6 +106,10 @@
                                    : exchange::AttemptEnd::kNotSent,
                       std::nullopt);
   }
+  // The endpoint answers so when its engine failed after it took the work.
+  if (connection_->status() == kBadGateway) {
+    return EndAttempt(exchange::AttemptEnd::kBroken, std::nullopt);
+  }
   if (connection_->status() != kOk) {
     return EndAttempt(exchange::AttemptEnd::kRefused,
                       connection_->retry_after());
