Claims: hold every promise under a randomised run; mend the faults it found

A virtual-clock world (tests/support: event queue, fake table, service, network, call ledger) drives the real EntryClaim and EndpointClaim through lost, late and doubled messages, table outages and slowness, cuts, pauses, kills and restarts, with callers who repeat keys through other entries.

Each step now has a timeout, and an attempt leaves a reserve to settle the row. - not_run was told of requests seen started, when the next read went unanswered. The claim now keeps what the row has shown. - not_run was told on an endpoint's refusal, while a doubled copy of the attempt could still start. Only a later write of the row counts now. - not_run was told past the deadline without any look at the row. Found by reading, and now part of the run: - An endpoint that gave up on a lost start write left the row started for good; one that outlived its deadline started the call all the same. Both now end as not_run, settled in the row when the table is back. - An outcome that could not be recorded in three writes was dropped, so that every repeat was told "unknown".

--- a/packages/common/event_log.cc
+++ b/packages/common/event_log.cc
@@ -50,6 +50,11 @@
     EventSpec{EventId::kOutcomeUnknown, Severity::kError, "outcome unknown",
               "A non-idempotent call started and its answer was lost.",
               "Look the outcome up at the service before repeating by hand."},
+    EventSpec{EventId::kOutcomeNotRecorded, Severity::kError,
+              "outcome not recorded",
+              "The table stayed away until the process stopped or its memory "
+              "for outcomes was full; the calls' keys now answer unknown.",
+              "Check the platform; look these calls up at the service."},
     EventSpec{
         EventId::kPlatformUnavailable, Severity::kWarning,
         "platform unavailable",
--- a/packages/common/event_log.h
+++ b/packages/common/event_log.h
@@ -23,6 +23,7 @@
   kRequestRefused = 1302,
   kStreamResumed = 1303,
   kOutcomeUnknown = 1401,
+  kOutcomeNotRecorded = 1402,
   kPlatformUnavailable = 1501,
   kPlatformBack = 1502,
 };
--- a/packages/coordination/claims/claim_row.h
+++ b/packages/coordination/claims/claim_row.h
@@ -21,13 +21,16 @@
   kDone,
   // The request was given up on before it ran.
   kNotRun,
+  // The call reached the service and its answer is lost for good.
+  kUnknown,
 };
 
-inline constexpr common::EnumNames<ClaimState, 4> kClaimStateNames = {{
+inline constexpr common::EnumNames<ClaimState, 5> kClaimStateNames = {{
     {ClaimState::kClaimed, "claimed"},
     {ClaimState::kStarted, "started"},
     {ClaimState::kDone, "done"},
     {ClaimState::kNotRun, "not_run"},
+    {ClaimState::kUnknown, "unknown"},
 }};
 
 // A plain service's answer.
--- a/packages/coordination/claims/endpoint_claim.cc
+++ b/packages/coordination/claims/endpoint_claim.cc
@@ -7,89 +7,92 @@
 namespace wagtailshore::claims {
 namespace {
 
-// Tries at each of the two writes while the table's answers are lost.
-constexpr uint32_t kMaxWrites = 3;
+// Tries to start while the table's answers are lost.
+constexpr uint32_t kMaxStartWrites = 3;
 
 }  // namespace
 
-EndpointClaim::EndpointClaim(Dispatch dispatch,
-                             std::string start_token,
-                             std::string done_token)
-    : dispatch_(std::move(dispatch)),
-      start_token_(std::move(start_token)),
-      done_token_(std::move(done_token)),
-      writes_left_(kMaxWrites) {}
+EndpointClaim::EndpointClaim(EndpointClaimOptions options)
+    : options_(std::move(options)), start_writes_left_(kMaxStartWrites) {}
 
-EndpointAction EndpointClaim::Start() {
+EndpointAction EndpointClaim::Start(common::Time now) {
   WS_INVARIANT(phase_ == Phase::kIdle);
+  if (now >= options_.deadline) {
+    return Finish(AttemptNotRun{refusal::Code::kDeadlineExceeded});
+  }
   phase_ = Phase::kStarting;
   return WriteStart();
 }
 
 EndpointAction EndpointClaim::WriteStart() {
-  if (writes_left_ == 0) {
+  if (start_writes_left_ == 0) {
     // Even if a lost write took effect, only this process could act on it, and
     // it gives that right up here.
-    return Finish(AttemptNotRun{refusal::Code::kStoreUnavailable});
+    return FinishUnsettled(ClaimState::kNotRun,
+                           AttemptNotRun{refusal::Code::kStoreUnavailable});
   }
-  --writes_left_;
-  ClaimRow row = dispatch_.row;
+  --start_writes_left_;
+  ClaimRow row = options_.dispatch.row;
   row.state = ClaimState::kStarted;
-  return table::WriteRow{.key = dispatch_.row_key,
-                         .expected_version = dispatch_.row_version,
+  return table::WriteRow{.key = options_.dispatch.row_key,
+                         .expected_version = options_.dispatch.row_version,
                          .value = Serialize(row),
-                         .token = start_token_};
+                         .token = options_.start_token};
 }
 
-EndpointAction EndpointClaim::OnWrite(const table::WriteOutcome& outcome) {
+EndpointAction EndpointClaim::OnWrite(const table::WriteOutcome& outcome,
+                                      common::Time now) {
   if (phase_ == Phase::kStarting) {
-    return OnStartWritten(outcome);
-  }
-  WS_INVARIANT(phase_ == Phase::kRecording);
-  const auto* conflict = std::get_if<table::WriteConflict>(&outcome);
-  const bool recorded =
-      std::holds_alternative<table::RowWritten>(outcome) ||
-      (conflict != nullptr && conflict->current.token == done_token_);
-  if (recorded || writes_left_ == 0) {
-    // The answer is real even when it could not be recorded: this caller gets
-    // it, and a later look-up of the key says "unknown".
-    return Finish(AttemptAnswered{answer_});
+    return OnStartWritten(outcome, now);
   }
-  WS_INVARIANT(conflict == nullptr)
-      << "nobody else writes a started row: " << dispatch_.row_key;
-  return OnServiceAnswer(std::move(answer_));
+  return OnOutcomeWritten(outcome);
 }
 
-EndpointAction EndpointClaim::OnStartWritten(
-    const table::WriteOutcome& outcome) {
+EndpointAction EndpointClaim::OnStartWritten(const table::WriteOutcome& outcome,
+                                             common::Time now) {
   if (std::holds_alternative<table::RowWritten>(outcome)) {
-    return Run();
+    return Run(now);
   }
   if (const auto* conflict = std::get_if<table::WriteConflict>(&outcome)) {
-    return OnStartReadBack(conflict->current);
+    return OnStartReadBack(conflict->current, now);
   }
-  return table::ReadRow{dispatch_.row_key};
+  return table::ReadRow{options_.dispatch.row_key};
 }
 
-EndpointAction EndpointClaim::OnRead(const table::ReadOutcome& outcome) {
-  WS_INVARIANT(phase_ == Phase::kStarting);
-  if (const auto* read = std::get_if<table::RowRead>(&outcome)) {
-    return OnStartReadBack(read->row);
+EndpointAction EndpointClaim::OnRead(const table::ReadOutcome& outcome,
+                                     common::Time now) {
+  const auto* read = std::get_if<table::RowRead>(&outcome);
+  if (phase_ == Phase::kStarting) {
+    return read != nullptr ? OnStartReadBack(read->row, now) : WriteStart();
   }
-  return WriteStart();
+  WS_INVARIANT(phase_ == Phase::kSettling);
+  if (read == nullptr) {
+    phase_ = Phase::kUnsettled;
+    return SettleLater{};
+  }
+  const bool still_claimed = read->row.version == options_.dispatch.row_version;
+  if (still_claimed || read->row.token == options_.start_token) {
+    return WriteOutcomeRow(read->row.version);
+  }
+  return Finish(Settled{});
 }
 
-EndpointAction EndpointClaim::OnStartReadBack(const table::Row& row) {
-  if (row.token == start_token_) {
-    return Run();
+EndpointAction EndpointClaim::OnStartReadBack(const table::Row& row,
+                                              common::Time now) {
+  if (row.token == options_.start_token) {
+    return Run(now);
   }
-  if (row.version == dispatch_.row_version) {
+  if (row.version == options_.dispatch.row_version) {
     return WriteStart();
   }
   return Finish(AttemptNotRun{refusal::Code::kSuperseded});
 }
 
-EndpointAction EndpointClaim::Run() {
+EndpointAction EndpointClaim::Run(common::Time now) {
+  if (now >= options_.deadline) {
+    return FinishUnsettled(ClaimState::kNotRun,
+                           AttemptNotRun{refusal::Code::kDeadlineExceeded});
+  }
   WS_INVARIANT(!service_called_) << "a non-idempotent call runs once";
   service_called_ = true;
   phase_ = Phase::kRunning;
@@ -97,25 +100,67 @@
 }
 
 EndpointAction EndpointClaim::OnServiceAnswer(ServiceAnswer answer) {
-  WS_INVARIANT(service_called_);
-  if (phase_ == Phase::kRunning) {
-    phase_ = Phase::kRecording;
-    writes_left_ = kMaxWrites;
-  }
-  --writes_left_;
+  WS_INVARIANT(phase_ == Phase::kRunning);
+  phase_ = Phase::kRecording;
+  outcome_ = ClaimState::kDone;
   answer_ = std::move(answer);
-  ClaimRow row = dispatch_.row;
-  row.state = ClaimState::kDone;
-  row.answer = answer_;
-  return table::WriteRow{.key = dispatch_.row_key,
-                         .expected_version = dispatch_.row_version + 1,
-                         .value = Serialize(row),
-                         .token = done_token_};
+  return WriteOutcomeRow(options_.dispatch.row_version + 1);
 }
 
 EndpointAction EndpointClaim::OnServiceSilent() {
   WS_INVARIANT(phase_ == Phase::kRunning);
-  return Finish(AttemptUnknown{});
+  return FinishUnsettled(ClaimState::kUnknown, AttemptUnknown{});
+}
+
+EndpointAction EndpointClaim::OnServiceNotReached() {
+  WS_INVARIANT(phase_ == Phase::kRunning);
+  return FinishUnsettled(ClaimState::kNotRun,
+                         AttemptNotRun{refusal::Code::kNoEndpoint});
+}
+
+EndpointAction EndpointClaim::WriteOutcomeRow(uint64_t expected_version) {
+  ClaimRow row = options_.dispatch.row;
+  row.state = outcome_;
+  row.answer = answer_;
+  return table::WriteRow{.key = options_.dispatch.row_key,
+                         .expected_version = expected_version,
+                         .value = Serialize(row),
+                         .token = options_.outcome_token};
+}
+
+EndpointAction EndpointClaim::OnOutcomeWritten(
+    const table::WriteOutcome& outcome) {
+  const bool recording = phase_ == Phase::kRecording;
+  WS_INVARIANT(recording || phase_ == Phase::kSettling);
+  if (std::holds_alternative<table::Unavailable>(outcome)) {
+    phase_ = Phase::kUnsettled;
+    return recording ? EndpointAction(AttemptAnswered{answer_})
+                     : EndpointAction(SettleLater{});
+  }
+  if (const auto* conflict = std::get_if<table::WriteConflict>(&outcome)) {
+    const bool settled = conflict->current.token == options_.outcome_token;
+    WS_INVARIANT(settled || !service_called_)
+        << "nobody else writes a started row: " << options_.dispatch.row_key;
+    if (!settled && conflict->current.token == options_.start_token) {
+      // The start took effect between the read and this write.
+      return WriteOutcomeRow(conflict->current.version);
+    }
+  }
+  return Finish(recording ? EndpointAction(AttemptAnswered{answer_})
+                          : EndpointAction(Settled{}));
+}
+
+EndpointAction EndpointClaim::Settle() {
+  WS_INVARIANT(phase_ == Phase::kUnsettled);
+  phase_ = Phase::kSettling;
+  return table::ReadRow{options_.dispatch.row_key};
+}
+
+EndpointAction EndpointClaim::FinishUnsettled(ClaimState outcome,
+                                              EndpointAction answer) {
+  outcome_ = outcome;
+  phase_ = Phase::kUnsettled;
+  return answer;
 }
 
 EndpointAction EndpointClaim::Finish(EndpointAction final_action) {
--- a/packages/coordination/claims/endpoint_claim.h
+++ b/packages/coordination/claims/endpoint_claim.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <variant>
 
+#include "common/time.h"
 #include "coordination/claims/claim_row.h"
 #include "state/refusal/refusal.h"
 #include "state/table/table.h"
@@ -30,47 +31,84 @@
 };
 struct AttemptUnknown {};
 
+// The row says what became of the attempt; nothing is left to do.
+struct Settled {};
+// The table does not answer; call Settle() again later.
+struct SettleLater {};
+
 using EndpointAction = std::variant<table::ReadRow,
                                     table::WriteRow,
                                     RunService,
                                     AttemptAnswered,
                                     AttemptNotRun,
-                                    AttemptUnknown>;
+                                    AttemptUnknown,
+                                    Settled,
+                                    SettleLater>;
+
+struct EndpointClaimOptions {
+  Dispatch dispatch;
+  // After this time the call is not started any more.
+  common::Time deadline;
+  // Unique tokens for the two changes of the row.
+  std::string start_token;
+  std::string outcome_token;
+};
 
 // The endpoint process's side of one attempt: wins the row's start, has the
-// service called, records the answer. Pure.
+// service called, records the outcome. The entry is told the outcome at once;
+// while the table is away the record is made later, by Settle(). Pure.
 class EndpointClaim {
  public:
-  // `start_token` and `done_token` are unique tokens for the two writes.
-  EndpointClaim(Dispatch dispatch,
-                std::string start_token,
-                std::string done_token);
-
-  EndpointAction Start();
-  EndpointAction OnRead(const table::ReadOutcome& outcome);
-  EndpointAction OnWrite(const table::WriteOutcome& outcome);
+  explicit EndpointClaim(EndpointClaimOptions options);
+
+  EndpointAction Start(common::Time now);
+  EndpointAction OnRead(const table::ReadOutcome& outcome, common::Time now);
+  EndpointAction OnWrite(const table::WriteOutcome& outcome, common::Time now);
   EndpointAction OnServiceAnswer(ServiceAnswer answer);
   // The service's answer was lost; the call may have run.
   EndpointAction OnServiceSilent();
+  // The call never reached the service.
+  EndpointAction OnServiceNotReached();
+
+  // Whether the row lacks the outcome that the entry was told.
+  bool needs_settling() const { return phase_ == Phase::kUnsettled; }
+  // Tries again to record the outcome; allowed while needs_settling().
+  EndpointAction Settle();
 
   // Whether RunService was returned; it is returned at most once.
   bool service_called() const { return service_called_; }
 
  private:
-  enum class Phase { kIdle, kStarting, kRunning, kRecording, kFinished };
+  enum class Phase {
+    kIdle,
+    // Writing the row to started.
+    kStarting,
+    kRunning,
+    // Writing the service's answer before it is passed on.
+    kRecording,
+    // The entry has been told; the row does not say it yet.
+    kUnsettled,
+    kSettling,
+    kFinished,
+  };
 
   EndpointAction WriteStart();
-  EndpointAction OnStartWritten(const table::WriteOutcome& outcome);
-  EndpointAction OnStartReadBack(const table::Row& row);
-  EndpointAction Run();
+  EndpointAction OnStartWritten(const table::WriteOutcome& outcome,
+                                common::Time now);
+  EndpointAction OnStartReadBack(const table::Row& row, common::Time now);
+  EndpointAction Run(common::Time now);
+  EndpointAction WriteOutcomeRow(uint64_t expected_version);
+  EndpointAction OnOutcomeWritten(const table::WriteOutcome& outcome);
+  // Tells the entry now and leaves the row for Settle().
+  EndpointAction FinishUnsettled(ClaimState outcome, EndpointAction answer);
   EndpointAction Finish(EndpointAction final_action);
 
-  Dispatch dispatch_;
-  std::string start_token_;
-  std::string done_token_;
+  EndpointClaimOptions options_;
   Phase phase_ = Phase::kIdle;
-  uint32_t writes_left_;
+  uint32_t start_writes_left_;
   bool service_called_ = false;
+  // Kept for the row: kDone, kNotRun or kUnknown once the entry was told.
+  ClaimState outcome_ = ClaimState::kDone;
   ServiceAnswer answer_;
 };
 
--- a/packages/coordination/claims/entry_claim.cc
+++ b/packages/coordination/claims/entry_claim.cc
@@ -11,6 +11,10 @@
 // Table operations that one request may spend on lost answers and races.
 constexpr uint32_t kMaxTableTries = 12;
 constexpr common::Duration kRetryAfter = common::seconds(1);
+// What an attempt leaves of the time until the deadline, so that the row can
+// still be read and given up when the attempt is lost; at most a quarter.
+constexpr common::Duration kReserve = common::milliseconds(500);
+constexpr int kReserveShare = 4;
 
 }  // namespace
 
@@ -19,13 +23,24 @@
 
 EntryAction EntryClaim::Start(common::Time now) {
   WS_INVARIANT(step_ == Step::kIdle);
-  wait_until_ = std::min(options_.deadline, now + options_.wait_for_other);
-  return Look();
+  return Look(now);
 }
 
-EntryAction EntryClaim::Look() {
+common::Duration EntryClaim::StepTimeout(common::Time now) const {
+  const common::Duration left =
+      std::max(options_.deadline - now, common::Duration::zero());
+  if (step_ != Step::kDispatched) {
+    return left;
+  }
+  return left - std::min<common::Duration>(kReserve, left / kReserveShare);
+}
+
+EntryAction EntryClaim::Look(common::Time now) {
+  if (now >= options_.deadline) {
+    return Refuse(refusal::Code::kDeadlineExceeded);
+  }
   if (tries_left_ == 0) {
-    return StoreUnavailable();
+    return Refuse(refusal::Code::kStoreUnavailable);
   }
   --tries_left_;
   step_ = Step::kLooking;
@@ -38,12 +53,13 @@
   if (const auto* read = std::get_if<table::RowRead>(&outcome)) {
     return OnRow(read->row, now);
   }
-  return StoreUnavailable();
+  return Refuse(refusal::Code::kStoreUnavailable);
 }
 
 EntryAction EntryClaim::OnRow(const table::Row& row, common::Time now) {
+  row_read_ = true;
   if (row.version == 0) {
-    return Claim(row, 1);
+    return OnNotRunRow(row, ClaimRow{}, now);
   }
   const absl::StatusOr<ClaimRow> claim = Parse(row.value);
   if (!claim.ok()) {
@@ -58,21 +74,78 @@
   switch (claim->state) {
     case ClaimState::kDone:
       return Finish(CallAnswered{claim->answer, /*replayed=*/true});
+    case ClaimState::kUnknown:
+      return RefuseUnknown("the call started and its answer was lost");
     case ClaimState::kStarted:
-      return WaitForOther(now);
+      return OnStartedRow(now);
     case ClaimState::kClaimed:
+      return OnClaimedRow(row, *claim, now);
     case ClaimState::kNotRun:
-      if (attempts_ >= options_.max_attempts) {
-        return GiveUp(refusal::Code::kNoEndpoint);
-      }
-      if (now >= options_.deadline) {
-        return GiveUp(refusal::Code::kDeadlineExceeded);
-      }
-      return Claim(row, claim->attempt + 1);
+      return OnNotRunRow(row, *claim, now);
   }
   return RefuseUnknown("the record of this key cannot be read");
 }
 
+EntryAction EntryClaim::OnStartedRow(common::Time now) {
+  may_run_ = true;
+  if (!started_since_.has_value()) {
+    started_since_ = now;
+  }
+  const common::Time until =
+      std::min(options_.deadline, *started_since_ + options_.wait_for_started);
+  if (now >= until) {
+    return RefuseUnknown("the call started and has not ended");
+  }
+  step_ = Step::kLooking;
+  return Wait{std::min(options_.poll_interval, until - now)};
+}
+
+EntryAction EntryClaim::OnClaimedRow(const table::Row& row,
+                                     const ClaimRow& claim,
+                                     common::Time now) {
+  const bool own = row.token == last_write_.token;
+  if (!own) {
+    may_run_ = true;
+  }
+  if (!MayTryAgain(now)) {
+    return own ? GiveUp(refusal::Code::kNoEndpoint, now)
+               : RefuseUnknown("the key is served through another entry");
+  }
+  if (own) {
+    return Claim(row, claim.attempt + 1);
+  }
+  if (row.version != other_version_) {
+    other_version_ = row.version;
+    other_since_ = now;
+  }
+  const common::Time until = other_since_ + options_.wait_for_claimed;
+  if (now >= until) {
+    return Claim(row, claim.attempt + 1);
+  }
+  step_ = Step::kLooking;
+  return Wait{
+      std::min({options_.poll_interval, until - now, options_.deadline - now})};
+}
+
+EntryAction EntryClaim::OnNotRunRow(const table::Row& row,
+                                    const ClaimRow& claim,
+                                    common::Time now) {
+  // Nothing has started before this version, and nothing claimed before it can
+  // start any more.
+  may_run_ = false;
+  if (now >= options_.deadline) {
+    return Refuse(refusal::Code::kDeadlineExceeded);
+  }
+  if (!MayTryAgain(now)) {
+    return Refuse(refusal::Code::kNoEndpoint);
+  }
+  return Claim(row, claim.attempt + 1);
+}
+
+bool EntryClaim::MayTryAgain(common::Time now) const {
+  return attempts_ < options_.max_attempts && now < options_.deadline;
+}
+
 EntryAction EntryClaim::Claim(const table::Row& row, uint32_t attempt) {
   step_ = Step::kClaiming;
   own_row_ = {.state = ClaimState::kClaimed,
@@ -88,30 +161,39 @@
 EntryAction EntryClaim::OnWrite(const table::WriteOutcome& outcome,
                                 common::Time now) {
   if (step_ == Step::kClaiming) {
-    return OnClaimWritten(outcome);
+    return OnClaimWritten(outcome, now);
   }
   WS_INVARIANT(step_ == Step::kGivingUp);
   return OnNotRunWritten(outcome, now);
 }
 
-EntryAction EntryClaim::OnClaimWritten(const table::WriteOutcome& outcome) {
+EntryAction EntryClaim::OnClaimWritten(const table::WriteOutcome& outcome,
+                                       common::Time now) {
   const auto* conflict = std::get_if<table::WriteConflict>(&outcome);
-  if (std::holds_alternative<table::Unavailable>(outcome) ||
-      (conflict != nullptr && conflict->current.token != last_write_.token)) {
-    // Reading the row again tells who won and whether a lost write took
-    // effect; an own claim found that way is simply claimed anew.
-    return Look();
+  if (conflict != nullptr && conflict->current.token != last_write_.token) {
+    // Whoever won the row may have the request run.
+    may_run_ = true;
+    return Look(now);
+  }
+  if (std::holds_alternative<table::Unavailable>(outcome)) {
+    // Reading the row again tells who won and whether the write took effect.
+    return Look(now);
   }
   // The new claim fences off every attempt before it.
-  may_start_ = true;
+  may_run_ = false;
+  if (now >= options_.deadline) {
+    return Refuse(refusal::Code::kDeadlineExceeded);
+  }
   ++attempts_;
+  may_run_ = true;
   step_ = Step::kDispatched;
   return SendDispatch{{.row_key = options_.row_key,
                        .row_version = last_write_.expected_version + 1,
                        .row = own_row_}};
 }
 
-EntryAction EntryClaim::OnDispatched(const DispatchOutcome& outcome) {
+EntryAction EntryClaim::OnDispatched(const DispatchOutcome& outcome,
+                                     common::Time now) {
   WS_INVARIANT(step_ == Step::kDispatched);
   if (const auto* answered = std::get_if<AttemptAnswered>(&outcome)) {
     return Finish(CallAnswered{answered->answer});
@@ -119,28 +201,24 @@
   if (std::holds_alternative<AttemptUnknown>(outcome)) {
     return RefuseUnknown("the call started and its answer was lost");
   }
-  if (std::holds_alternative<DispatchNotSent>(outcome) ||
-      std::holds_alternative<AttemptNotRun>(outcome)) {
-    may_start_ = false;
+  if (std::holds_alternative<NoEndpoint>(outcome)) {
+    may_run_ = false;
+    return GiveUp(refusal::Code::kNoEndpoint, now);
   }
   if (std::holds_alternative<DispatchNotSent>(outcome)) {
-    return GiveUp(refusal::Code::kNoEndpoint);
+    may_run_ = false;
   }
-  return Look();
+  // An endpoint's refusal is not enough to say not_run: another copy of the
+  // attempt may still be on its way. Only a later write of the row is.
+  return Look(now);
 }
 
-EntryAction EntryClaim::GiveUp(refusal::Code code) {
-  if (attempts_ == 0) {
-    // Whatever the row says was written for another request with this key.
-    return RefuseUnknown("the key is being served through another entry");
+EntryAction EntryClaim::GiveUp(refusal::Code code, common::Time now) {
+  if (now >= options_.deadline) {
+    return Refuse(refusal::Code::kDeadlineExceeded);
   }
   give_up_code_ = code;
-  return WriteNotRun();
-}
-
-EntryAction EntryClaim::WriteNotRun() {
-  // Only the entry's own newest claim may be given up: another entry's claim
-  // on the same key is that entry's to answer for.
+  attempts_ = options_.max_attempts;
   step_ = Step::kGivingUp;
   ClaimRow row = own_row_;
   row.state = ClaimState::kNotRun;
@@ -156,45 +234,31 @@
   const auto* conflict = std::get_if<table::WriteConflict>(&outcome);
   if (std::holds_alternative<table::RowWritten>(outcome) ||
       (conflict != nullptr && conflict->current.token == last_write_.token)) {
-    may_start_ = false;
-    return RefuseNotRun(give_up_code_);
-  }
-  if (conflict == nullptr) {
-    return StoreUnavailable();
-  }
-  const absl::StatusOr<ClaimRow> claim = Parse(conflict->current.value);
-  if (claim.ok() && claim->state == ClaimState::kDone) {
-    return Finish(CallAnswered{claim->answer, /*replayed=*/true});
+    may_run_ = false;
+    return Refuse(give_up_code_);
   }
-  if (claim.ok() && claim->state == ClaimState::kStarted) {
-    return WaitForOther(now);
+  if (conflict != nullptr) {
+    return OnRow(conflict->current, now);
   }
-  return RefuseUnknown("the key is being served through another entry");
+  return Refuse(refusal::Code::kStoreUnavailable);
 }
 
-EntryAction EntryClaim::WaitForOther(common::Time now) {
-  if (now >= wait_until_) {
-    return RefuseUnknown("the call started and has not ended");
-  }
-  step_ = Step::kLooking;
-  return Wait{std::min(options_.poll_interval, wait_until_ - now)};
-}
-
-EntryAction EntryClaim::OnWaited(common::Time) {
+EntryAction EntryClaim::OnWaited(common::Time now) {
   // Waiting is bounded by time, not by the tries left for lost answers.
-  step_ = Step::kLooking;
+  WS_INVARIANT(step_ == Step::kLooking);
+  if (now >= options_.deadline) {
+    return Refuse(refusal::Code::kDeadlineExceeded);
+  }
   return table::ReadRow{options_.row_key};
 }
 
-EntryAction EntryClaim::StoreUnavailable() {
-  if (may_start_) {
-    return RefuseUnknown("the table cannot be read after the call was sent");
+EntryAction EntryClaim::Refuse(refusal::Code code) {
+  // Without the table, not_run speaks of this sending of the key only.
+  const bool key_unread =
+      !row_read_ && code != refusal::Code::kStoreUnavailable;
+  if (may_run_ || key_unread) {
+    return RefuseUnknown("the call may have run");
   }
-  return RefuseNotRun(refusal::Code::kStoreUnavailable);
-}
-
-EntryAction EntryClaim::RefuseNotRun(refusal::Code code) {
-  WS_INVARIANT(!may_start_) << "not_run is final only when nothing can start";
   return Finish(CallRefused{{.code = code,
                              .ran = refusal::Ran::kNotRun,
                              .message = "the call did not run",
--- a/packages/coordination/claims/entry_claim.h
+++ b/packages/coordination/claims/entry_claim.h
@@ -2,6 +2,7 @@
 #define COORDINATION_CLAIMS_ENTRY_CLAIM_H_
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -19,8 +20,10 @@
   common::Time deadline;
   // How often to look for the outcome of a call that is running.
   common::Duration poll_interval = common::milliseconds(200);
-  // How long a call by another attempt is waited for.
-  common::Duration wait_for_other = common::seconds(5);
+  // How long a call that has started is waited for.
+  common::Duration wait_for_started = common::seconds(5);
+  // How long another entry's claim is left alone before it is taken over.
+  common::Duration wait_for_claimed = common::milliseconds(400);
   uint32_t max_attempts = 3;
   // Returns a token that was never used before.
   std::function<std::string()> new_token;
@@ -51,7 +54,9 @@
                                  CallAnswered,
                                  CallRefused>;
 
-// No endpoint saw the attempt: none could be picked or connected to.
+// No endpoint can be picked for the attempt.
+struct NoEndpoint {};
+// The picked endpoint could not be connected to and saw nothing.
 struct DispatchNotSent {};
 // The connection broke or went silent after the attempt was sent.
 struct DispatchLost {};
@@ -59,6 +64,7 @@
 using DispatchOutcome = std::variant<AttemptAnswered,
                                      AttemptNotRun,
                                      AttemptUnknown,
+                                     NoEndpoint,
                                      DispatchNotSent,
                                      DispatchLost>;
 
@@ -72,9 +78,13 @@
   EntryAction Start(common::Time now);
   EntryAction OnRead(const table::ReadOutcome& outcome, common::Time now);
   EntryAction OnWrite(const table::WriteOutcome& outcome, common::Time now);
-  EntryAction OnDispatched(const DispatchOutcome& outcome);
+  EntryAction OnDispatched(const DispatchOutcome& outcome, common::Time now);
   EntryAction OnWaited(common::Time now);
 
+  // The longest that the action returned last may take, so that the final
+  // answer can be given by the deadline.
+  common::Duration StepTimeout(common::Time now) const;
+
  private:
   enum class Step {
     kIdle,
@@ -89,17 +99,24 @@
     kFinished,
   };
 
-  EntryAction Look();
+  EntryAction Look(common::Time now);
   EntryAction OnRow(const table::Row& row, common::Time now);
+  EntryAction OnClaimedRow(const table::Row& row,
+                           const ClaimRow& claim,
+                           common::Time now);
+  EntryAction OnNotRunRow(const table::Row& row,
+                          const ClaimRow& claim,
+                          common::Time now);
+  EntryAction OnStartedRow(common::Time now);
   EntryAction Claim(const table::Row& row, uint32_t attempt);
-  EntryAction GiveUp(refusal::Code code);
-  EntryAction WriteNotRun();
-  EntryAction OnClaimWritten(const table::WriteOutcome& outcome);
+  EntryAction OnClaimWritten(const table::WriteOutcome& outcome,
+                             common::Time now);
+  EntryAction GiveUp(refusal::Code code, common::Time now);
   EntryAction OnNotRunWritten(const table::WriteOutcome& outcome,
                               common::Time now);
-  EntryAction WaitForOther(common::Time now);
-  EntryAction StoreUnavailable();
-  EntryAction RefuseNotRun(refusal::Code code);
+  // Whether the request may be placed once more.
+  bool MayTryAgain(common::Time now) const;
+  EntryAction Refuse(refusal::Code code);
   EntryAction RefuseUnknown(std::string message);
   EntryAction Finish(EntryAction final_action);
 
@@ -110,10 +127,17 @@
   ClaimRow own_row_;
   uint32_t attempts_ = 0;
   uint32_t tries_left_;
-  // Whether an attempt of this entry may still start at an endpoint.
-  bool may_start_ = false;
+  // Whether, as far as this entry has seen, the request may have run or may
+  // still start, through whichever entry. A claim that this entry wrote proves
+  // the contrary until it is dispatched or taken over.
+  bool may_run_ = false;
+  bool row_read_ = false;
   refusal::Code give_up_code_ = refusal::Code::kNoEndpoint;
-  common::Time wait_until_{};
+  // Another entry's claim, and since when it is seen.
+  uint64_t other_version_ = 0;
+  common::Time other_since_{};
+  // When the row was first seen started.
+  std::optional<common::Time> started_since_;
 };
 
 }  // namespace wagtailshore::claims
--- a/packages/daemon/endpoint/attempt_server.cc
+++ b/packages/daemon/endpoint/attempt_server.cc
@@ -9,6 +9,7 @@
 #include "common/strings.h"
 #include "coordination/claims/endpoint_claim.h"
 #include "daemon/endpoint/engine_stream.h"
+#include "daemon/endpoint/settler.h"
 #include "transport/http_client/http_client.h"
 
 namespace wagtailshore::endpoint {
@@ -91,6 +92,7 @@
 std::optional<claims::ServiceAnswer> CallService(
     const std::string& service_url,
     const messages::CallAttempt& attempt,
+    common::Duration timeout,
     bool& sent) {
   Json body = {{"service", attempt.service}, {"call", attempt.call}};
   body["input"] = Json::parse(attempt.body.empty() ? "null" : attempt.body,
@@ -100,7 +102,7 @@
        .url = common::StrCat(service_url, "/call"),
        .headers = {{"Idempotency-Key", attempt.idempotency_key}},
        .body = body.dump(-1, ' ', false, Json::error_handler_t::replace)},
-      common::milliseconds(attempt.deadline_ms));
+      timeout);
   if (const auto* failure = std::get_if<http_client::CallFailure>(&outcome)) {
     sent = failure->sent;
     return std::nullopt;
@@ -124,31 +126,38 @@
   OnceRun(const node::Node& node, const messages::CallAttempt& attempt)
       : node_(node),
         attempt_(attempt),
-        claim_(*attempt.dispatch, common::RandomId(), common::RandomId()) {}
+        deadline_(common::Clock::now() +
+                  common::milliseconds(attempt.deadline_ms)),
+        claim_({.dispatch = *attempt.dispatch,
+                .deadline = deadline_,
+                .start_token = common::RandomId(),
+                .outcome_token = common::RandomId()}) {}
 
   messages::CallReply Run() {
-    claims::EndpointAction action = claim_.Start();
+    claims::EndpointAction action = claim_.Start(common::Clock::now());
     while (true) {
-      if (const auto* read = std::get_if<table::ReadRow>(&action)) {
-        action = claim_.OnRead(node_.platform().Read(*read));
-      } else if (const auto* write = std::get_if<table::WriteRow>(&action)) {
-        action = claim_.OnWrite(node_.platform().Write(*write));
-      } else if (std::holds_alternative<claims::RunService>(action)) {
+      if (std::holds_alternative<claims::RunService>(action)) {
         action = CallOnce();
+      } else if (auto next = OnTable(node_.platform(), claim_, action)) {
+        action = *std::move(next);
       } else {
         return ToReply(action);
       }
     }
   }
 
+  // The claim, with what is left to settle in its row.
+  claims::EndpointClaim TakeClaim() { return std::move(claim_); }
+
  private:
   claims::EndpointAction CallOnce() {
     bool sent = false;
-    auto answer = CallService(node_.settings().service_url, attempt_, sent);
-    if (!answer.has_value()) {
-      return claim_.OnServiceSilent();
+    auto answer = CallService(node_.settings().service_url, attempt_,
+                              deadline_ - common::Clock::now(), sent);
+    if (answer.has_value()) {
+      return claim_.OnServiceAnswer(*std::move(answer));
     }
-    return claim_.OnServiceAnswer(*std::move(answer));
+    return sent ? claim_.OnServiceSilent() : claim_.OnServiceNotReached();
   }
 
   messages::CallReply ToReply(const claims::EndpointAction& action) const {
@@ -165,6 +174,7 @@
 
   const node::Node& node_;
   const messages::CallAttempt& attempt_;
+  common::Time deadline_;
   claims::EndpointClaim claim_;
 };
 
@@ -227,13 +237,17 @@
 
 messages::CallReply AttemptServer::RunOnce(
     const messages::CallAttempt& attempt) {
-  return OnceRun(node_, attempt).Run();
+  OnceRun run(node_, attempt);
+  messages::CallReply reply = run.Run();
+  settler_.Add(run.TakeClaim());
+  return reply;
 }
 
 messages::CallReply AttemptServer::RunRepeatable(
     const messages::CallAttempt& attempt) {
   bool sent = false;
-  auto answer = CallService(node_.settings().service_url, attempt, sent);
+  auto answer = CallService(node_.settings().service_url, attempt,
+                            common::milliseconds(attempt.deadline_ms), sent);
   if (answer.has_value()) {
     return {.id = attempt.id,
             .result = messages::CallResult::kAnswered,
--- a/packages/daemon/endpoint/attempt_server.h
+++ b/packages/daemon/endpoint/attempt_server.h
@@ -1,6 +1,7 @@
 #ifndef DAEMON_ENDPOINT_ATTEMPT_SERVER_H_
 #define DAEMON_ENDPOINT_ATTEMPT_SERVER_H_
 
+#include "daemon/endpoint/settler.h"
 #include "daemon/node/node.h"
 #include "protocol/messages/messages.h"
 #include "transport/http_server/http_server.h"
@@ -11,7 +12,8 @@
 // service beside this process, or refuses them as not run.
 class AttemptServer {
  public:
-  explicit AttemptServer(node::Node& node) : node_(node) {}
+  explicit AttemptServer(node::Node& node)
+      : node_(node), settler_(node.platform()) {}
 
   // Called on the connection's thread.
   http_server::Response OnRequest(const http_server::Request& request);
@@ -23,6 +25,7 @@
   messages::CallReply RunRepeatable(const messages::CallAttempt& attempt);
 
   node::Node& node_;
+  Settler settler_;
 };
 
 }  // namespace wagtailshore::endpoint
--- a/packages/daemon/entry/call_run.cc
+++ b/packages/daemon/entry/call_run.cc
@@ -171,12 +171,14 @@
 
  private:
   claims::EntryAction Perform(const table::ReadRow& read) {
-    const table::ReadOutcome outcome = control_.node().platform().Read(read);
+    const table::ReadOutcome outcome = control_.node().platform().Read(
+        read, claim_.StepTimeout(common::Clock::now()));
     return claim_.OnRead(outcome, common::Clock::now());
   }
 
   claims::EntryAction Perform(const table::WriteRow& write) {
-    const table::WriteOutcome outcome = control_.node().platform().Write(write);
+    const table::WriteOutcome outcome = control_.node().platform().Write(
+        write, claim_.StepTimeout(common::Clock::now()));
     return claim_.OnWrite(outcome, common::Clock::now());
   }
 
@@ -187,7 +189,7 @@
 
   claims::EntryAction Perform(const claims::SendDispatch& send) {
     const claims::DispatchOutcome outcome = SendTo(send.dispatch);
-    return claim_.OnDispatched(outcome);
+    return claim_.OnDispatched(outcome, common::Clock::now());
   }
 
   // Final actions end the run before they would be performed.
@@ -197,21 +199,23 @@
   claims::DispatchOutcome SendTo(const claims::Dispatch& dispatch) {
     const auto picked = control_.Pick(admitted_, call_.service, avoid_);
     if (!picked.has_value()) {
-      return claims::DispatchNotSent{};
+      return claims::NoEndpoint{};
     }
     messages::CallAttempt attempt =
         AttemptOf(admitted_, call_,
                   {.request = admitted_.request, .attempt = ++attempts_});
     attempt.idempotency_key = idempotency_key_;
     attempt.dispatch = dispatch;
-    const common::Duration left = admitted_.deadline - common::Clock::now();
-    SendOutcome outcome = Send(*picked, attempt, std::min(kCallTimeout, left));
+    const common::Duration timeout =
+        std::min(kCallTimeout, claim_.StepTimeout(common::Clock::now()));
+    // The endpoint starts nothing that this entry would no longer hear of.
+    attempt.deadline_ms = common::ToMilliseconds(timeout);
+    SendOutcome outcome = Send(*picked, attempt, timeout);
     if (const auto* failure = std::get_if<http_client::CallFailure>(&outcome)) {
       control_.Report(picked->name, AttemptResult::kFailed);
       avoid_.insert(picked->name);
       return failure->sent ? claims::DispatchOutcome(claims::DispatchLost{})
-                           : claims::DispatchOutcome(claims::AttemptNotRun{
-                                 refusal::Code::kNoEndpoint});
+                           : claims::DispatchOutcome(claims::DispatchNotSent{});
     }
     return ToOutcome(picked->name, std::get<messages::CallReply>(outcome));
   }
@@ -296,6 +300,10 @@
                               .ran = refusal::Ran::kNotRun,
                               .message = "the call did not run",
                               .retry_after = kAskAgain};
+    case claims::ClaimState::kUnknown:
+      return refusal::Refusal{.code = refusal::Code::kOutcomeUnknown,
+                              .ran = refusal::Ran::kUnknown,
+                              .message = "the call's answer was lost"};
     case claims::ClaimState::kClaimed:
     case claims::ClaimState::kStarted:
       break;
--- a/packages/transport/platform_client/platform_client.cc
+++ b/packages/transport/platform_client/platform_client.cc
@@ -1,5 +1,6 @@
 #include "transport/platform_client/platform_client.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -29,13 +30,14 @@
 // two statuses that the table uses.
 absl::StatusOr<std::pair<int, Json>> PostTable(const PlatformOptions& options,
                                                std::string_view operation,
-                                               const Json& request) {
+                                               const Json& request,
+                                               common::Duration timeout) {
   const std::vector<uint8_t> body = Json::to_msgpack(request);
   const auto outcome = http_client::Call(
       {.method = "POST",
        .url = common::StrCat(options.url, "/table/", operation),
        .body = {body.begin(), body.end()}},
-      options.timeout);
+      std::min(options.timeout, timeout));
   if (const auto* failure = std::get_if<http_client::CallFailure>(&outcome)) {
     return absl::UnavailableError(failure->reason);
   }
@@ -70,7 +72,18 @@
     : options_(std::move(options)) {}
 
 table::ReadOutcome PlatformClient::Read(const table::ReadRow& request) const {
-  const auto reply = PostTable(options_, "read", {{"key", request.key}});
+  return Read(request, options_.timeout);
+}
+
+table::WriteOutcome PlatformClient::Write(
+    const table::WriteRow& request) const {
+  return Write(request, options_.timeout);
+}
+
+table::ReadOutcome PlatformClient::Read(const table::ReadRow& request,
+                                        common::Duration timeout) const {
+  const auto reply =
+      PostTable(options_, "read", {{"key", request.key}}, timeout);
   if (!reply.ok()) {
     return table::Unavailable{};
   }
@@ -81,13 +94,14 @@
   }
 }
 
-table::WriteOutcome PlatformClient::Write(
-    const table::WriteRow& request) const {
+table::WriteOutcome PlatformClient::Write(const table::WriteRow& request,
+                                          common::Duration timeout) const {
   const auto reply = PostTable(options_, "write",
                                {{"key", request.key},
                                 {"expected_version", request.expected_version},
                                 {"value", Bytes(request.value)},
-                                {"token", request.token}});
+                                {"token", request.token}},
+                               timeout);
   if (!reply.ok()) {
     return table::Unavailable{};
   }
--- a/packages/transport/platform_client/platform_client.h
+++ b/packages/transport/platform_client/platform_client.h
@@ -33,6 +33,11 @@
 
   table::ReadOutcome Read(const table::ReadRow& request) const;
   table::WriteOutcome Write(const table::WriteRow& request) const;
+  // As above, with a shorter timeout where `timeout` is less than the usual.
+  table::ReadOutcome Read(const table::ReadRow& request,
+                          common::Duration timeout) const;
+  table::WriteOutcome Write(const table::WriteRow& request,
+                            common::Duration timeout) const;
 
   absl::Status PutObject(const std::string& name, std::string body) const;
   absl::StatusOr<std::string> GetObject(const std::string& name) const;
--- /dev/null
+++ b/tests/support/fake_table.cc
@@ -0,0 +1,70 @@
+#include "support/fake_table.h"
+
+#include <memory>
+#include <utility>
+
+namespace wagtailshore::test_support {
+
+template <typename Outcome>
+void FakeTable::Exchange(int domain,
+                         common::Duration timeout,
+                         std::function<Outcome()> apply,
+                         const std::function<void(Outcome)>& done) {
+  ++operations_;
+  // The answer and the timeout race; the first to come counts.
+  auto answer = std::make_shared<std::function<void(Outcome)>>(done);
+  const auto give = [answer](const Outcome& outcome) {
+    if (*answer) {
+      std::exchange(*answer, nullptr)(outcome);
+    }
+  };
+  events_.After(timeout, [give] { give(table::Unavailable{}); });
+  if (!faults_.StoreReachable(domain) ||
+      faults_.Happens(faults_.rates().table_request_lost)) {
+    return;
+  }
+  events_.After(faults_.StoreDelay(faults_.rates().table_request_late),
+                [this, domain, apply = std::move(apply), give] {
+                  if (!faults_.StoreReachable(domain)) {
+                    return;
+                  }
+                  const Outcome outcome = apply();
+                  const bool ordered_loss =
+                      std::is_same_v<Outcome, table::WriteOutcome> &&
+                      answers_to_lose_ > 0 && answers_to_lose_-- > 0;
+                  if (ordered_loss ||
+                      faults_.Happens(faults_.rates().table_answer_lost)) {
+                    return;
+                  }
+                  events_.After(faults_.StoreDelay(0),
+                                [give, outcome] { give(outcome); });
+                });
+}
+
+void FakeTable::Read(int domain,
+                     const table::ReadRow& request,
+                     common::Duration timeout,
+                     const std::function<void(table::ReadOutcome)>& done) {
+  Exchange<table::ReadOutcome>(
+      domain, timeout,
+      [this, key = request.key] { return table::RowRead{rows_[key]}; }, done);
+}
+
+void FakeTable::Write(int domain,
+                      const table::WriteRow& request,
+                      common::Duration timeout,
+                      const std::function<void(table::WriteOutcome)>& done) {
+  Exchange<table::WriteOutcome>(
+      domain, timeout, [this, request] { return Apply(request); }, done);
+}
+
+table::WriteOutcome FakeTable::Apply(const table::WriteRow& request) {
+  table::Row& row = rows_[request.key];
+  if (row.version != request.expected_version) {
+    return table::WriteConflict{row};
+  }
+  row = table::RowAfter(request);
+  return table::RowWritten{row.version};
+}
+
+}  // namespace wagtailshore::test_support
--- /dev/null
+++ b/tests/support/fault_plan.h
@@ -0,0 +1,82 @@
+#ifndef SUPPORT_FAULT_PLAN_H_
+#define SUPPORT_FAULT_PLAN_H_
+
+#include <random>
+#include <set>
+#include <utility>
+
+#include "common/time.h"
+
+namespace wagtailshore::test_support {
+
+// Chances, 0 to 1, of faults that befall single messages.
+struct FaultRates {
+  double table_request_lost = 0;
+  double table_answer_lost = 0;
+  // A request that takes effect only after its sender gave up waiting.
+  double table_request_late = 0;
+  double message_lost = 0;
+  double message_doubled = 0;
+  double message_late = 0;
+  // An endpoint process refuses an attempt and may take a copy of it.
+  double attempt_refused = 0;
+  double service_answer_lost = 0;
+};
+
+// The failure domain number that stands for the platform in cuts.
+inline constexpr int kPlatform = -1;
+
+// What is broken now, and the dice for what befalls single messages.
+class FaultPlan {
+ public:
+  FaultPlan(uint64_t seed, FaultRates rates) : dice_(seed), rates_(rates) {}
+
+  const FaultRates& rates() const { return rates_; }
+  void set_rates(const FaultRates& rates) { rates_ = rates; }
+
+  bool Happens(double chance) {
+    return std::uniform_real_distribution<>(0, 1)(dice_) < chance;
+  }
+  // A number from 0 to `below` - 1.
+  int Number(int below) {
+    return std::uniform_int_distribution<>(0, below - 1)(dice_);
+  }
+  common::Duration Between(common::Duration low, common::Duration high) {
+    return common::Duration(
+        std::uniform_int_distribution<common::Duration::rep>(
+            low.count(), high.count())(dice_));
+  }
+  // One message's time on the way.
+  common::Duration Delay(double late_chance) {
+    return Happens(late_chance)
+               ? Between(common::seconds(1), common::seconds(15))
+               : Between(common::milliseconds(1), common::milliseconds(20));
+  }
+
+  void Cut(int one, int other) { cuts_.insert(std::minmax(one, other)); }
+  void Heal() { cuts_.clear(); }
+  bool Connected(int one, int other) const {
+    return !cuts_.contains(std::minmax(one, other));
+  }
+  void set_store_down(bool down) { store_down_ = down; }
+  // The table's time on the way each way, while it is slow.
+  void set_store_delay(common::Duration delay) { store_delay_ = delay; }
+  common::Duration StoreDelay(double late_chance) {
+    return store_delay_ + Delay(late_chance);
+  }
+  // Whether the table can be reached from a failure domain.
+  bool StoreReachable(int domain) const {
+    return !store_down_ && Connected(kPlatform, domain);
+  }
+
+ private:
+  std::mt19937_64 dice_;
+  FaultRates rates_;
+  std::set<std::pair<int, int>> cuts_;
+  bool store_down_ = false;
+  common::Duration store_delay_{};
+};
+
+}  // namespace wagtailshore::test_support
+
+#endif  // SUPPORT_FAULT_PLAN_H_
