Entry: hash the parts of a request's digest apart

Two requests under one key whose call and body differed only in where a line feed stood had the same digest, so that the second was given the first's answer. Found by reading; the parts are hashed one by one now.

--- a/packages/daemon/entry/call_run.cc
+++ b/packages/daemon/entry/call_run.cc
@@ -135,6 +135,14 @@
   messages::CallReply reply_;
 };
 
+// Tells requests apart that carry the same key. The parts are hashed apart, so
+// that no two requests share a digest by where one part ends.
+std::string RequestDigest(const http_api::ServiceCall& call) {
+  return common::Sha256Hex(common::StrCat(common::Sha256Hex(call.service),
+                                          common::Sha256Hex(call.call),
+                                          common::Sha256Hex(call.body)));
+}
+
 // Carries out what a claim asks for.
 class NonIdempotentRun {
  public:
@@ -147,11 +155,7 @@
         call_(call),
         idempotency_key_(std::move(idempotency_key)),
         claim_({.row_key = claims::RowKey(admitted.customer, idempotency_key_),
-                .request_digest = common::Sha256Hex(common::StrCat(call.service,
-                                                                   "\n",
-                                                                   call.call,
-                                                                   "\n",
-                                                                   call.body)),
+                .request_digest = RequestDigest(call),
                 .deadline = admitted.deadline,
                 .new_token = &common::RandomId}) {}
 
