Endpoint: keep customers' keys apart at the service

The caller's key was passed to the service as it came, so that a service that recognises keys took two customers' requests with the same key for one. The key now begins with sixteen digits of the customer's digest.

--- a/packages/daemon/endpoint/attempt_server.cc
+++ b/packages/daemon/endpoint/attempt_server.cc
@@ -87,6 +87,18 @@
   bool done_ = false;
 };
 
+// The key that the service sees. Two customers may use the same key; the
+// customer's part has a fixed length, so that theirs never meet.
+std::string ServiceKey(const messages::CallAttempt& attempt) {
+  constexpr size_t kCustomerDigits = 16;
+  if (attempt.idempotency_key.empty()) {
+    return "";
+  }
+  return common::StrCat(
+      common::Sha256Hex(attempt.customer).substr(0, kCustomerDigits), "/",
+      attempt.idempotency_key);
+}
+
 // The service's answer, or nothing when the call may have run unanswered.
 // `sent` tells whether the service may have seen the call.
 std::optional<claims::ServiceAnswer> CallService(
@@ -100,7 +112,7 @@
   const auto outcome = http_client::Call(
       {.method = "POST",
        .url = common::StrCat(service_url, "/call"),
-       .headers = {{"Idempotency-Key", attempt.idempotency_key}},
+       .headers = {{"Idempotency-Key", ServiceKey(attempt)}},
        .body = body.dump(-1, ' ', false, Json::error_handler_t::replace)},
       timeout);
   if (const auto* failure = std::get_if<http_client::CallFailure>(&outcome)) {
