Routing: choose among a few by predicted wait

Cause: every entry that saw the same lagging report picked the same endpoint, and no entry knew which endpoint had a prompt's prefix cached.

The router now corrects a report by the entry's own attempts in flight at the time when it was measured, compares two random candidates and the holders of the prompt's prefix, stays in its failure domain until that is loaded, and ejects at most half of a target's endpoints.

--- a/packages/daemon/entry/call_run.cc
+++ b/packages/daemon/entry/call_run.cc
@@ -88,7 +88,8 @@
  private:
   exchange::Action Start(const exchange::StartAttempt& start) {
     const common::Time now = common::Clock::now();
-    const auto picked = control_.Pick(admitted_, call_.service, start.avoid);
+    const auto picked = control_.Pick(
+        admitted_, {.target = call_.service, .avoid = start.avoid});
     if (!picked.has_value()) {
       return exchange_.OnNoEndpoint(now);
     }
@@ -195,7 +196,8 @@
   claims::EntryAction Perform(const claims::CallRefused& done) { return done; }
 
   claims::DispatchOutcome SendTo(const claims::Dispatch& dispatch) {
-    const auto picked = control_.Pick(admitted_, call_.service, avoid_);
+    const auto picked =
+        control_.Pick(admitted_, {.target = call_.service, .avoid = avoid_});
     if (!picked.has_value()) {
       return claims::DispatchNotSent{};
     }
--- a/packages/daemon/entry/entry.cc
+++ b/packages/daemon/entry/entry.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <random>
 #include <thread>
 #include <utility>
 
@@ -13,10 +14,9 @@
 namespace wagtailshore::entry {
 
 std::optional<Picked> EntryControl::Pick(const Admitted& admitted,
-                                         const std::string& target,
-                                         const std::set<std::string>& avoid) {
+                                         const routing::PickRequest& request) {
   const auto name = node_.control().Call(
-      [&] { return core_.router.Pick(target, avoid, common::Clock::now()); });
+      [&] { return core_.router.Pick(request, common::Clock::now()); });
   if (!name.has_value()) {
     return std::nullopt;
   }
@@ -33,15 +33,27 @@
   return std::nullopt;
 }
 
-void EntryControl::Report(const std::string& endpoint, AttemptResult result) {
-  node_.control().Post([this, endpoint, result] {
+void EntryControl::Resume(const std::string& endpoint) {
+  node_.control().Post([this, endpoint] {
+    core_.router.OnResumed(endpoint, common::Clock::now());
+  });
+}
+
+void EntryControl::Report(const std::string& endpoint,
+                          AttemptResult result,
+                          routing::AttemptTimes times) {
+  node_.control().Post([this, endpoint, result, times] {
+    const common::Time now = common::Clock::now();
     switch (result) {
       case AttemptResult::kServed:
-        core_.router.OnSuccess(endpoint);
+        core_.router.OnSuccess(endpoint, times, now);
         break;
       case AttemptResult::kRefused:
       case AttemptResult::kFailed:
-        core_.router.OnFailure(endpoint, common::Clock::now());
+        core_.router.OnFailure(endpoint, now);
+        break;
+      case AttemptResult::kAbandoned:
+        core_.router.OnAbandoned(endpoint, now);
         break;
     }
   });
@@ -50,7 +62,8 @@
 class Entry::Impl {
  public:
   explicit Impl(const settings::Settings& settings)
-      : core_({.failure_domain = settings.failure_domain}),
+      : core_({.failure_domain = settings.failure_domain,
+               .seed = std::random_device()()}),
         node_(settings, membership::Role::kEntry),
         control_(node_, core_),
         callers_(node_, core_, control_) {}
@@ -140,7 +153,8 @@
     if (change.restarted) {
       core_.router.OnRestarted(exchange.info.name);
     }
-    core_.router.OnReport(exchange.info.name, exchange.load);
+    core_.router.OnReport(exchange.info.name, exchange.load,
+                          common::Clock::now());
     if (exchange.info.leaving) {
       core_.router.OnLeaving(exchange.info.name);
     }
@@ -168,7 +182,9 @@
           {"target", candidate.target},
           {"queued", candidate.report.queued},
           {"running", candidate.report.running},
-          {"sent_since_report", candidate.sent_since_report},
+          {"own_in_flight", candidate.own.in_flight()},
+          {"slots", candidate.slots},
+          {"first_token_ms", candidate.first_token_ms},
           {"leaving", candidate.leaving},
           {"ejected_for_ms",
            std::max<int64_t>(
--- a/packages/daemon/entry/entry_core.h
+++ b/packages/daemon/entry/entry_core.h
@@ -3,7 +3,6 @@
 
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <variant>
 
@@ -62,18 +61,28 @@
 };
 
 // How an attempt went, for the router.
-enum class AttemptResult { kServed, kRefused, kFailed };
+enum class AttemptResult {
+  kServed,
+  kRefused,
+  kFailed,
+  // Ended early for a reason that is not the endpoint's.
+  kAbandoned,
+};
 
 // What traffic threads ask of the control thread.
 class EntryControl {
  public:
   EntryControl(node::Node& node, EntryCore& core) : node_(node), core_(core) {}
 
-  // `prefer` is taken if it may get work at all.
+  // The endpoint for an attempt, which counts as in flight there until
+  // Report().
   std::optional<Picked> Pick(const Admitted& admitted,
-                             const std::string& target,
-                             const std::set<std::string>& avoid);
-  void Report(const std::string& endpoint, AttemptResult result);
+                             const routing::PickRequest& request);
+  // Another attempt goes to the same endpoint.
+  void Resume(const std::string& endpoint);
+  void Report(const std::string& endpoint,
+              AttemptResult result,
+              routing::AttemptTimes times = {});
 
   node::Node& node() { return node_; }
 
--- a/packages/daemon/entry/generate_run.cc
+++ b/packages/daemon/entry/generate_run.cc
@@ -22,7 +22,12 @@
       exchange_(
           {.request = admitted_.request,
            .deadline = admitted_.deadline,
-           .progress_timeout = control.node().settings().progress_timeout}) {}
+           .progress_timeout = control.node().settings().progress_timeout}),
+      prefixes_(routing::PrefixesOf(call_.prompt)) {}
+
+GenerateRun::~GenerateRun() {
+  ReportEnd(AttemptResult::kAbandoned);
+}
 
 std::variant<exchange::DeliverText, refusal::Refusal> GenerateRun::Next() {
   const common::Time now = common::Clock::now();
@@ -31,8 +36,11 @@
                                 : exchange_.Start(now);
   while (true) {
     if (auto* deliver = std::get_if<exchange::DeliverText>(&action)) {
+      if (!first_token_.has_value()) {
+        first_token_ = common::Clock::now() - sent_at_;
+      }
       if (deliver->last) {
-        control_.Report(endpoint_.name, AttemptResult::kServed);
+        ReportEnd(AttemptResult::kServed);
       }
       return std::move(*deliver);
     }
@@ -50,9 +58,21 @@
 std::optional<Picked> GenerateRun::PickFor(
     const exchange::StartAttempt& start) {
   if (start.prefer.has_value()) {
+    control_.Resume(endpoint_.name);
     return endpoint_;
   }
-  return control_.Pick(admitted_, call_.model, start.avoid);
+  return control_.Pick(
+      admitted_,
+      {.target = call_.model, .avoid = start.avoid, .prefixes = prefixes_});
+}
+
+void GenerateRun::ReportEnd(AttemptResult result) {
+  if (!std::exchange(attempt_counts_, false)) {
+    return;
+  }
+  control_.Report(endpoint_.name, result,
+                  {.first_token = first_token_.value_or(common::Duration{}),
+                   .total = common::Clock::now() - sent_at_});
 }
 
 exchange::Action GenerateRun::Perform(const exchange::StartAttempt& start) {
@@ -63,6 +83,9 @@
     return exchange_.OnNoEndpoint(now);
   }
   endpoint_ = *picked;
+  attempt_counts_ = true;
+  sent_at_ = now;
+  first_token_.reset();
   if (start.offset > 0) {
     common::LogEvent(common::EventId::kStreamResumed,
                      common::StrCat("request=", admitted_.request, " attempt=",
@@ -129,8 +152,7 @@
     std::optional<common::Duration> retry_after) {
   connection_.reset();
   const bool refused = end == exchange::AttemptEnd::kRefused;
-  control_.Report(endpoint_.name,
-                  refused ? AttemptResult::kRefused : AttemptResult::kFailed);
+  ReportEnd(refused ? AttemptResult::kRefused : AttemptResult::kFailed);
   common::LogEvent(common::EventId::kAttemptFailed,
                    common::StrCat("request=", admitted_.request,
                                   " endpoint=", endpoint_.name,
--- a/packages/daemon/entry/generate_run.h
+++ b/packages/daemon/entry/generate_run.h
@@ -21,6 +21,10 @@
   GenerateRun(EntryControl& control,
               Admitted admitted,
               http_api::GenerateCall call);
+  // Ends the attempt in flight, if any.
+  ~GenerateRun();
+  GenerateRun(const GenerateRun&) = delete;
+  GenerateRun& operator=(const GenerateRun&) = delete;
 
   // The next piece of text, or the refusal that ends the request. Not to be
   // called after either the last piece or a refusal.
@@ -36,12 +40,19 @@
   exchange::Action EndAttempt(exchange::AttemptEnd end,
                               std::optional<common::Duration> retry_after);
   std::optional<Picked> PickFor(const exchange::StartAttempt& start);
+  // Tells the router how the current attempt ended.
+  void ReportEnd(AttemptResult result);
 
   EntryControl& control_;
   Admitted admitted_;
   http_api::GenerateCall call_;
   exchange::Exchange exchange_;
+  std::vector<routing::Prefix> prefixes_;
   Picked endpoint_;
+  // Whether the router counts an attempt of this run as in flight.
+  bool attempt_counts_ = false;
+  common::Time sent_at_{};
+  std::optional<common::Duration> first_token_;
   // The current attempt's connection and what has arrived on it.
   std::unique_ptr<http_client::Exchange> connection_;
   std::optional<messages::MessageSplitter> splitter_;
--- a/packages/state/routing/router.cc
+++ b/packages/state/routing/router.cc
@@ -1,107 +1,341 @@
 #include "state/routing/router.h"
 
 #include <algorithm>
-#include <tuple>
+#include <cmath>
+#include <limits>
 #include <utility>
 
 #include "common/invariant.h"
 
 namespace wagtailshore::routing {
+namespace {
 
-Router::Router(RouterOptions options) : options_(std::move(options)) {}
+// Weight of a new measurement in smoothed times.
+constexpr double kSmoothing = 0.1;
+// A first-token time this many times the target's usual one counts as slow.
+constexpr double kSlowFactor = 2;
+// A slow endpoint's measurement loses half its weight in this time, so that
+// the endpoint is tried again.
+constexpr double kSlowHalfLifeMs = 10000;
+// Wait per waiting request while no attempt's duration is known.
+constexpr double kDefaultDurationMs = 1000;
+
+double ToMs(common::Duration duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+void Smooth(double& value, double sample) {
+  value = value == 0 ? sample : value + kSmoothing * (sample - value);
+}
+
+}  // namespace
+
+Router::Router(RouterOptions options)
+    : options_(std::move(options)),
+      random_(static_cast<std::minstd_rand::result_type>(options_.seed)),
+      hints_(options_.max_prefixes) {}
+
+Candidate* Router::Find(const std::string& endpoint) {
+  const auto found = candidates_.find(endpoint);
+  return found == candidates_.end() ? nullptr : &found->second;
+}
 
 void Router::Upsert(const std::string& endpoint,
                     const std::string& failure_domain,
                     const std::string& target) {
   Candidate& candidate = candidates_[endpoint];
+  if (candidate.id == 0) {
+    candidate.id = next_id_++;
+    candidate.name = endpoint;
+  }
   candidate.failure_domain = failure_domain;
   candidate.target = target;
+  RebuildPools();
 }
 
 void Router::KeepOnly(const std::set<std::string>& known) {
+  for (const auto& [name, candidate] : candidates_) {
+    if (!known.contains(name)) {
+      hints_.Forget(candidate.id);
+    }
+  }
   std::erase_if(candidates_,
                 [&](const auto& item) { return !known.contains(item.first); });
+  RebuildPools();
 }
 
-void Router::OnReport(const std::string& endpoint, LoadReport report) {
-  const auto found = candidates_.find(endpoint);
-  if (found == candidates_.end()) {
+void Router::RebuildPools() {
+  by_id_.clear();
+  for (auto& [target, pool] : pools_) {
+    pool.own.clear();
+    pool.other.clear();
+  }
+  for (auto& [name, candidate] : candidates_) {
+    by_id_[candidate.id] = &candidate;
+    Pool& pool = pools_[candidate.target];
+    const bool is_own = candidate.failure_domain == options_.failure_domain;
+    (is_own ? pool.own : pool.other).push_back(&candidate);
+  }
+}
+
+void Router::OnReport(const std::string& endpoint,
+                      LoadReport report,
+                      common::Time now) {
+  Candidate* candidate = Find(endpoint);
+  if (candidate == nullptr) {
     return;
   }
-  found->second.report = report;
-  found->second.sent_since_report = 0;
+  candidate->report = report;
+  const uint32_t total = report.queued + report.running;
+  const uint32_t own = candidate->own.InFlightAt(now - report.age);
+  candidate->others = total > own ? total - own : 0;
+  if (report.queued > 0 && report.running > 0) {
+    candidate->slots = report.running;
+  }
+}
+
+void Router::OnCacheEvent(const std::string& endpoint,
+                          const CacheEvent& event) {
+  const Candidate* candidate = Find(endpoint);
+  if (candidate != nullptr) {
+    hints_.OnEvent(candidate->id, event);
+  }
 }
 
 void Router::OnLeaving(const std::string& endpoint) {
-  const auto found = candidates_.find(endpoint);
-  if (found != candidates_.end()) {
-    found->second.leaving = true;
+  Candidate* candidate = Find(endpoint);
+  if (candidate != nullptr) {
+    candidate->leaving = true;
   }
 }
 
 void Router::OnRestarted(const std::string& endpoint) {
-  const auto found = candidates_.find(endpoint);
-  if (found == candidates_.end()) {
+  Candidate* candidate = Find(endpoint);
+  if (candidate == nullptr) {
     return;
   }
-  found->second.leaving = false;
-  found->second.sent_since_report = 0;
+  candidate->leaving = false;
+  candidate->others = 0;
+  candidate->own.Reset();
+  hints_.Forget(candidate->id);
 }
 
-void Router::OnSuccess(const std::string& endpoint) {
-  const auto found = candidates_.find(endpoint);
-  if (found == candidates_.end()) {
+void Router::OnResumed(const std::string& endpoint, common::Time now) {
+  Candidate* candidate = Find(endpoint);
+  if (candidate != nullptr) {
+    candidate->own.Begin(now);
+  }
+}
+
+void Router::OnSuccess(const std::string& endpoint,
+                       AttemptTimes times,
+                       common::Time now) {
+  Candidate* candidate = Find(endpoint);
+  if (candidate == nullptr) {
     return;
   }
-  found->second.failures_in_a_row = 0;
-  found->second.ejected_until = common::Time{};
+  candidate->own.End(now);
+  candidate->failures_in_a_row = 0;
+  candidate->ejected_until = common::Time{};
+  Smooth(candidate->first_token_ms, ToMs(times.first_token));
+  Smooth(candidate->duration_ms, ToMs(times.total));
+  candidate->measured_at = now;
+  Smooth(pools_[candidate->target].first_token_ms, ToMs(times.first_token));
 }
 
 void Router::OnFailure(const std::string& endpoint, common::Time now) {
-  const auto found = candidates_.find(endpoint);
-  if (found == candidates_.end()) {
+  Candidate* candidate = Find(endpoint);
+  if (candidate == nullptr) {
     return;
   }
-  Candidate& candidate = found->second;
+  candidate->own.End(now);
   constexpr uint32_t kMaxDoublings = 16;
   const uint32_t doublings =
-      std::min(candidate.failures_in_a_row, kMaxDoublings);
+      std::min(candidate->failures_in_a_row, kMaxDoublings);
+  ++candidate->failures_in_a_row;
+  if (!MayEject(*candidate, now)) {
+    return;
+  }
   const common::Duration ejection = std::min(
       options_.ejection_base * (1 << doublings), options_.ejection_max);
-  candidate.ejected_until = now + ejection;
-  ++candidate.failures_in_a_row;
+  candidate->ejected_until = now + ejection;
 }
 
-std::optional<std::string> Router::Pick(const std::string& target,
-                                        const std::set<std::string>& avoid,
-                                        common::Time now) {
-  // An ejected endpoint is still better than none, so ejection orders the
-  // candidates instead of removing them.
-  using Rank = std::tuple<bool, bool, uint32_t>;
-  Candidate* best = nullptr;
-  const std::string* best_name = nullptr;
-  Rank best_rank;
-  for (auto& [name, candidate] : candidates_) {
-    if (candidate.target != target || candidate.leaving ||
-        avoid.contains(name)) {
+void Router::OnAbandoned(const std::string& endpoint, common::Time now) {
+  Candidate* candidate = Find(endpoint);
+  if (candidate != nullptr) {
+    candidate->own.End(now);
+  }
+}
+
+bool Router::MayEject(const Candidate& candidate, common::Time now) const {
+  if (candidate.ejected_until > now) {
+    return true;
+  }
+  const Pool& pool = pools_.at(candidate.target);
+  size_t ejected = 1;
+  for (const auto* part : {&pool.own, &pool.other}) {
+    ejected += std::count_if(part->begin(), part->end(), [&](const auto* item) {
+      return item->ejected_until > now;
+    });
+  }
+  const size_t all = pool.own.size() + pool.other.size();
+  return static_cast<double>(ejected) <=
+         std::max(1.0, options_.max_ejected_share * static_cast<double>(all));
+}
+
+double Router::WaitMs(const Candidate& candidate,
+                      const Pool& pool,
+                      common::Time now) const {
+  const uint32_t load = candidate.load();
+  double wait = options_.wait_per_running_ms * load;
+  if (candidate.slots > 0 && load >= candidate.slots) {
+    const double duration =
+        candidate.duration_ms > 0 ? candidate.duration_ms : kDefaultDurationMs;
+    wait += (load - candidate.slots + 1) * duration / candidate.slots;
+  }
+  const double excess =
+      candidate.first_token_ms - kSlowFactor * pool.first_token_ms;
+  if (excess > 0) {
+    wait += excess *
+            std::exp2(-ToMs(now - candidate.measured_at) / kSlowHalfLifeMs);
+  }
+  return wait;
+}
+
+bool Router::IsUsable(const Candidate& candidate,
+                      const PickRequest& request,
+                      common::Time now,
+                      bool with_ejected) const {
+  return !candidate.leaving &&
+         (with_ejected || candidate.ejected_until <= now) &&
+         !request.avoid.contains(candidate.name);
+}
+
+void Router::Consider(Candidate* candidate,
+                      const Pool& pool,
+                      double bonus_ms,
+                      common::Time now,
+                      Choice& best) const {
+  const double score = WaitMs(*candidate, pool, now) - bonus_ms;
+  if (best.candidate == nullptr || score < best.score_ms) {
+    best = {.candidate = candidate, .score_ms = score};
+  }
+}
+
+void Router::ConsiderHolders(const std::vector<Candidate*>& from,
+                             const Pool& pool,
+                             const PickRequest& request,
+                             common::Time now,
+                             Choice& best) const {
+  for (const Prefix& prefix : request.prefixes) {
+    const std::vector<uint32_t>* holders = hints_.Holders(prefix.hash);
+    if (holders == nullptr) {
       continue;
     }
-    const Rank rank{candidate.ejected_until > now,
-                    candidate.failure_domain != options_.failure_domain,
-                    candidate.report.queued + candidate.report.running +
-                        candidate.sent_since_report};
-    if (best == nullptr || rank < best_rank) {
-      best = &candidate;
-      best_name = &name;
-      best_rank = rank;
+    for (const uint32_t id : *holders) {
+      const auto found = by_id_.find(id);
+      if (found == by_id_.end()) {
+        continue;
+      }
+      Candidate* holder = found->second;
+      const bool in_part = holder->target == request.target &&
+                           (&from == &pool.own) == (holder->failure_domain ==
+                                                    options_.failure_domain);
+      if (in_part && IsUsable(*holder, request, now, false)) {
+        Consider(holder, pool,
+                 prefix.tokens * options_.saved_per_cached_token_ms, now, best);
+      }
+    }
+  }
+}
+
+Router::Choice Router::BestOf(std::vector<Candidate*>& from,
+                              const Pool& pool,
+                              const PickRequest& request,
+                              common::Time now,
+                              bool with_ejected) {
+  Choice best;
+  uint32_t compared = 0;
+  // A partial shuffle meets each candidate at most once, so that the last
+  // usable one among many is still found.
+  for (size_t i = 0; i < from.size() && compared < options_.choices; ++i) {
+    std::uniform_int_distribution<size_t> index(i, from.size() - 1);
+    std::swap(from[i], from[index(random_)]);
+    if (IsUsable(*from[i], request, now, with_ejected)) {
+      Consider(from[i], pool, 0, now, best);
+      ++compared;
     }
   }
-  if (best == nullptr) {
+  ConsiderHolders(from, pool, request, now, best);
+  return best;
+}
+
+Router::Choice Router::BestInPool(Pool& pool,
+                                  const PickRequest& request,
+                                  common::Time now,
+                                  bool with_ejected) {
+  const Choice own = BestOf(pool.own, pool, request, now, with_ejected);
+  if (own.candidate != nullptr) {
+    Smooth(pool.own_wait_ms, WaitMs(*own.candidate, pool, now));
+    if (pool.own_wait_ms > options_.spill_above_ms) {
+      pool.spilling = true;
+    } else if (pool.own_wait_ms < options_.spill_below_ms) {
+      pool.spilling = false;
+    }
+    if (!pool.spilling) {
+      return own;
+    }
+  }
+  Choice other = BestOf(pool.other, pool, request, now, with_ejected);
+  other.score_ms += options_.other_domain_penalty_ms;
+  const bool own_is_better =
+      own.candidate != nullptr && own.score_ms <= other.score_ms;
+  return other.candidate == nullptr || own_is_better ? own : other;
+}
+
+std::optional<std::string> Router::Pick(const PickRequest& request,
+                                        common::Time now) {
+  const auto found = pools_.find(request.target);
+  if (found == pools_.end()) {
     return std::nullopt;
   }
-  WS_INVARIANT(!best->leaving) << "a leaving endpoint gets no new work";
-  ++best->sent_since_report;
-  return *best_name;
+  Choice choice = BestInPool(found->second, request, now, false);
+  if (choice.candidate == nullptr) {
+    // An ejected endpoint is still better than none.
+    choice = BestInPool(found->second, request, now, true);
+  }
+  Candidate* picked = choice.candidate;
+  if (picked == nullptr) {
+    return std::nullopt;
+  }
+  WS_INVARIANT(!picked->leaving) << "a leaving endpoint gets no new work";
+  WS_INVARIANT(!request.avoid.contains(picked->name))
+      << "an avoided endpoint is not picked";
+  picked->own.Begin(now);
+  for (const Prefix& prefix : request.prefixes) {
+    hints_.Add(prefix.hash, picked->id);
+  }
+  return picked->name;
+}
+
+double Router::PredictedWaitMs(const std::string& target,
+                               common::Time now) const {
+  double best = std::numeric_limits<double>::infinity();
+  const auto found = pools_.find(target);
+  if (found == pools_.end()) {
+    return best;
+  }
+  const Pool& pool = found->second;
+  for (const auto* part : {&pool.own, &pool.other}) {
+    for (const Candidate* candidate : *part) {
+      if (!candidate->leaving) {
+        best =
+            std::min(best, WaitMs(*candidate, pool, now) + pool.first_token_ms);
+      }
+    }
+  }
+  return best;
 }
 
 }  // namespace wagtailshore::routing
--- a/packages/state/routing/router.h
+++ b/packages/state/routing/router.h
@@ -4,10 +4,16 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <random>
 #include <set>
+#include <span>
 #include <string>
+#include <unordered_map>
+#include <vector>
 
 #include "common/time.h"
+#include "state/routing/own_load.h"
+#include "state/routing/prefix_hints.h"
 
 // Chooses the endpoint of a model or service for an attempt.
 namespace wagtailshore::routing {
@@ -18,26 +24,74 @@
   uint32_t queued = 0;
   // Requests that the endpoint works on.
   uint32_t running = 0;
+  // How old the figures were on arrival.
+  common::Duration age{};
 };
 
 // One endpoint as the router sees it.
 struct Candidate {
+  // Stands for the endpoint in hints; never used twice.
+  uint32_t id = 0;
+  std::string name;
   std::string failure_domain;
   // What it serves: the name of a model or of a service.
   std::string target;
   LoadReport report;
-  // Attempts this entry sent since the report, which it cannot show yet.
-  uint32_t sent_since_report = 0;
+  // Load that the report shows beyond this entry's own attempts.
+  uint32_t others = 0;
+  OwnLoad own;
+  // Requests that the endpoint works on at once; 0 until a report shows some
+  // waiting.
+  uint32_t slots = 0;
+  // Smoothed times of this entry's attempts, in milliseconds; 0 until known.
+  double first_token_ms = 0;
+  double duration_ms = 0;
+  common::Time measured_at{};
   bool leaving = false;
   // After a failure, the endpoint gets no new work before this time.
   common::Time ejected_until{};
   uint32_t failures_in_a_row = 0;
+
+  // Requests at the endpoint, as far as can be told.
+  uint32_t load() const { return others + own.in_flight(); }
 };
 
 struct RouterOptions {
   std::string failure_domain;
+  // Seed of the random choices.
+  uint64_t seed = 1;
+  // Candidates compared per pick, besides those that hold the prefix.
+  uint32_t choices = 2;
   common::Duration ejection_base = common::milliseconds(500);
   common::Duration ejection_max = common::seconds(30);
+  // Largest share of a target's endpoints that is ejected at once.
+  double max_ejected_share = 0.5;
+  // Wait that one more request on an endpoint with free slots adds.
+  double wait_per_running_ms = 30;
+  // Time that a cached token of the prompt saves.
+  double saved_per_cached_token_ms = 0.2;
+  // Work spills to other failure domains while the own one's smoothed
+  // predicted wait went above the first and not yet below the second.
+  double spill_above_ms = 400;
+  double spill_below_ms = 200;
+  // What an endpoint in another failure domain has to be better by.
+  double other_domain_penalty_ms = 20;
+  size_t max_prefixes = 4096;
+};
+
+// What to pick an endpoint for.
+struct PickRequest {
+  std::string target;
+  // Endpoints that must not be picked.
+  std::set<std::string> avoid;
+  // Longest first; empty for requests without a prompt.
+  std::vector<Prefix> prefixes;
+};
+
+// How an attempt went.
+struct AttemptTimes {
+  common::Duration first_token{};
+  common::Duration total{};
 };
 
 // Keeps the candidates of one entry and picks among them. Owned by the control
@@ -45,6 +99,8 @@
 class Router {
  public:
   explicit Router(RouterOptions options);
+  Router(const Router&) = delete;
+  Router& operator=(const Router&) = delete;
 
   // Adds an endpoint, or changes what it serves.
   void Upsert(const std::string& endpoint,
@@ -53,28 +109,91 @@
   // Forgets the endpoints that are not in `known`.
   void KeepOnly(const std::set<std::string>& known);
 
-  void OnReport(const std::string& endpoint, LoadReport report);
+  void OnReport(const std::string& endpoint,
+                LoadReport report,
+                common::Time now);
+  void OnCacheEvent(const std::string& endpoint, const CacheEvent& event);
   // A leaving endpoint is never picked again.
   void OnLeaving(const std::string& endpoint);
   // The endpoint is a new process: it is not leaving any more.
   void OnRestarted(const std::string& endpoint);
-  void OnSuccess(const std::string& endpoint);
+
+  // The endpoint for an attempt, or nothing when there is none. The attempt
+  // counts as in flight until one of the three calls below.
+  std::optional<std::string> Pick(const PickRequest& request, common::Time now);
+  // Another attempt goes to the same endpoint without a pick.
+  void OnResumed(const std::string& endpoint, common::Time now);
+
+  void OnSuccess(const std::string& endpoint,
+                 AttemptTimes times,
+                 common::Time now);
   // Ejects the endpoint for a time that doubles with each failure in a row.
   void OnFailure(const std::string& endpoint, common::Time now);
+  // The attempt was given up for a reason that is not the endpoint's.
+  void OnAbandoned(const std::string& endpoint, common::Time now);
 
-  // The endpoint for an attempt at `target`, other than those in `avoid`, or
-  // nothing when there is none. The attempt counts as sent.
-  std::optional<std::string> Pick(const std::string& target,
-                                  const std::set<std::string>& avoid,
-                                  common::Time now);
+  // The wait for the first token that a request for `target` must expect, in
+  // milliseconds; infinite when no endpoint can take it.
+  double PredictedWaitMs(const std::string& target, common::Time now) const;
 
   const std::map<std::string, Candidate>& candidates() const {
     return candidates_;
   }
 
  private:
+  // The candidates of one target.
+  struct Pool {
+    std::vector<Candidate*> own;
+    std::vector<Candidate*> other;
+    double first_token_ms = 0;
+    // Smoothed wait of the picks in the own failure domain.
+    double own_wait_ms = 0;
+    bool spilling = false;
+  };
+  struct Choice {
+    Candidate* candidate = nullptr;
+    double score_ms = 0;
+  };
+
+  Candidate* Find(const std::string& endpoint);
+  void RebuildPools();
+  double WaitMs(const Candidate& candidate,
+                const Pool& pool,
+                common::Time now) const;
+  bool IsUsable(const Candidate& candidate,
+                const PickRequest& request,
+                common::Time now,
+                bool with_ejected) const;
+  void Consider(Candidate* candidate,
+                const Pool& pool,
+                double bonus_ms,
+                common::Time now,
+                Choice& best) const;
+  // The best of some of `from`, and of the holders of the prefix among them.
+  // Changes the order of `from`.
+  Choice BestOf(std::vector<Candidate*>& from,
+                const Pool& pool,
+                const PickRequest& request,
+                common::Time now,
+                bool with_ejected);
+  void ConsiderHolders(const std::vector<Candidate*>& from,
+                       const Pool& pool,
+                       const PickRequest& request,
+                       common::Time now,
+                       Choice& best) const;
+  Choice BestInPool(Pool& pool,
+                    const PickRequest& request,
+                    common::Time now,
+                    bool with_ejected);
+  bool MayEject(const Candidate& candidate, common::Time now) const;
+
   RouterOptions options_;
+  std::minstd_rand random_;
   std::map<std::string, Candidate> candidates_;
+  std::unordered_map<uint32_t, Candidate*> by_id_;
+  std::map<std::string, Pool> pools_;
+  PrefixHints hints_;
+  uint32_t next_id_ = 1;
 };
 
 }  // namespace wagtailshore::routing
