Routing: full endpoints refuse, and the entry asks another one

Cause: whatever was compared, a report that is seconds old cannot tell which engine has a free slot.

The endpoint process passes every attempt on and knows without lag. Only statuses 503 and 429 of an endpoint now count as not run: a 502 after an engine's failure was taken for a refusal before.

The generator of router_test's property could fail to make a set of many distinct names out of five; it now makes a vector.

Faults put in and caught by exchange_test: may_have_run_ ignored (EndsAndIsHonest); busy endpoints kept avoided (WaitsAtABusyEndpoint...).

--- a/packages/coordination/exchange/exchange.cc
+++ b/packages/coordination/exchange/exchange.cc
@@ -25,7 +25,11 @@
   return Read(now);
 }
 
-Action Exchange::OnNoEndpoint(common::Time) {
+Action Exchange::OnNoEndpoint(common::Time now) {
+  if (!busy_.empty()) {
+    // All others failed or are busy too: wait at a busy one.
+    return WaitAtBusy(now);
+  }
   return Abandon(refusal::Code::kNoEndpoint, "no endpoint can take it");
 }
 
@@ -48,6 +52,9 @@
 Action Exchange::OnAttemptEnd(AttemptEnd end,
                               std::optional<common::Duration> retry_after,
                               common::Time now) {
+  if (end == AttemptEnd::kBusy && !may_wait_) {
+    return OnBusy(now);
+  }
   const bool progressed = assembler_.next_offset() > offset_at_start_;
   if (progressed) {
     fruitless_attempts_ = 0;
@@ -70,6 +77,25 @@
   return NextAttempt(std::nullopt, now);
 }
 
+Action Exchange::OnBusy(common::Time now) {
+  busy_.insert(endpoint_);
+  avoid_.insert(endpoint_);
+  ++busy_refusals_;
+  if (busy_refusals_ >= options_.max_busy_refusals) {
+    return WaitAtBusy(now);
+  }
+  return NextAttempt(std::nullopt, now);
+}
+
+Action Exchange::WaitAtBusy(common::Time now) {
+  may_wait_ = true;
+  for (const std::string& endpoint : busy_) {
+    avoid_.erase(endpoint);
+  }
+  busy_.clear();
+  return NextAttempt(std::nullopt, now);
+}
+
 Action Exchange::NextAttempt(std::optional<std::string> prefer,
                              common::Time now) {
   if (now >= options_.deadline) {
@@ -82,7 +108,9 @@
   return StartAttempt{.id = assembler_.StartAttempt(),
                       .offset = assembler_.next_offset(),
                       .prefer = std::move(prefer),
-                      .avoid = avoid_};
+                      .avoid = avoid_,
+                      .busy_refusals = busy_refusals_,
+                      .may_wait = may_wait_};
 }
 
 Action Exchange::Read(common::Time now) const {
--- a/packages/coordination/exchange/exchange.h
+++ b/packages/coordination/exchange/exchange.h
@@ -20,6 +20,9 @@
   common::Time deadline;
   // Attempts without any progress between them.
   uint32_t max_fruitless_attempts = 3;
+  // After this many refusals by endpoints without a free slot, an attempt may
+  // wait at one.
+  uint32_t max_busy_refusals = 8;
   // Longest wait for the next frame before the connection counts as silent.
   common::Duration progress_timeout = common::seconds(5);
 };
@@ -32,6 +35,10 @@
   std::optional<std::string> prefer;
   // Endpoints that failed this request.
   std::set<std::string> avoid;
+  // Refusals so far by endpoints without a free slot.
+  uint32_t busy_refusals = 0;
+  // Whether the attempt may wait at an endpoint without a free slot.
+  bool may_wait = false;
 };
 
 // Wait this long for the current attempt's next frame.
@@ -58,6 +65,8 @@
   kNotSent,
   // The endpoint refused it as not run.
   kRefused,
+  // The endpoint refused it as not run for want of a free slot.
+  kBusy,
   // The connection broke after the attempt was sent.
   kBroken,
   // No frame came in time; the connection is distrusted from then on.
@@ -86,6 +95,9 @@
 
  private:
   Action NextAttempt(std::optional<std::string> prefer, common::Time now);
+  Action OnBusy(common::Time now);
+  // From now on attempts may wait, also at endpoints that were busy.
+  Action WaitAtBusy(common::Time now);
   Action Read(common::Time now) const;
   Action Abandon(refusal::Code code, std::string message) const;
 
@@ -93,6 +105,10 @@
   stream::StreamAssembler assembler_;
   std::string endpoint_;
   std::set<std::string> avoid_;
+  // Endpoints without a free slot when last asked; a part of `avoid_`.
+  std::set<std::string> busy_;
+  uint32_t busy_refusals_ = 0;
+  bool may_wait_ = false;
   uint32_t fruitless_attempts_ = 0;
   uint64_t offset_at_start_ = 0;
   // Whether any endpoint may have begun to run the request.
--- a/packages/daemon/endpoint/attempt_server.cc
+++ b/packages/daemon/endpoint/attempt_server.cc
@@ -23,7 +23,7 @@
 http_server::FullResponse Refused(std::optional<common::Duration> retry_after) {
   const auto seconds = std::chrono::ceil<std::chrono::seconds>(
       retry_after.value_or(kRetryAfter));
-  return {.status = 503,
+  return {.status = messages::kRefusedStatus,
           .headers = {{"Retry-After", common::StrCat(seconds.count())}},
           .body = "not run\n"};
 }
@@ -43,6 +43,17 @@
   return GateHold(begun ? &node : nullptr);
 }
 
+// Whether every slot of the engine is taken.
+bool IsFull(node::Node& node) {
+  const uint32_t slots = node.settings().engine_slots;
+  return slots > 0 && node.gate().in_flight() >= slots;
+}
+
+// The endpoint has no free slot, but another one may.
+http_server::FullResponse Busy() {
+  return {.status = messages::kBusyStatus, .body = "not run\n"};
+}
+
 // Sends an engine's answer as frames.
 class FrameSource final : public http_server::BodySource {
  public:
@@ -186,6 +197,10 @@
   if (!attempt.ok() || node_.settings().engine_url.empty()) {
     return http_server::FullResponse{.status = 400, .body = "bad attempt\n"};
   }
+  const bool full = node_.control().Call([this] { return IsFull(node_); });
+  if (full && !attempt->may_wait) {
+    return Busy();
+  }
   GateHold hold = TryHold(node_);
   if (hold == nullptr) {
     return Refused(std::nullopt);
--- a/packages/daemon/endpoint/endpoint.cc
+++ b/packages/daemon/endpoint/endpoint.cc
@@ -29,7 +29,8 @@
          .load =
              [this] {
                return routing::LoadReport{
-                   .running = static_cast<uint32_t>(node_.gate().in_flight())};
+                   .running = static_cast<uint32_t>(node_.gate().in_flight()),
+                   .slots = node_.settings().engine_slots};
              },
          .addresses = [] { return std::set<std::string>(); },
          .add_to_dump = [](nlohmann::json&) {},
--- a/packages/daemon/entry/entry.cc
+++ b/packages/daemon/entry/entry.cc
@@ -52,6 +52,9 @@
       case AttemptResult::kFailed:
         core_.router.OnFailure(endpoint, now);
         break;
+      case AttemptResult::kBusy:
+        core_.router.OnBusy(endpoint, now);
+        break;
       case AttemptResult::kAbandoned:
         core_.router.OnAbandoned(endpoint, now);
         break;
--- a/packages/daemon/entry/entry_core.h
+++ b/packages/daemon/entry/entry_core.h
@@ -65,6 +65,8 @@
   kServed,
   kRefused,
   kFailed,
+  // Refused for want of a free slot.
+  kBusy,
   // Ended early for a reason that is not the endpoint's.
   kAbandoned,
 };
--- a/packages/daemon/entry/generate_run.cc
+++ b/packages/daemon/entry/generate_run.cc
@@ -11,6 +11,29 @@
 constexpr size_t kMaxFrameBytes = size_t{1} << 20;
 constexpr int kOk = 200;
 
+// Only the two statuses that say so mean that the attempt did not run.
+exchange::AttemptEnd EndOfStatus(int status) {
+  switch (status) {
+    case messages::kRefusedStatus:
+      return exchange::AttemptEnd::kRefused;
+    case messages::kBusyStatus:
+      return exchange::AttemptEnd::kBusy;
+    default:
+      return exchange::AttemptEnd::kBroken;
+  }
+}
+
+AttemptResult ResultOf(exchange::AttemptEnd end) {
+  switch (end) {
+    case exchange::AttemptEnd::kRefused:
+      return AttemptResult::kRefused;
+    case exchange::AttemptEnd::kBusy:
+      return AttemptResult::kBusy;
+    default:
+      return AttemptResult::kFailed;
+  }
+}
+
 }  // namespace
 
 GenerateRun::GenerateRun(EntryControl& control,
@@ -61,9 +84,10 @@
     control_.Resume(endpoint_.name);
     return endpoint_;
   }
-  return control_.Pick(
-      admitted_,
-      {.target = call_.model, .avoid = start.avoid, .prefixes = prefixes_});
+  return control_.Pick(admitted_, {.target = call_.model,
+                                   .avoid = start.avoid,
+                                   .prefixes = prefixes_,
+                                   .busy_refusals = start.busy_refusals});
 }
 
 void GenerateRun::ReportEnd(AttemptResult result) {
@@ -101,7 +125,8 @@
       .text_so_far = exchange_.assembler().text(),
       .max_tokens = call_.max_tokens,
       .deadline_ms = common::ToMilliseconds(admitted_.deadline - now),
-      .priority = admitted_.priority};
+      .priority = admitted_.priority,
+      .may_wait = start.may_wait};
   connection_ = std::make_unique<http_client::Exchange>(http_client::Request{
       .method = "POST",
       .url = common::StrCat("http://", endpoint_.traffic_address, "/generate"),
@@ -129,7 +154,7 @@
                       std::nullopt);
   }
   if (connection_->status() != kOk) {
-    return EndAttempt(exchange::AttemptEnd::kRefused,
+    return EndAttempt(EndOfStatus(connection_->status()),
                       connection_->retry_after());
   }
   if (const auto* data = std::get_if<http_client::Data>(&outcome)) {
@@ -151,8 +176,10 @@
     exchange::AttemptEnd end,
     std::optional<common::Duration> retry_after) {
   connection_.reset();
-  const bool refused = end == exchange::AttemptEnd::kRefused;
-  ReportEnd(refused ? AttemptResult::kRefused : AttemptResult::kFailed);
+  ReportEnd(ResultOf(end));
+  if (end == exchange::AttemptEnd::kBusy) {
+    return exchange_.OnAttemptEnd(end, retry_after, common::Clock::now());
+  }
   common::LogEvent(common::EventId::kAttemptFailed,
                    common::StrCat("request=", admitted_.request,
                                   " endpoint=", endpoint_.name,
--- a/packages/daemon/settings/setting_table.cc
+++ b/packages/daemon/settings/setting_table.cc
@@ -88,6 +88,15 @@
                 .max = 600000,
                 .default_value = "5000",
                 .help = "longest wait for a stream's next frame"},
+    SettingSpec{.name = "engine-slots",
+                .type = SettingType::kNumber,
+                .unit = "requests",
+                .min = 0,
+                .max = 100000,
+                .default_value = "0",
+                .help = "requests that the engine works on at once; further "
+                        "ones are refused as not run while another endpoint "
+                        "may be free; 0 for no bound"},
     SettingSpec{.name = "max-connections",
                 .type = SettingType::kNumber,
                 .unit = "connections",
--- a/packages/daemon/settings/settings.cc
+++ b/packages/daemon/settings/settings.cc
@@ -190,6 +190,7 @@
       .platform_timeout = Milliseconds(values, "platform-timeout"),
       .drain_notice = Milliseconds(values, "drain-notice"),
       .progress_timeout = Milliseconds(values, "progress-timeout"),
+      .engine_slots = static_cast<uint32_t>(Number(values, "engine-slots")),
       .max_connections =
           static_cast<uint32_t>(Number(values, "max-connections")),
       .max_body_bytes = static_cast<size_t>(Number(values, "max-body")),
--- a/packages/daemon/settings/settings.h
+++ b/packages/daemon/settings/settings.h
@@ -33,6 +33,8 @@
   common::Duration platform_timeout{};
   common::Duration drain_notice{};
   common::Duration progress_timeout{};
+  // Requests that the engine works on at once; 0 for no bound.
+  uint32_t engine_slots = 0;
   uint32_t max_connections = 0;
   size_t max_body_bytes = 0;
 };
--- a/packages/protocol/messages/messages.cc
+++ b/packages/protocol/messages/messages.cc
@@ -107,7 +107,8 @@
                {"text_so_far", Bytes(message.text_so_far)},
                {"max_tokens", message.max_tokens},
                {"deadline_ms", message.deadline_ms},
-               {"priority", message.priority}});
+               {"priority", message.priority},
+               {"may_wait", message.may_wait}});
 }
 
 absl::StatusOr<GenerateAttempt> DecodeGenerateAttempt(std::string_view bytes) {
@@ -120,7 +121,8 @@
                            .text_so_far = FromBytes(json.at("text_so_far")),
                            .max_tokens = json.at("max_tokens"),
                            .deadline_ms = json.at("deadline_ms"),
-                           .priority = json.at("priority")};
+                           .priority = json.at("priority"),
+                           .may_wait = json.at("may_wait")};
   });
 }
 
@@ -180,6 +182,7 @@
   Json json = {{"info", ToJson(message.info)},
                {"queued", message.load.queued},
                {"running", message.load.running},
+               {"slots", message.load.slots},
                {"entries", message.entries}};
   if (message.manifest.has_value()) {
     json["manifest"] = {{"version", message.manifest->version},
@@ -190,11 +193,12 @@
 
 absl::StatusOr<PeerExchange> DecodePeerExchange(std::string_view bytes) {
   return Decode<PeerExchange>(bytes, [](const Json& json) {
-    PeerExchange message{
-        .info = PeerInfoFrom(json.at("info")),
-        .load = {.queued = json.at("queued"), .running = json.at("running")},
-        .manifest = std::nullopt,
-        .entries = json.at("entries")};
+    PeerExchange message{.info = PeerInfoFrom(json.at("info")),
+                         .load = {.queued = json.at("queued"),
+                                  .running = json.at("running"),
+                                  .slots = json.at("slots")},
+                         .manifest = std::nullopt,
+                         .entries = json.at("entries")};
     if (json.contains("manifest")) {
       const Json& manifest = json.at("manifest");
       message.manifest =
--- a/packages/protocol/messages/messages.h
+++ b/packages/protocol/messages/messages.h
@@ -19,6 +19,11 @@
 // Decoders treat their input as hostile: they bound sizes and never throw.
 namespace wagtailshore::messages {
 
+// HTTP status of an endpoint that refuses an attempt as not run: at all, or
+// because no slot is free.
+inline constexpr int kRefusedStatus = 503;
+inline constexpr int kBusyStatus = 429;
+
 // An entry asks an endpoint to generate a part of an answer.
 struct GenerateAttempt {
   stream::AttemptId id;
@@ -32,6 +37,8 @@
   // Time left until the caller's deadline, in milliseconds.
   int64_t deadline_ms = 0;
   std::string priority;
+  // Whether the attempt may wait at an endpoint without a free slot.
+  bool may_wait = true;
 };
 
 // An entry asks an endpoint to call its plain service.
--- a/packages/state/routing/router.cc
+++ b/packages/state/routing/router.cc
@@ -89,7 +89,9 @@
   const uint32_t total = report.queued + report.running;
   const uint32_t own = candidate->own.InFlightAt(now - report.age);
   candidate->others = total > own ? total - own : 0;
-  if (report.queued > 0 && report.running > 0) {
+  if (report.slots > 0) {
+    candidate->slots = report.slots;
+  } else if (report.queued > 0 && report.running > 0) {
     candidate->slots = report.running;
   }
 }
@@ -161,6 +163,21 @@
   candidate->ejected_until = now + ejection;
 }
 
+void Router::OnBusy(const std::string& endpoint, common::Time now) {
+  Candidate* candidate = Find(endpoint);
+  if (candidate == nullptr) {
+    return;
+  }
+  candidate->own.End(now);
+  if (candidate->slots == 0) {
+    candidate->slots = std::max(1U, candidate->load());
+  }
+  const uint32_t own = candidate->own.in_flight();
+  if (candidate->slots > own) {
+    candidate->others = std::max(candidate->others, candidate->slots - own);
+  }
+}
+
 void Router::OnAbandoned(const std::string& endpoint, common::Time now) {
   Candidate* candidate = Find(endpoint);
   if (candidate != nullptr) {
@@ -256,10 +273,11 @@
                               common::Time now,
                               bool with_ejected) {
   Choice best;
+  const uint32_t choices = request.busy_refusals > 0 ? 1 : options_.choices;
   uint32_t compared = 0;
   // A partial shuffle meets each candidate at most once, so that the last
   // usable one among many is still found.
-  for (size_t i = 0; i < from.size() && compared < options_.choices; ++i) {
+  for (size_t i = 0; i < from.size() && compared < choices; ++i) {
     std::uniform_int_distribution<size_t> index(i, from.size() - 1);
     std::swap(from[i], from[index(random_)]);
     if (IsUsable(*from[i], request, now, with_ejected)) {
@@ -267,7 +285,9 @@
       ++compared;
     }
   }
-  ConsiderHolders(from, pool, request, now, best);
+  if (request.busy_refusals == 0) {
+    ConsiderHolders(from, pool, request, now, best);
+  }
   return best;
 }
 
--- a/packages/state/routing/router.h
+++ b/packages/state/routing/router.h
@@ -24,6 +24,8 @@
   uint32_t queued = 0;
   // Requests that the endpoint works on.
   uint32_t running = 0;
+  // Requests that it can work on at once; 0 when unknown.
+  uint32_t slots = 0;
   // How old the figures were on arrival.
   common::Duration age{};
 };
@@ -40,8 +42,7 @@
   // Load that the report shows beyond this entry's own attempts.
   uint32_t others = 0;
   OwnLoad own;
-  // Requests that the endpoint works on at once; 0 until a report shows some
-  // waiting.
+  // Requests that the endpoint works on at once; 0 until it is known.
   uint32_t slots = 0;
   // Smoothed times of this entry's attempts, in milliseconds; 0 until known.
   double first_token_ms = 0;
@@ -86,6 +87,9 @@
   std::set<std::string> avoid;
   // Longest first; empty for requests without a prompt.
   std::vector<Prefix> prefixes;
+  // How often full endpoints refused the request so far. Such reports were too
+  // old to compare by, so the next pick relies on chance.
+  uint32_t busy_refusals = 0;
 };
 
 // How an attempt went.
@@ -129,6 +133,9 @@
                  common::Time now);
   // Ejects the endpoint for a time that doubles with each failure in a row.
   void OnFailure(const std::string& endpoint, common::Time now);
+  // The endpoint had no free slot and refused the attempt as not run. That is
+  // no failure, but fresher word than the last report.
+  void OnBusy(const std::string& endpoint, common::Time now);
   // The attempt was given up for a reason that is not the endpoint's.
   void OnAbandoned(const std::string& endpoint, common::Time now);
 
--- a/tests/bench/fake_engine.cc
+++ b/tests/bench/fake_engine.cc
@@ -33,7 +33,8 @@
 
 routing::LoadReport FakeEngine::Report() const {
   return {.queued = static_cast<uint32_t>(queued_.size()),
-          .running = static_cast<uint32_t>(running_.size())};
+          .running = static_cast<uint32_t>(running_.size()),
+          .slots = options_.slots};
 }
 
 double FakeEngine::PrefillMs(const Job& job, bool cached) const {
--- a/tests/bench/fake_engine.h
+++ b/tests/bench/fake_engine.h
@@ -48,6 +48,11 @@
   void SetSlowness(double factor) { slowness_ = factor; }
   void SetRefusing(bool refusing) { refusing_ = refusing; }
   bool refusing() const { return refusing_; }
+  // Whether the endpoint beside the engine has no free slot. The endpoint knows
+  // this at once: every job passes through it.
+  bool Full() const {
+    return running_.size() + queued_.size() >= options_.slots;
+  }
   // Loses every job and the cache.
   void Crash();
 
--- a/tests/bench/routing.cc
+++ b/tests/bench/routing.cc
@@ -32,6 +32,9 @@
 constexpr size_t kPrefixes = 300;
 constexpr double kLostCacheEvents = 0.1;
 constexpr size_t kMaxAttempts = 4;
+// After this many refusals by full endpoints the request waits at one.
+constexpr size_t kMaxBusyRefusals = 8;
+constexpr common::Duration kRoundTrip = milliseconds(2);
 
 struct Size {
   size_t entries = 0;
@@ -44,6 +47,7 @@
   size_t offered = 0;
   size_t in_time = 0;
   size_t attempts = 0;
+  size_t busy_refusals = 0;
   size_t cache_hits = 0;
   size_t own_domain = 0;
 };
@@ -90,6 +94,7 @@
     uint64_t prefix = 0;
     uint32_t output_tokens = 0;
     std::set<size_t> tried;
+    uint32_t busy_refusals = 0;
   };
   using RequestPtr = std::shared_ptr<Request>;
 
@@ -170,15 +175,28 @@
   }
 
   void Send(const RequestPtr& request) {
-    if (request->tried.size() >= std::min(kMaxAttempts, engines_.size())) {
+    if (request->tried.size() - request->busy_refusals >= kMaxAttempts ||
+        request->tried.size() == engines_.size()) {
       return;
     }
     const size_t engine = entries_[request->entry]->Pick(
         {.prefix = {.hash = request->prefix, .tokens = kPrefixTokens},
          .prompt_tokens = kPromptTokens,
-         .avoid = request->tried},
+         .avoid = request->tried,
+         .busy_refusals = request->busy_refusals},
         events_.now());
     request->tried.insert(engine);
+    if (Policy::kRefusedWhenFull && engines_[engine]->Full() &&
+        !engines_[engine]->refusing() &&
+        request->busy_refusals < kMaxBusyRefusals) {
+      ++request->busy_refusals;
+      result_.busy_refusals += IsMeasured(*request) ? 1 : 0;
+      events_.After(kRoundTrip, [this, request, engine] {
+        entries_[request->entry]->OnBusy(engine, events_.now());
+        Send(request);
+      });
+      return;
+    }
     if (IsMeasured(*request)) {
       ++result_.attempts;
       result_.own_domain +=
@@ -264,6 +282,9 @@
       << std::setprecision(3)
       << static_cast<double>(result.attempts) /
              static_cast<double>(result.offered)
+      << " | "
+      << static_cast<double>(result.busy_refusals) /
+             static_cast<double>(result.offered)
       << " |\n"
       << std::defaultfloat;
 }
@@ -276,12 +297,15 @@
           ? Size{.entries = 20, .engines = 70, .failure_domains = 1}
           : Size{.entries = 8, .engines = 12, .failure_domains = 3};
   out << "| router | lag s | first token p50 ms | p95 | p99 | in 0.74 s % | "
-         "cache hits % | own domain % | attempts per request |\n"
-         "| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n";
+         "cache hits % | own domain % | attempts per request | "
+         "busy refusals per request |\n"
+         "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n";
   RunAndPrint<IdealPolicy>("ideal", size, milliseconds(0), options.seed, out);
   for (const auto lag :
        {milliseconds(200), milliseconds(1000), milliseconds(5000)}) {
     RunAndPrint<RandomPolicy>("random", size, lag, options.seed, out);
+    RunAndPrint<RandomRefusedWhenFullPolicy>("random, refused when full", size,
+                                             lag, options.seed, out);
     RunAndPrint<RoundRobinPolicy>("round robin", size, lag, options.seed, out);
     RunAndPrint<LeastReportedPolicy>("least reported", size, lag, options.seed,
                                      out);
--- a/tests/bench/routing_policies.h
+++ b/tests/bench/routing_policies.h
@@ -29,10 +29,14 @@
   uint32_t prompt_tokens = 0;
   // Engines tried before.
   std::set<size_t> avoid;
+  uint32_t busy_refusals = 0;
 };
 
 // What a policy that learns nothing ignores.
 struct Indifferent {
+  // Whether full endpoints refuse this policy's first attempts.
+  static constexpr bool kRefusedWhenFull = false;
+  void OnBusy(size_t, common::Time) {}
   void OnReport(size_t, const routing::LoadReport&, common::Time) {}
   void OnCacheEvent(size_t, const routing::CacheEvent&) {}
   void OnSuccess(size_t, routing::AttemptTimes, common::Time) {}
@@ -58,6 +62,13 @@
   size_t count_;
 };
 
+// Shows what the refusals of full endpoints bring by themselves.
+class RandomRefusedWhenFullPolicy : public RandomPolicy {
+ public:
+  using RandomPolicy::RandomPolicy;
+  static constexpr bool kRefusedWhenFull = true;
+};
+
 class RoundRobinPolicy : public Indifferent {
  public:
   explicit RoundRobinPolicy(const EntryOptions& options)
@@ -145,6 +156,7 @@
 // The shipped router.
 class RouterPolicy {
  public:
+  static constexpr bool kRefusedWhenFull = true;
   explicit RouterPolicy(const EntryOptions& options)
       : router_(
             {.failure_domain = options.failure_domain, .seed = options.seed}) {
@@ -163,11 +175,16 @@
   void OnSuccess(size_t engine, routing::AttemptTimes times, common::Time now) {
     router_.OnSuccess(Name(engine), times, now);
   }
+  void OnBusy(size_t engine, common::Time now) {
+    router_.OnBusy(Name(engine), now);
+  }
   void OnFailure(size_t engine, common::Time now) {
     router_.OnFailure(Name(engine), now);
   }
   size_t Pick(const RouteRequest& request, common::Time now) {
-    routing::PickRequest pick{.target = "model", .prefixes = {request.prefix}};
+    routing::PickRequest pick{.target = "model",
+                              .prefixes = {request.prefix},
+                              .busy_refusals = request.busy_refusals};
     for (const size_t engine : request.avoid) {
       pick.avoid.insert(Name(engine));
     }
--- /dev/null
+++ b/tests/unit/coordination/exchange/exchange_test.cc
@@ -0,0 +1,76 @@
+#include "coordination/exchange/exchange.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <vector>
+
+namespace wagtailshore::exchange {
+namespace {
+
+using common::milliseconds;
+using common::seconds;
+
+constexpr common::Time kStart{seconds(1000)};
+
+// Endpoints without a free slot are asked once each before the request waits.
+TEST(ExchangeTest, WaitsAtABusyEndpointOnceAllAreBusy) {
+  Exchange exchange({.request = "r", .deadline = kStart + seconds(10)});
+  auto action = exchange.Start(kStart);
+  const std::vector<std::string> all = {"a", "b", "c"};
+  for (const std::string& endpoint : all) {
+    const auto& start = std::get<StartAttempt>(action);
+    EXPECT_FALSE(start.may_wait);
+    EXPECT_FALSE(start.avoid.contains(endpoint));
+    exchange.OnSent(endpoint, kStart);
+    action = exchange.OnAttemptEnd(AttemptEnd::kBusy, std::nullopt, kStart);
+  }
+  EXPECT_EQ(std::get<StartAttempt>(action).avoid.size(), all.size());
+  action = exchange.OnNoEndpoint(kStart);
+  EXPECT_TRUE(std::get<StartAttempt>(action).may_wait);
+  EXPECT_TRUE(std::get<StartAttempt>(action).avoid.empty());
+  exchange.OnSent("a", kStart);
+  // A further refusal counts as any other; in the end the request is given up.
+  exchange.OnAttemptEnd(AttemptEnd::kBusy, std::nullopt, kStart);
+  action = exchange.OnNoEndpoint(kStart);
+  EXPECT_EQ(std::get<GiveUp>(action).refusal.ran, refusal::Ran::kNotRun);
+}
+
+// Attempts end in any way at any time: the request ends, waits only after
+// refusals, and is called not run only if nothing can have run.
+RC_GTEST_PROP(ExchangeProperty, EndsAndIsHonest, ()) {
+  const std::vector<std::string> endpoints = {"a", "b", "c", "d", "e"};
+  common::Time now = kStart;
+  Exchange exchange({.request = "r", .deadline = kStart + seconds(10)});
+  Action action = exchange.Start(now);
+  bool may_have_run = false;
+  constexpr int kMaxSteps = 100;
+  int steps = 0;
+  while (!std::holds_alternative<GiveUp>(action)) {
+    RC_ASSERT(++steps < kMaxSteps);
+    now += milliseconds(*rc::gen::inRange(0, 500));
+    if (const auto* start = std::get_if<StartAttempt>(&action)) {
+      std::vector<std::string> left;
+      for (const std::string& endpoint : endpoints) {
+        if (!start->avoid.contains(endpoint)) {
+          left.push_back(endpoint);
+        }
+      }
+      action = left.empty() ? exchange.OnNoEndpoint(now)
+                            : exchange.OnSent(*rc::gen::elementOf(left), now);
+      continue;
+    }
+    const auto end = *rc::gen::element(
+        AttemptEnd::kNotSent, AttemptEnd::kRefused, AttemptEnd::kBusy,
+        AttemptEnd::kBroken, AttemptEnd::kSilent);
+    may_have_run = may_have_run || end == AttemptEnd::kBroken ||
+                   end == AttemptEnd::kSilent;
+    action = exchange.OnAttemptEnd(end, std::nullopt, now);
+  }
+  const refusal::Refusal& refusal = std::get<GiveUp>(action).refusal;
+  RC_ASSERT(!may_have_run || refusal.ran == refusal::Ran::kUnknown);
+  RC_ASSERT(refusal.retry_after.has_value());
+}
+
+}  // namespace
+}  // namespace wagtailshore::exchange
--- a/tests/unit/state/routing/router_test.cc
+++ b/tests/unit/state/routing/router_test.cc
@@ -107,6 +107,18 @@
   }
 }
 
+TEST(RouterTest, TakesARefusalForWantOfASlotAsFreshWord) {
+  Router router({.failure_domain = "here"});
+  router.Upsert("a", "here", "model");
+  router.OnReport("a", {.running = 2, .slots = 8}, kStart);
+  router.Pick({.target = "model"}, kStart);
+  router.OnBusy("a", kStart);
+  EXPECT_EQ(router.candidates().at("a").load(), 8U);
+  EXPECT_EQ(router.candidates().at("a").failures_in_a_row, 0U);
+  router.OnReport("a", {.running = 3, .slots = 8}, kStart);
+  EXPECT_EQ(router.candidates().at("a").load(), 3U);
+}
+
 TEST(PrefixHintsTest, AGapForgetsWhatWasKnownOfTheEndpoint) {
   PrefixHints hints(2);
   hints.OnEvent(1, {.sequence = 1, .added = {10}});
@@ -154,10 +166,14 @@
         router.OnFailure(name, now);
         break;
       default:
-        const auto avoid = *rc::gen::container<std::set<std::string>>(
+        const auto avoided = *rc::gen::container<std::vector<std::string>>(
             rc::gen::elementOf(names));
+        const std::set<std::string> avoid(avoided.begin(), avoided.end());
         const auto picked =
-            router.Pick({.target = "model", .avoid = avoid}, now);
+            router.Pick({.target = "model",
+                         .avoid = avoid,
+                         .busy_refusals = *rc::gen::inRange(0U, 2U)},
+                        now);
         std::set<std::string> allowed(names.begin(), names.end());
         std::erase_if(allowed, [&](const std::string& one) {
           return avoid.contains(one) || leaving.contains(one);
