--- a/packages/daemon/entry/generate_run.cc
+++ b/packages/daemon/entry/generate_run.cc
@@ -12,6 +12,29 @@
 constexpr int kOk = 200;
 constexpr int kBadGateway = 502;
 
+// Only the two statuses that say so mean that the attempt did not run.
+exchange::AttemptEnd EndOfStatus(int status) {
+  switch (status) {
+    case messages::kRefusedStatus:
+      return exchange::AttemptEnd::kRefused;
+    case messages::kBusyStatus:
+      return exchange::AttemptEnd::kBusy;
+    default:
+      return exchange::AttemptEnd::kBroken;
+  }
+}
+
+AttemptResult ResultOf(exchange::AttemptEnd end) {
+  switch (end) {
+    case exchange::AttemptEnd::kRefused:
+      return AttemptResult::kRefused;
+    case exchange::AttemptEnd::kBusy:
+      return AttemptResult::kBusy;
+    default:
+      return AttemptResult::kFailed;
+  }
+}
+
 }  // namespace
 
 GenerateRun::GenerateRun(EntryControl& control,
@@ -23,7 +46,12 @@
       exchange_(
           {.request = admitted_.request,
            .deadline = admitted_.deadline,
-           .progress_timeout = control.node().settings().progress_timeout}) {}
+           .progress_timeout = control.node().settings().progress_timeout}),
+      prefixes_(routing::PrefixesOf(call_.prompt)) {}
+
+GenerateRun::~GenerateRun() {
+  ReportEnd(AttemptResult::kAbandoned);
+}
 
 std::variant<exchange::DeliverText, refusal::Refusal> GenerateRun::Next() {
   const common::Time now = common::Clock::now();
@@ -32,8 +60,11 @@
                                 : exchange_.Start(now);
   while (true) {
     if (auto* deliver = std::get_if<exchange::DeliverText>(&action)) {
+      if (!first_token_.has_value()) {
+        first_token_ = common::Clock::now() - sent_at_;
+      }
       if (deliver->last) {
-        control_.Report(endpoint_.name, AttemptResult::kServed);
+        ReportEnd(AttemptResult::kServed);
       }
       return std::move(*deliver);
     }
@@ -51,9 +82,22 @@
 std::optional<Picked> GenerateRun::PickFor(
     const exchange::StartAttempt& start) {
   if (start.prefer.has_value()) {
+    control_.Resume(endpoint_.name);
     return endpoint_;
   }
-  return control_.Pick(admitted_, call_.model, start.avoid);
+  return control_.Pick(admitted_, {.target = call_.model,
+                                   .avoid = start.avoid,
+                                   .prefixes = prefixes_,
+                                   .busy_refusals = start.busy_refusals});
+}
+
+void GenerateRun::ReportEnd(AttemptResult result) {
+  if (!std::exchange(attempt_counts_, false)) {
+    return;
+  }
+  control_.Report(endpoint_.name, result,
+                  {.first_token = first_token_.value_or(common::Duration{}),
+                   .total = common::Clock::now() - sent_at_});
 }
 
 exchange::Action GenerateRun::Perform(const exchange::StartAttempt& start) {
@@ -64,6 +108,9 @@
     return exchange_.OnNoEndpoint(now);
   }
   endpoint_ = *picked;
+  attempt_counts_ = true;
+  sent_at_ = now;
+  first_token_.reset();
   if (start.offset > 0) {
     common::LogEvent(common::EventId::kStreamResumed,
                      common::StrCat("request=", admitted_.request, " attempt=",
@@ -79,7 +126,8 @@
       .text_so_far = exchange_.assembler().text(),
       .max_tokens = call_.max_tokens,
       .deadline_ms = common::ToMilliseconds(admitted_.deadline - now),
-      .priority = admitted_.priority};
+      .priority = admitted_.priority,
+      .may_wait = start.may_wait};
   connection_ = std::make_unique<http_client::Exchange>(http_client::Request{
       .method = "POST",
       .url = common::StrCat("http://", endpoint_.traffic_address, "/generate"),
@@ -111,7 +159,7 @@
     return EndAttempt(exchange::AttemptEnd::kBroken, std::nullopt);
   }
   if (connection_->status() != kOk) {
-    return EndAttempt(exchange::AttemptEnd::kRefused,
+    return EndAttempt(EndOfStatus(connection_->status()),
                       connection_->retry_after());
   }
   if (const auto* data = std::get_if<http_client::Data>(&outcome)) {
@@ -133,9 +181,10 @@
     exchange::AttemptEnd end,
     std::optional<common::Duration> retry_after) {
   connection_.reset();
-  const bool refused = end == exchange::AttemptEnd::kRefused;
-  control_.Report(endpoint_.name,
-                  refused ? AttemptResult::kRefused : AttemptResult::kFailed);
+  ReportEnd(ResultOf(end));
+  if (end == exchange::AttemptEnd::kBusy) {
+    return exchange_.OnAttemptEnd(end, retry_after, common::Clock::now());
+  }
   common::LogEvent(common::EventId::kAttemptFailed,
                    common::StrCat("request=", admitted_.request,
                                   " endpoint=", endpoint_.name,
--- a/tests/unit/coordination/exchange/exchange_test.cc
+++ b/tests/unit/coordination/exchange/exchange_test.cc
@@ -106,8 +106,9 @@
   void Plan(const StartAttempt& start) {
     arriving_.clear();
     end_ = *rc::gen::element(AttemptEnd::kNotSent, AttemptEnd::kRefused,
-                             AttemptEnd::kBroken, AttemptEnd::kSilent);
-    if (end_ == AttemptEnd::kNotSent || end_ == AttemptEnd::kRefused) {
+                             AttemptEnd::kBusy, AttemptEnd::kBroken,
+                             AttemptEnd::kSilent);
+    if (end_ != AttemptEnd::kBroken && end_ != AttemptEnd::kSilent) {
       return;
     }
     began_somewhere_ = true;
