Manifest: find a customer by an index over key hashes

Cause: admission compared the key's hash with every customer's, on the control thread and before the caller is known, so that its cost grew with the customers and anybody could cause it. The digest is of a high-entropy key, so the time of a hash look-up reveals nothing a caller can use; the last comparison stays constant in time.

Fault put in to see the check fail: the index built with position i/2; the invariant in Find() stopped customer_index_test.

--- a/packages/daemon/entry/caller_server.cc
+++ b/packages/daemon/entry/caller_server.cc
@@ -156,7 +156,7 @@
     return refusal;
   }
   const manifest::Customer* customer =
-      manifest::FindCustomerByKeyHash(manifest->manifest, envelope.key_sha256);
+      core_.customers.Find(manifest->manifest, envelope.key_sha256);
   if (customer == nullptr) {
     return Refuse(refusal::Code::kUnauthorized, "no customer has this key");
   }
--- a/packages/daemon/entry/entry.cc
+++ b/packages/daemon/entry/entry.cc
@@ -116,6 +116,7 @@
   }
 
   void OnManifest(const manifest::Manifest& manifest) {
+    core_.customers = manifest::CustomerIndex(manifest);
     std::set<std::string> names;
     endpoint_addresses_.clear();
     for (const manifest::Endpoint& endpoint : manifest.endpoints) {
--- a/packages/daemon/entry/entry_core.h
+++ b/packages/daemon/entry/entry_core.h
@@ -10,6 +10,7 @@
 #include "common/time.h"
 #include "coordination/rollout/manifest_holder.h"
 #include "daemon/node/node.h"
+#include "state/manifest/customer_index.h"
 #include "state/refusal/refusal.h"
 #include "state/routing/router.h"
 
@@ -21,6 +22,8 @@
       : router(std::move(options)) {}
 
   routing::Router router;
+  // Of the manifest in force.
+  manifest::CustomerIndex customers;
   uint64_t next_request = 1;
 };
 
--- a/packages/state/manifest/manifest.cc
+++ b/packages/state/manifest/manifest.cc
@@ -158,17 +158,6 @@
   return Checker(manifest).Run();
 }
 
-const Customer* FindCustomerByKeyHash(const Manifest& manifest,
-                                      std::string_view key_sha256) {
-  const Customer* found = nullptr;
-  for (const Customer& customer : manifest.customers) {
-    if (common::ConstantTimeEquals(customer.key_sha256, key_sha256)) {
-      found = &customer;
-    }
-  }
-  return found;
-}
-
 const Service* FindService(const Manifest& manifest, std::string_view name) {
   for (const Service& service : manifest.services) {
     if (service.name == name) {
--- a/packages/state/manifest/manifest.h
+++ b/packages/state/manifest/manifest.h
@@ -133,11 +133,6 @@
 // that must resolve, numbers in range. Places are JSON pointers.
 common::Findings Check(const Manifest& manifest);
 
-// The customer whose key has this hash, or null. Takes the same time for
-// every hash, so that a caller cannot probe for keys.
-const Customer* FindCustomerByKeyHash(const Manifest& manifest,
-                                      std::string_view key_sha256);
-
 // The service called `name`, or null.
 const Service* FindService(const Manifest& manifest, std::string_view name);
 
--- a/tests/bench/capacity_manifest.cc
+++ b/tests/bench/capacity_manifest.cc
@@ -7,6 +7,7 @@
 #include "common/invariant.h"
 #include "common/strings.h"
 #include "protocol/manifest_codec/manifest_codec.h"
+#include "state/manifest/customer_index.h"
 #include "state/manifest/manifest.h"
 
 namespace wagtailshore::bench::capacity {
@@ -75,10 +76,12 @@
 Cost LookUpCost(size_t customers) {
   const manifest::Manifest manifest = ManifestOf(kFewEndpoints, customers);
   const std::string& key = manifest.customers.back().key_sha256;
-  return {.microseconds = MicrosecondsOf([&] {
-            WS_INVARIANT(manifest::FindCustomerByKeyHash(manifest, key) !=
-                         nullptr);
-          })};
+  const size_t before = HeapBytesInUse();
+  const manifest::CustomerIndex index(manifest);
+  const size_t after = HeapBytesInUse();
+  return {.heap_bytes = static_cast<double>(after - before),
+          .microseconds = MicrosecondsOf(
+              [&] { WS_INVARIANT(index.Find(manifest, key) != nullptr); })};
 }
 
 }  // namespace
