Metrics: count token times and outcomes at the entry

GET /metrics on an entry's admin address gives first-token time, time between tokens and requests by outcome in the text exposition format, by Boost.Histogram. An answer's times are collected on its own thread and handed to the control thread once, at its end. Not counted yet: step-time skew, which no code here observes, and roll-out time; docs/METRICS.md says so.

Faults put in to see the checks fail: bounds not moved up, so that a bucket excluded its upper bound; a help text changed in docs/METRICS.md. metrics_test failed in three cases.

--- a/packages/daemon/entry/caller_server.cc
+++ b/packages/daemon/entry/caller_server.cc
@@ -6,7 +6,6 @@
 
 #include "common/event_log.h"
 #include "common/strings.h"
-#include "daemon/entry/call_run.h"
 #include "daemon/entry/generate_run.h"
 #include "state/manifest/manifest.h"
 
@@ -64,13 +63,6 @@
   return response;
 }
 
-http_server::FullResponse OutcomeResponse(const CallOutcome& outcome) {
-  if (const auto* answered = std::get_if<claims::CallAnswered>(&outcome)) {
-    return AnswerResponse(*answered);
-  }
-  return RefusalResponse(std::get<refusal::Refusal>(outcome));
-}
-
 refusal::Refusal Refuse(refusal::Code code, std::string message) {
   return {.code = code, .message = std::move(message)};
 }
@@ -112,15 +104,29 @@
   return response;
 }
 
+http_server::FullResponse CallerServer::Refused(
+    const refusal::Refusal& refusal) {
+  control_.RecordRefused(refusal.code);
+  return RefusalResponse(refusal);
+}
+
+http_server::FullResponse CallerServer::Respond(const CallOutcome& outcome) {
+  if (const auto* answered = std::get_if<claims::CallAnswered>(&outcome)) {
+    control_.RecordComplete();
+    return AnswerResponse(*answered);
+  }
+  return Refused(std::get<refusal::Refusal>(outcome));
+}
+
 http_server::Response CallerServer::OnRequest(
     const http_server::Request& request) {
   auto envelope = http_api::ParseEnvelope(request.headers);
   if (const auto* refusal = std::get_if<refusal::Refusal>(&envelope)) {
-    return RefusalResponse(*refusal);
+    return Refused(*refusal);
   }
   auto call = http_api::ParseCall(request.method, request.path, request.body);
   if (const auto* refusal = std::get_if<refusal::Refusal>(&call)) {
-    return RefusalResponse(*refusal);
+    return Refused(*refusal);
   }
   const auto& parsed_envelope = std::get<http_api::Envelope>(envelope);
   const auto& parsed_call = std::get<http_api::Call>(call);
@@ -129,7 +135,7 @@
     common::LogEvent(common::EventId::kRequestRefused,
                      common::StrCat("code=", common::NameOf(refusal::kCodeNames,
                                                             refusal->code)));
-    return RefusalResponse(*refusal);
+    return Refused(*refusal);
   }
   return std::visit(
       [&](const auto& kind) {
@@ -187,8 +193,9 @@
       std::any_of(groups.begin(), groups.end(),
                   [&](const auto& group) { return group.model == call.model; });
   if (!known) {
-    return RefusalResponse(Refuse(refusal::Code::kNotFound, "no such model"));
+    return Refused(Refuse(refusal::Code::kNotFound, "no such model"));
   }
+  // The run counts its own outcome.
   auto run = std::make_unique<GenerateRun>(control_, std::move(admitted), call);
   auto piece = run->Next();
   if (const auto* refusal = std::get_if<refusal::Refusal>(&piece)) {
@@ -220,16 +227,16 @@
   const manifest::Service* service =
       manifest::FindService(admitted.manifest->manifest, call.service);
   if (service == nullptr) {
-    return RefusalResponse(Refuse(refusal::Code::kNotFound, "no such service"));
+    return Refused(Refuse(refusal::Code::kNotFound, "no such service"));
   }
   if (!manifest::IsNonIdempotent(*service, call.call)) {
-    return OutcomeResponse(RunIdempotentCall(control_, admitted, call));
+    return Respond(RunIdempotentCall(control_, admitted, call));
   }
   if (envelope.idempotency_key.empty()) {
-    return RefusalResponse(Refuse(refusal::Code::kBadRequest,
-                                  "this call needs an Idempotency-Key"));
+    return Refused(Refuse(refusal::Code::kBadRequest,
+                          "this call needs an Idempotency-Key"));
   }
-  return OutcomeResponse(
+  return Respond(
       RunNonIdempotentCall(control_, admitted, call, envelope.idempotency_key));
 }
 
@@ -237,11 +244,11 @@
                                           const http_api::Envelope& envelope,
                                           const http_api::OutcomeLookup&) {
   if (envelope.idempotency_key.empty()) {
-    return RefusalResponse(
+    return Refused(
         Refuse(refusal::Code::kBadRequest, "Idempotency-Key is missing"));
   }
-  return OutcomeResponse(LookUpOutcome(node_.platform(), admitted.customer,
-                                       envelope.idempotency_key));
+  return Respond(LookUpOutcome(node_.platform(), admitted.customer,
+                               envelope.idempotency_key));
 }
 
 }  // namespace wagtailshore::entry
--- a/packages/daemon/entry/caller_server.h
+++ b/packages/daemon/entry/caller_server.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <variant>
 
+#include "daemon/entry/call_run.h"
 #include "daemon/entry/entry_core.h"
 #include "protocol/http_api/http_api.h"
 #include "transport/http_server/http_server.h"
@@ -38,6 +39,10 @@
                               const http_api::Envelope& envelope,
                               const http_api::OutcomeLookup& lookup);
 
+  // The responses to a refusal and to a call's outcome; both are counted.
+  http_server::FullResponse Refused(const refusal::Refusal& refusal);
+  http_server::FullResponse Respond(const CallOutcome& outcome);
+
   node::Node& node_;
   EntryCore& core_;
   EntryControl& control_;
--- a/packages/daemon/entry/entry.cc
+++ b/packages/daemon/entry/entry.cc
@@ -47,6 +47,19 @@
   });
 }
 
+void EntryControl::RecordAnswer(const metrics::AnswerTimes& times) {
+  node_.control().Post(
+      [&core = core_, times] { core.metrics.OnAnswer(times); });
+}
+
+void EntryControl::RecordComplete() {
+  node_.control().Post([&core = core_] { core.metrics.OnComplete(); });
+}
+
+void EntryControl::RecordRefused(refusal::Code code) {
+  node_.control().Post([&core = core_, code] { core.metrics.OnRefused(code); });
+}
+
 class Entry::Impl {
  public:
   explicit Impl(const settings::Settings& settings)
@@ -111,10 +124,22 @@
         .add_to_dump = [this](nlohmann::json& dump) { AddToDump(dump); },
         .admin =
             [this](const http_server::Request& request) {
-              return OnAdminRequest(node_, request);
+              return OnAdmin(request);
             }};
   }
 
+  // On the connection's thread.
+  std::optional<http_server::Response> OnAdmin(
+      const http_server::Request& request) {
+    if (request.path != "/metrics") {
+      return OnAdminRequest(node_, request);
+    }
+    return http_server::FullResponse{
+        .content_type = "text/plain; version=0.0.4",
+        .body =
+            node_.control().Call([this] { return core_.metrics.Format(); })};
+  }
+
   void OnManifest(const manifest::Manifest& manifest) {
     core_.customers = manifest::CustomerIndex(manifest);
     std::set<std::string> names;
--- a/packages/daemon/entry/entry_core.h
+++ b/packages/daemon/entry/entry_core.h
@@ -11,6 +11,7 @@
 #include "coordination/rollout/manifest_holder.h"
 #include "daemon/node/node.h"
 #include "state/manifest/customer_index.h"
+#include "state/metrics/metrics.h"
 #include "state/refusal/refusal.h"
 #include "state/routing/router.h"
 
@@ -24,6 +25,7 @@
   routing::Router router;
   // Of the manifest in force.
   manifest::CustomerIndex customers;
+  metrics::Metrics metrics;
   uint64_t next_request = 1;
 };
 
@@ -77,6 +79,10 @@
                              const std::string& target,
                              const std::set<std::string>& avoid);
   void Report(const std::string& endpoint, AttemptResult result);
+  // For the metrics.
+  void RecordAnswer(const metrics::AnswerTimes& times);
+  void RecordComplete();
+  void RecordRefused(refusal::Code code);
 
   node::Node& node() { return node_; }
 
--- a/packages/daemon/entry/generate_run.cc
+++ b/packages/daemon/entry/generate_run.cc
@@ -22,7 +22,8 @@
       exchange_(
           {.request = admitted_.request,
            .deadline = admitted_.deadline,
-           .progress_timeout = control.node().settings().progress_timeout}) {}
+           .progress_timeout = control.node().settings().progress_timeout}),
+      times_(common::Clock::now()) {}
 
 std::variant<exchange::DeliverText, refusal::Refusal> GenerateRun::Next() {
   const common::Time now = common::Clock::now();
@@ -34,9 +35,12 @@
       if (deliver->last) {
         control_.Report(endpoint_.name, AttemptResult::kServed);
       }
+      RecordPiece(*deliver);
       return std::move(*deliver);
     }
     if (auto* give_up = std::get_if<exchange::GiveUp>(&action)) {
+      control_.RecordAnswer(times_);
+      control_.RecordRefused(give_up->refusal.code);
       return std::move(give_up->refusal);
     }
     if (const auto* start = std::get_if<exchange::StartAttempt>(&action)) {
@@ -47,6 +51,15 @@
   }
 }
 
+void GenerateRun::RecordPiece(const exchange::DeliverText& piece) {
+  times_.OnPiece(tokens() - counted_tokens_, common::Clock::now());
+  counted_tokens_ = tokens();
+  if (piece.last) {
+    control_.RecordAnswer(times_);
+    control_.RecordComplete();
+  }
+}
+
 std::optional<Picked> GenerateRun::PickFor(
     const exchange::StartAttempt& start) {
   if (start.prefer.has_value()) {
--- a/packages/daemon/entry/generate_run.h
+++ b/packages/daemon/entry/generate_run.h
@@ -30,6 +30,7 @@
   uint64_t tokens() const { return exchange_.assembler().next_offset(); }
 
  private:
+  void RecordPiece(const exchange::DeliverText& piece);
   exchange::Action Perform(const exchange::StartAttempt& start);
   exchange::Action Perform(const exchange::ReadFrame& read);
   exchange::Action OnData(const std::string& bytes);
@@ -46,6 +47,9 @@
   std::unique_ptr<http_client::Exchange> connection_;
   std::optional<messages::MessageSplitter> splitter_;
   bool started_ = false;
+  metrics::AnswerTimes times_;
+  // Tokens that `times_` has counted.
+  uint64_t counted_tokens_ = 0;
 };
 
 }  // namespace wagtailshore::entry
