--- a/packages/daemon/entry/entry_core.h
+++ b/packages/daemon/entry/entry_core.h
@@ -9,6 +9,8 @@
 #include "common/time.h"
 #include "coordination/rollout/manifest_holder.h"
 #include "daemon/node/node.h"
+#include "state/manifest/customer_index.h"
+#include "state/metrics/metrics.h"
 #include "state/refusal/refusal.h"
 #include "state/routing/router.h"
 
@@ -20,6 +22,9 @@
       : router(std::move(options)) {}
 
   routing::Router router;
+  // Of the manifest in force.
+  manifest::CustomerIndex customers;
+  metrics::Metrics metrics;
   uint64_t next_request = 1;
 };
 
@@ -85,6 +90,10 @@
   void Report(const std::string& endpoint,
               AttemptResult result,
               routing::AttemptTimes times = {});
+  // For the metrics.
+  void RecordAnswer(const metrics::AnswerTimes& times);
+  void RecordComplete();
+  void RecordRefused(refusal::Code code);
 
   node::Node& node() { return node_; }
 
--- a/packages/daemon/entry/generate_run.cc
+++ b/packages/daemon/entry/generate_run.cc
@@ -47,7 +47,8 @@
           {.request = admitted_.request,
            .deadline = admitted_.deadline,
            .progress_timeout = control.node().settings().progress_timeout}),
-      prefixes_(routing::PrefixesOf(call_.prompt)) {}
+      prefixes_(routing::PrefixesOf(call_.prompt)),
+      times_(common::Clock::now()) {}
 
 GenerateRun::~GenerateRun() {
   ReportEnd(AttemptResult::kAbandoned);
@@ -66,9 +67,12 @@
       if (deliver->last) {
         ReportEnd(AttemptResult::kServed);
       }
+      RecordPiece(*deliver);
       return std::move(*deliver);
     }
     if (auto* give_up = std::get_if<exchange::GiveUp>(&action)) {
+      control_.RecordAnswer(times_);
+      control_.RecordRefused(give_up->refusal.code);
       return std::move(give_up->refusal);
     }
     if (const auto* start = std::get_if<exchange::StartAttempt>(&action)) {
@@ -79,6 +83,15 @@
   }
 }
 
+void GenerateRun::RecordPiece(const exchange::DeliverText& piece) {
+  times_.OnPiece(tokens() - counted_tokens_, common::Clock::now());
+  counted_tokens_ = tokens();
+  if (piece.last) {
+    control_.RecordAnswer(times_);
+    control_.RecordComplete();
+  }
+}
+
 std::optional<Picked> GenerateRun::PickFor(
     const exchange::StartAttempt& start) {
   if (start.prefer.has_value()) {
