--- a/tests/support/call_world.cc
+++ b/tests/support/call_world.cc
@@ -108,21 +108,32 @@
 void CallWorld::Send(int from_domain,
                      int to_domain,
                      const std::function<void()>& deliver) {
+  const common::Duration delay = std::exchange(next_delay_, {});
+  if (const auto after = std::exchange(next_copy_after_, std::nullopt)) {
+    Deliver(from_domain, to_domain, *after, deliver);
+  }
   const int copies = faults_.Happens(faults_.rates().message_doubled) ? 2 : 1;
   for (int i = 0; i < copies; ++i) {
-    if (!faults_.Connected(from_domain, to_domain) ||
-        faults_.Happens(faults_.rates().message_lost)) {
-      continue;
-    }
-    events_.After(faults_.Delay(faults_.rates().message_late),
-                  [this, from_domain, to_domain, deliver] {
-                    if (faults_.Connected(from_domain, to_domain)) {
-                      deliver();
-                    }
-                  });
+    Deliver(from_domain, to_domain, delay, deliver);
   }
 }
 
+void CallWorld::Deliver(int from_domain,
+                        int to_domain,
+                        common::Duration delay,
+                        const std::function<void()>& deliver) {
+  if (!faults_.Connected(from_domain, to_domain) ||
+      faults_.Happens(faults_.rates().message_lost)) {
+    return;
+  }
+  events_.After(delay + faults_.Delay(faults_.rates().message_late),
+                [this, from_domain, to_domain, deliver] {
+                  if (faults_.Connected(from_domain, to_domain)) {
+                    deliver();
+                  }
+                });
+}
+
 void CallWorld::CallService(
     int endpoint,
     size_t sending,
--- a/tests/support/call_world.h
+++ b/tests/support/call_world.h
@@ -2,6 +2,7 @@
 #define SUPPORT_CALL_WORLD_H_
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -58,6 +59,10 @@
   }
   // The next `count` calls run and their answers are lost.
   void LoseServiceAnswers(int count) { service_answers_to_lose_ += count; }
+  // The next message arrives later by `time`.
+  void DelayNextMessage(common::Duration time) { next_delay_ = time; }
+  // A second copy of the next message follows after `time`.
+  void DoubleNextMessage(common::Duration time) { next_copy_after_ = time; }
   void set_service_time(common::Duration time) { service_time_ = time; }
 
   EventQueue& events() { return events_; }
@@ -98,6 +103,10 @@
   void Restart(Process& process);
   // Nothing is owed any more to what an entry has under way.
   void ExcuseAll(int entry);
+  void Deliver(int from_domain,
+               int to_domain,
+               common::Duration delay,
+               const std::function<void()>& deliver);
   void RunGuarded(Process& process,
                   uint64_t incarnation,
                   const std::function<void()>& action);
@@ -115,6 +124,8 @@
   int service_answers_to_lose_ = 0;
   common::Duration service_time_ = common::milliseconds(50);
   uint64_t next_token_ = 1;
+  common::Duration next_delay_{};
+  std::optional<common::Duration> next_copy_after_;
 };
 
 }  // namespace wagtailshore::test_support
--- a/tests/support/claim_world.cc
+++ b/tests/support/claim_world.cc
@@ -23,13 +23,13 @@
 // One attempt between an entry and an endpoint.
 struct ClaimWorld::Exchange {
   std::shared_ptr<EntryRun> run;
-  int endpoint;
+  int endpoint = 0;
   bool ended = false;
 };
 
 struct ClaimWorld::EndpointRun {
   std::shared_ptr<Exchange> exchange;
-  int endpoint;
+  int endpoint = 0;
   size_t sending;
   common::Time deadline;
   claims::EndpointClaim claim;
@@ -211,7 +211,7 @@
   }
   const auto& run = exchange->run;
   if (!std::holds_alternative<claims::AttemptAnswered>(outcome) &&
-      !std::holds_alternative<claims::DispatchNotSent>(outcome)) {
+      !std::holds_alternative<claims::NoEndpoint>(outcome)) {
     run->avoid.insert(exchange->endpoint);
   }
   Step(run, run->claim.OnDispatched(outcome, now()));
--- a/tests/support/fake_table.cc
+++ b/tests/support/fake_table.cc
@@ -31,7 +31,7 @@
                   const Outcome outcome = apply();
                   const bool ordered_loss =
                       std::is_same_v<Outcome, table::WriteOutcome> &&
-                      answers_to_lose_ > 0 && answers_to_lose_-- > 0;
+                      LosesAnswer();
                   if (ordered_loss ||
                       faults_.Happens(faults_.rates().table_answer_lost)) {
                     return;
@@ -41,6 +41,14 @@
                 });
 }
 
+bool FakeTable::LosesAnswer() {
+  if (answers_to_skip_ > 0) {
+    --answers_to_skip_;
+    return false;
+  }
+  return answers_to_lose_ > 0 && answers_to_lose_-- > 0;
+}
+
 void FakeTable::Read(int domain,
                      const table::ReadRow& request,
                      common::Duration timeout,
--- a/tests/support/fake_table.h
+++ b/tests/support/fake_table.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <type_traits>
 
 #include "state/table/table.h"
 #include "support/event_queue.h"
@@ -28,8 +29,11 @@
              common::Duration timeout,
              const std::function<void(table::WriteOutcome)>& done);
 
-  // The next `count` writes take effect and their answers are lost.
-  void LoseAnswers(int count) { answers_to_lose_ += count; }
+  // After `skip` more writes, `count` take effect and their answers are lost.
+  void LoseAnswers(int skip, int count) {
+    answers_to_skip_ = skip;
+    answers_to_lose_ = count;
+  }
   uint64_t operations() const { return operations_; }
 
  private:
@@ -39,10 +43,13 @@
                 std::function<Outcome()> apply,
                 const std::function<void(Outcome)>& done);
   table::WriteOutcome Apply(const table::WriteRow& request);
+  // Whether the answer to the write that took effect now is to be lost.
+  bool LosesAnswer();
 
   EventQueue& events_;
   FaultPlan& faults_;
   std::map<std::string, table::Row> rows_;
+  int answers_to_skip_ = 0;
   int answers_to_lose_ = 0;
   uint64_t operations_ = 0;
 };
