Tests: lose a restarted endpoint's table operations in the claims world

A table answer that came after a restart was handed to the run of the process before it, which went on as if nothing were lost. It is dropped now.

--- a/tests/support/call_world.h
+++ b/tests/support/call_world.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "coordination/claims/claim_row.h"
@@ -86,6 +87,16 @@
 
   // `action`, held back while `process` pauses and dropped if it has died.
   std::function<void()> Guard(Process& process, std::function<void()> action);
+  // The same for a table operation's outcome.
+  template <typename Outcome>
+  std::function<void(Outcome)> GuardOutcome(
+      Process& process,
+      std::function<void(const Outcome&)> action) {
+    return [this, &process, incarnation = process.incarnation,
+            action = std::move(action)](const Outcome& outcome) {
+      RunGuarded(process, incarnation, [action, outcome] { action(outcome); });
+    };
+  }
   // Carries a message over; it may be lost, late or doubled.
   void Send(int from_domain,
             int to_domain,
--- a/tests/support/claim_world.cc
+++ b/tests/support/claim_world.cc
@@ -56,19 +56,17 @@
   if (const auto* read = std::get_if<table::ReadRow>(&action)) {
     table().Read(process.domain, *read,
                  std::min(kTableTimeout, run->claim.StepTimeout(now())),
-                 [this, run, &process](const table::ReadOutcome& outcome) {
-                   Guard(process, [this, run, outcome] {
-                     Step(run, run->claim.OnRead(outcome, now()));
-                   })();
-                 });
+                 GuardOutcome<table::ReadOutcome>(
+                     process, [this, run](const table::ReadOutcome& outcome) {
+                       Step(run, run->claim.OnRead(outcome, now()));
+                     }));
   } else if (const auto* write = std::get_if<table::WriteRow>(&action)) {
     table().Write(process.domain, *write,
                   std::min(kTableTimeout, run->claim.StepTimeout(now())),
-                  [this, run, &process](const table::WriteOutcome& outcome) {
-                    Guard(process, [this, run, outcome] {
-                      Step(run, run->claim.OnWrite(outcome, now()));
-                    })();
-                  });
+                  GuardOutcome<table::WriteOutcome>(
+                      process, [this, run](const table::WriteOutcome& outcome) {
+                        Step(run, run->claim.OnWrite(outcome, now()));
+                      }));
   } else if (const auto* send = std::get_if<claims::SendDispatch>(&action)) {
     Dispatch(run, *send);
   } else if (const auto* wait = std::get_if<claims::Wait>(&action)) {
@@ -147,20 +145,18 @@
   Process& process = endpoint(run->endpoint);
   if (const auto* read = std::get_if<table::ReadRow>(&action)) {
     table().Read(process.domain, *read, kTableTimeout,
-                 [this, run, &process](const table::ReadOutcome& outcome) {
-                   Guard(process, [this, run, outcome] {
-                     Step(run, run->claim.OnRead(outcome, now()));
-                   })();
-                 });
+                 GuardOutcome<table::ReadOutcome>(
+                     process, [this, run](const table::ReadOutcome& outcome) {
+                       Step(run, run->claim.OnRead(outcome, now()));
+                     }));
     return;
   }
   if (const auto* write = std::get_if<table::WriteRow>(&action)) {
     table().Write(process.domain, *write, kTableTimeout,
-                  [this, run, &process](const table::WriteOutcome& outcome) {
-                    Guard(process, [this, run, outcome] {
-                      Step(run, run->claim.OnWrite(outcome, now()));
-                    })();
-                  });
+                  GuardOutcome<table::WriteOutcome>(
+                      process, [this, run](const table::WriteOutcome& outcome) {
+                        Step(run, run->claim.OnWrite(outcome, now()));
+                      }));
     return;
   }
   if (std::holds_alternative<claims::RunService>(action)) {
