--- a/packages/daemon/entry/caller_server.cc
+++ b/packages/daemon/entry/caller_server.cc
@@ -1,6 +1,7 @@
 #include "daemon/entry/caller_server.h"
 
 #include <algorithm>
+#include <cmath>
 #include <memory>
 #include <utility>
 
@@ -14,6 +15,8 @@
 namespace {
 
 constexpr common::Duration kRetryAfter = common::seconds(1);
+// How much of a customer's unused rate can be saved up.
+constexpr common::Duration kLimitBurst = common::seconds(30);
 
 // Streams a model's answer as server-sent events. The first piece is fetched
 // before the response begins, so that a refusal can still have its status.
@@ -164,6 +167,15 @@
   if (by_phase.has_value()) {
     return *std::move(by_phase);
   }
+  const common::Time now = common::Clock::now();
+  auto by_load = RefusedByLoad(now + envelope.timeout, call);
+  if (by_load.has_value()) {
+    return *std::move(by_load);
+  }
+  auto by_limit = RefusedByLimit(*customer, call);
+  if (by_limit.has_value()) {
+    return *std::move(by_limit);
+  }
   if (!node_.gate().TryBegin()) {
     refusal::Refusal refusal =
         Refuse(refusal::Code::kDraining, "this entry is stopping");
@@ -174,11 +186,56 @@
       .request = common::StrCat(node_.incarnation(), "-", core_.next_request++),
       .customer = customer->name,
       .priority = std::string(EffectivePriority(*customer, envelope.priority)),
-      .deadline = common::Clock::now() + envelope.timeout,
+      .deadline = now + envelope.timeout,
       .manifest = manifest,
       .in_flight = InFlight(node_)};
 }
 
+std::optional<refusal::Refusal> CallerServer::RefusedByLimit(
+    const manifest::Customer& customer,
+    const http_api::Call& call) {
+  // A look-up costs the endpoints nothing and may be what saves a repetition.
+  if (std::holds_alternative<http_api::OutcomeLookup>(call)) {
+    return std::nullopt;
+  }
+  const common::Time now = common::Clock::now();
+  limits::TokenBucket& bucket =
+      core_.buckets.try_emplace(customer.name, kLimitBurst).first->second;
+  bucket.SetRate(customer.requests_per_second / node_.settings().limit_entries,
+                 now);
+  if (bucket.TryTake(now)) {
+    return std::nullopt;
+  }
+  refusal::Refusal refusal =
+      Refuse(refusal::Code::kLimited, "the customer's limit is used up");
+  refusal.retry_after = bucket.UntilNext(now);
+  return refusal;
+}
+
+std::optional<refusal::Refusal> CallerServer::RefusedByLoad(
+    common::Time deadline,
+    const http_api::Call& call) {
+  const auto* generate = std::get_if<http_api::GenerateCall>(&call);
+  if (generate == nullptr) {
+    return std::nullopt;
+  }
+  const common::Time now = common::Clock::now();
+  const double wait_ms = core_.router.PredictedWaitMs(generate->model, now);
+  const double left_ms =
+      std::chrono::duration<double, std::milli>(deadline - now).count();
+  // Without an endpoint the request ends with a reason of its own.
+  if (std::isinf(wait_ms) || wait_ms < left_ms) {
+    return std::nullopt;
+  }
+  refusal::Refusal refusal =
+      Refuse(refusal::Code::kOverloaded,
+             "the first token is predicted after the deadline");
+  refusal.retry_after =
+      std::max(kRetryAfter, common::Duration(common::milliseconds(
+                                static_cast<int64_t>(wait_ms - left_ms))));
+  return refusal;
+}
+
 http_server::Response CallerServer::Serve(Admitted admitted,
                                           const http_api::Envelope&,
                                           const http_api::GenerateCall& call) {
--- a/packages/daemon/entry/caller_server.h
+++ b/packages/daemon/entry/caller_server.h
@@ -1,6 +1,7 @@
 #ifndef DAEMON_ENTRY_CALLER_SERVER_H_
 #define DAEMON_ENTRY_CALLER_SERVER_H_
 
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -28,6 +29,14 @@
       const http_api::Envelope& envelope,
       const http_api::Call& call);
 
+  // Why this entry's share of the customer's limit, or the wait predicted for
+  // the first token, refuses the call, if it does. On the control thread.
+  std::optional<refusal::Refusal> RefusedByLimit(
+      const manifest::Customer& customer,
+      const http_api::Call& call);
+  std::optional<refusal::Refusal> RefusedByLoad(common::Time deadline,
+                                                const http_api::Call& call);
+
   http_server::Response Serve(Admitted admitted,
                               const http_api::Envelope& envelope,
                               const http_api::GenerateCall& call);
--- a/packages/daemon/entry/entry_core.h
+++ b/packages/daemon/entry/entry_core.h
@@ -1,6 +1,7 @@
 #ifndef DAEMON_ENTRY_ENTRY_CORE_H_
 #define DAEMON_ENTRY_ENTRY_CORE_H_
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -9,6 +10,7 @@
 #include "common/time.h"
 #include "coordination/rollout/manifest_holder.h"
 #include "daemon/node/node.h"
+#include "state/limits/token_bucket.h"
 #include "state/refusal/refusal.h"
 #include "state/routing/router.h"
 
@@ -20,6 +22,8 @@
       : router(std::move(options)) {}
 
   routing::Router router;
+  // By customer.
+  std::map<std::string, limits::TokenBucket> buckets;
   uint64_t next_request = 1;
 };
 
--- a/packages/daemon/settings/setting_table.cc
+++ b/packages/daemon/settings/setting_table.cc
@@ -97,6 +97,14 @@
                 .help = "requests that the engine works on at once; further "
                         "ones are refused as not run while another endpoint "
                         "may be free; 0 for no bound"},
+    SettingSpec{.name = "limit-entries",
+                .type = SettingType::kNumber,
+                .unit = "entries",
+                .min = 1,
+                .max = 100000,
+                .default_value = "8",
+                .help = "entries of the whole system, which share each "
+                        "customer's limit equally"},
     SettingSpec{.name = "max-connections",
                 .type = SettingType::kNumber,
                 .unit = "connections",
--- a/packages/daemon/settings/settings.cc
+++ b/packages/daemon/settings/settings.cc
@@ -191,6 +191,7 @@
       .drain_notice = Milliseconds(values, "drain-notice"),
       .progress_timeout = Milliseconds(values, "progress-timeout"),
       .engine_slots = static_cast<uint32_t>(Number(values, "engine-slots")),
+      .limit_entries = static_cast<uint32_t>(Number(values, "limit-entries")),
       .max_connections =
           static_cast<uint32_t>(Number(values, "max-connections")),
       .max_body_bytes = static_cast<size_t>(Number(values, "max-body")),
--- a/packages/daemon/settings/settings.h
+++ b/packages/daemon/settings/settings.h
@@ -35,6 +35,8 @@
   common::Duration progress_timeout{};
   // Requests that the engine works on at once; 0 for no bound.
   uint32_t engine_slots = 0;
+  // Entries that share each customer's limit.
+  uint32_t limit_entries = 1;
   uint32_t max_connections = 0;
   size_t max_body_bytes = 0;
 };
--- a/tests/bench/topics.h
+++ b/tests/bench/topics.h
@@ -9,6 +9,7 @@
 namespace wagtailshore::bench {
 
 // Declarations begin here.
+void MeasureOverload(const TopicOptions& options, std::ostream& out);
 void MeasureRouting(const TopicOptions& options, std::ostream& out);
 
 }  // namespace wagtailshore::bench
