--- a/packages/daemon/entry/entry_core.h
+++ b/packages/daemon/entry/entry_core.h
@@ -1,6 +1,7 @@
 #ifndef DAEMON_ENTRY_ENTRY_CORE_H_
 #define DAEMON_ENTRY_ENTRY_CORE_H_
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -11,6 +12,7 @@
 #include "daemon/node/node.h"
 #include "state/manifest/customer_index.h"
 #include "state/metrics/metrics.h"
+#include "state/limits/token_bucket.h"
 #include "state/refusal/refusal.h"
 #include "state/routing/router.h"
 
@@ -25,6 +27,8 @@
   // Of the manifest in force.
   manifest::CustomerIndex customers;
   metrics::Metrics metrics;
+  // By customer.
+  std::map<std::string, limits::TokenBucket> buckets;
   uint64_t next_request = 1;
 };
 
