Coordination: decide roll-out and exchanges in a pure module

The node itself decided whom to exchange with: everybody with everybody, every 500 ms, and every entry polled the platform. coordination/dissemination now decides, from members, versions and time: one soft relay per failure domain (rendezvous hash over the live entries that see the platform) polls and publishes; peers pull by version; a process without a manifest, or without a peer that answers, probes its seeds. The node carries the actions out.

--- /dev/null
+++ b/packages/coordination/dissemination/member.cc
@@ -0,0 +1,128 @@
+#include "coordination/dissemination/member.h"
+
+#include <utility>
+
+namespace wagtailshore::dissemination {
+namespace {
+
+// Peers not heard for this long are forgotten.
+constexpr common::Duration kPeerHorizon = common::seconds(60);
+
+void Append(Actions more, Actions& actions) {
+  for (Action& action : more) {
+    actions.push_back(std::move(action));
+  }
+}
+
+}  // namespace
+
+Member::Member(membership::PeerInfo info, PlannerOptions options)
+    : info_(std::move(info)), planner_(std::move(options)) {}
+
+Effects Member::OnTick(common::Time now) {
+  peers_.Expire(now, kPeerHorizon);
+  return {.actions = planner_.OnTick(SituationAt(now))};
+}
+
+Effects Member::OnRequest(const Message& message, common::Time now) {
+  return Learn(message, now);
+}
+
+Effects Member::OnReply(const Message& message,
+                        common::Time sent,
+                        common::Time now) {
+  if (info_.leaving && sent >= leaving_since_) {
+    planner_.OnLeavingAnswered(message.info.peer_address);
+  }
+  Effects effects = Learn(message, now);
+  if (message.info.manifest_version < manifests_.version()) {
+    effects.actions.emplace_back(SendExchange{
+        .address = message.info.peer_address, .with_manifest = true});
+  }
+  return effects;
+}
+
+uint32_t Member::OnUnanswered(const std::string& address) {
+  return peers_.OnUnanswered(address);
+}
+
+Effects Member::OnAccepted(ManifestPtr manifest, common::Time now) {
+  Effects effects;
+  Offer(std::move(manifest), Source::kOrigin, now, effects);
+  return effects;
+}
+
+void Member::OnPlatformRead(bool answered) {
+  info_.sees_platform = answered;
+  planner_.OnPlatformRead();
+}
+
+Effects Member::AnnounceLeaving(common::Time now) {
+  info_.leaving = true;
+  leaving_since_ = now;
+  return {.actions = planner_.OnLeaving(SituationAt(now))};
+}
+
+Message Member::MessageFor(const SendExchange& send, common::Time now) {
+  Message message = OwnWord(now);
+  if (send.with_manifest) {
+    message.manifest = manifests_.current();
+  }
+  return message;
+}
+
+Message Member::ReplyTo(const Message& request, common::Time now) {
+  Message message = OwnWord(now);
+  if (request.info.manifest_version < manifests_.version()) {
+    message.manifest = manifests_.current();
+  }
+  return message;
+}
+
+bool Member::IsRelay(common::Time now) {
+  return info_.role == membership::Role::kEntry &&
+         planner_.IsRelay(SituationAt(now));
+}
+
+Situation Member::SituationAt(common::Time now) const {
+  return {.peers = peers_,
+          .endpoints = endpoints_,
+          .version = manifests_.version(),
+          .leaving = info_.leaving,
+          .sees_platform = info_.sees_platform,
+          .now = now};
+}
+
+Effects Member::Learn(const Message& message, common::Time now) {
+  Effects effects;
+  effects.change = peers_.OnHeard(message.info, now);
+  peers_.AddSeeds(message.entries);
+  if (message.manifest != nullptr) {
+    Offer(message.manifest, Source::kPeer, now, effects);
+  }
+  return effects;
+}
+
+void Member::Offer(ManifestPtr offered,
+                   Source source,
+                   common::Time now,
+                   Effects& effects) {
+  if (manifests_.Offer(std::move(offered), now) ==
+      rollout::OfferOutcome::kOld) {
+    return;
+  }
+  effects.new_manifest = true;
+  info_.manifest_version = manifests_.version();
+  endpoints_.clear();
+  for (const manifest::Endpoint& endpoint :
+       manifests_.current()->manifest.endpoints) {
+    endpoints_[endpoint.peer_address] = endpoint.failure_domain;
+  }
+  Append(planner_.OnLearned(source, SituationAt(now)), effects.actions);
+}
+
+Message Member::OwnWord(common::Time now) {
+  return {.info = info_, .entries = planner_.EntriesToName(SituationAt(now))};
+}
+
+}  // namespace wagtailshore::dissemination
--- /dev/null
+++ b/packages/coordination/dissemination/relay_rank.cc
@@ -0,0 +1,50 @@
+#include "coordination/dissemination/relay_rank.h"
+
+#include <algorithm>
+#include <string_view>
+
+#include "absl/strings/numbers.h"
+#include "common/digest.h"
+#include "common/strings.h"
+
+namespace wagtailshore::dissemination {
+namespace {
+
+// Hexadecimal digits in a weight.
+constexpr size_t kWeightDigits = 16;
+// Beyond this the cache starts afresh; instances are replaced all the time.
+constexpr size_t kMaxCachedWeights = 10000;
+
+}  // namespace
+
+std::vector<std::string> RelayRank::Top(const std::string& failure_domain,
+                                        std::vector<std::string> addresses,
+                                        size_t count) {
+  count = std::min(count, addresses.size());
+  const auto heavier = [&](const std::string& left, const std::string& right) {
+    return Weight(failure_domain, left) > Weight(failure_domain, right);
+  };
+  const auto middle = addresses.begin() + static_cast<ptrdiff_t>(count);
+  std::partial_sort(addresses.begin(), middle, addresses.end(), heavier);
+  addresses.resize(count);
+  return addresses;
+}
+
+uint64_t RelayRank::Weight(const std::string& failure_domain,
+                           const std::string& address) {
+  const std::string key = common::StrCat(failure_domain, "/", address);
+  const auto found = weights_.find(key);
+  if (found != weights_.end()) {
+    return found->second;
+  }
+  if (weights_.size() >= kMaxCachedWeights) {
+    weights_.clear();
+  }
+  uint64_t weight = 0;
+  (void)absl::SimpleHexAtoi(common::Sha256Hex(key).substr(0, kWeightDigits),
+                            &weight);
+  weights_.emplace(key, weight);
+  return weight;
+}
+
+}  // namespace wagtailshore::dissemination
--- a/packages/coordination/membership/peer_table.cc
+++ b/packages/coordination/membership/peer_table.cc
@@ -24,17 +24,6 @@
   return ++found->second.unanswered;
 }
 
-std::set<std::string> PeerTable::Addresses(common::Time now,
-                                           common::Duration horizon) const {
-  std::set<std::string> addresses = seeds_;
-  for (const auto& [address, peer] : peers_) {
-    if (now - peer.last_heard <= horizon) {
-      addresses.insert(address);
-    }
-  }
-  return addresses;
-}
-
 void PeerTable::AddSeeds(const std::vector<std::string>& addresses) {
   seeds_.insert(addresses.begin(), addresses.end());
 }
--- a/packages/coordination/membership/peer_table.h
+++ b/packages/coordination/membership/peer_table.h
@@ -31,6 +31,8 @@
   std::string peer_address;
   uint64_t manifest_version = 0;
   bool leaving = false;
+  // Whether the platform answered the process last.
+  bool sees_platform = true;
 };
 
 struct Peer {
@@ -53,11 +55,9 @@
   // An exchange with `address` got no answer; returns how many in a row.
   uint32_t OnUnanswered(const std::string& address);
 
-  // Addresses worth an exchange besides the manifest's own: the seeds, and
-  // every peer heard within `horizon`.
-  std::set<std::string> Addresses(common::Time now,
-                                  common::Duration horizon) const;
+  // Addresses that may be those of peers.
   void AddSeeds(const std::vector<std::string>& addresses);
+  const std::set<std::string>& seeds() const { return seeds_; }
   // Forgets peers not heard for `horizon`.
   void Expire(common::Time now, common::Duration horizon);
 
--- a/packages/daemon/endpoint/endpoint.cc
+++ b/packages/daemon/endpoint/endpoint.cc
@@ -1,7 +1,6 @@
 #include "daemon/endpoint/endpoint.h"
 
 #include <nlohmann/json.hpp>
-#include <set>
 #include <string>
 #include <utility>
 
@@ -31,7 +30,6 @@
                return routing::LoadReport{
                    .running = static_cast<uint32_t>(node_.gate().in_flight())};
              },
-         .addresses = [] { return std::set<std::string>(); },
          .add_to_dump = [](nlohmann::json&) {},
          .admin = [](const http_server::Request&)
              -> std::optional<http_server::Response> { return std::nullopt; }});
--- a/packages/daemon/entry/entry.cc
+++ b/packages/daemon/entry/entry.cc
@@ -107,7 +107,6 @@
               OnInstances(all);
             },
         .load = [] { return routing::LoadReport{}; },
-        .addresses = [this] { return endpoint_addresses_; },
         .add_to_dump = [this](nlohmann::json& dump) { AddToDump(dump); },
         .admin =
             [this](const http_server::Request& request) {
--- a/packages/daemon/node/node.cc
+++ b/packages/daemon/node/node.cc
@@ -18,8 +18,6 @@
 
 using Json = nlohmann::json;
 
-// Peers not heard for this long are no longer asked.
-constexpr common::Duration kPeerHorizon = common::seconds(60);
 // Unanswered exchanges in a row before an event is logged.
 constexpr uint32_t kUnansweredBeforeEvent = 3;
 constexpr common::Duration kExchangeTimeout = common::milliseconds(400);
@@ -56,15 +54,21 @@
 
 Node::Node(const settings::Settings& settings, membership::Role role)
     : settings_(settings),
-      info_{.name = settings.name,
-            .incarnation = common::RandomId(),
-            .role = role,
-            .failure_domain = settings.failure_domain,
-            .peer_address = settings.peer_address},
+      incarnation_(common::RandomId()),
+      member_({.name = settings.name,
+               .incarnation = incarnation_,
+               .role = role,
+               .failure_domain = settings.failure_domain,
+               .peer_address = settings.peer_address},
+              {.address = settings.peer_address,
+               .failure_domain = settings.failure_domain,
+               .role = role,
+               .exchange_period = settings.exchange_period,
+               .poll_period = settings.platform_poll_period}),
       platform_(
           {.url = settings.platform_url, .timeout = settings.platform_timeout}),
       links_(std::make_unique<Links>()) {
-  peers_.AddSeeds(settings.seeds);
+  member_.peers().AddSeeds(settings.seeds);
 }
 
 Node::~Node() {
@@ -98,45 +102,43 @@
   }
   links_->admin_server = *std::move(admin_server);
 
-  if (info_.role == membership::Role::kEntry) {
-    links_->platform_watch =
-        std::make_unique<PlatformWatch>(PlatformWatchOptions{
-            .platform = &platform_,
-            .period = settings_.platform_poll_period,
-            .current_version =
-                [this] {
-                  return control_.Call([this] { return manifests_.version(); });
-                },
-            .on_manifest =
-                [this](auto manifest) {
-                  control_.Post([this, manifest] { OfferManifest(manifest); });
-                },
-            .on_instances =
-                [this](
-                    const std::vector<platform_client::Instance>& instances) {
-                  control_.Post(
-                      [this, instances] { hooks_.on_instances(instances); });
-                }});
+  if (member_.info().role == membership::Role::kEntry) {
+    StartPlatformWatch();
   }
-  control_.Every(settings_.exchange_period, [this] { ExchangeWithPeers(); });
+  control_.Every(dissemination::kTickPeriod, [this] { Tick(); });
   return absl::OkStatus();
 }
 
+void Node::StartPlatformWatch() {
+  links_->platform_watch = std::make_unique<PlatformWatch>(PlatformWatchOptions{
+      .platform = &platform_,
+      .current_version =
+          [this] {
+            return control_.Call([this] { return manifests().version(); });
+          },
+      .on_manifest =
+          [this](auto manifest) {
+            control_.Post([this, manifest] { OfferManifest(manifest); });
+          },
+      .on_instances =
+          [this](const std::vector<platform_client::Instance>& instances) {
+            control_.Post(
+                [this, instances] { hooks_.on_instances(instances); });
+          },
+      .on_looked =
+          [this](bool available) {
+            control_.Post(
+                [this, available] { member_.OnPlatformRead(available); });
+          }});
+}
+
 void Node::OfferManifest(
     std::shared_ptr<const rollout::VersionedManifest> offered) {
-  if (manifests_.Offer(std::move(offered), common::Clock::now()) ==
-      rollout::OfferOutcome::kOld) {
-    return;
-  }
-  common::LogEvent(common::EventId::kManifestInForce,
-                   common::StrCat("version=", manifests_.version()));
-  hooks_.on_manifest(*manifests_.current());
-  ExchangeWithPeers();
+  Execute(member_.OnAccepted(std::move(offered), common::Clock::now()));
 }
 
 void Node::AnnounceLeaving() {
-  info_.leaving = true;
-  ExchangeWithPeers();
+  Execute(member_.AnnounceLeaving(common::Clock::now()));
 }
 
 void Node::WaitUntilDrained() {
@@ -150,93 +152,101 @@
   if (!exchange.ok()) {
     return "";
   }
-  Learn(*exchange);
-  return messages::Encode(OwnExchange(exchange->info.manifest_version));
+  const common::Time now = common::Clock::now();
+  const dissemination::Message message = FromWire(*exchange);
+  Take(*exchange, member_.OnRequest(message, now));
+  return messages::Encode(ToWire(member_.ReplyTo(message, now)));
 }
 
-void Node::ExchangeWithPeers() {
-  if (stopping_) {
-    return;
+void Node::Tick() {
+  Execute(member_.OnTick(common::Clock::now()));
+}
+
+void Node::Execute(const dissemination::Effects& effects) {
+  if (effects.new_manifest) {
+    common::LogEvent(common::EventId::kManifestInForce,
+                     common::StrCat("version=", manifests().version()));
+    hooks_.on_manifest(*manifests().current());
   }
-  const common::Time now = common::Clock::now();
-  peers_.Expire(now, kPeerHorizon);
-  std::set<std::string> addresses = peers_.Addresses(now, kPeerHorizon);
-  addresses.merge(hooks_.addresses());
-  addresses.erase(settings_.peer_address);
-  for (const std::string& address : addresses) {
-    ExchangeWith(address);
+  for (const dissemination::Action& action : effects.actions) {
+    if (stopping_) {
+      return;
+    }
+    std::visit([this](const auto& kind) { Do(kind); }, action);
   }
 }
 
-void Node::ExchangeWith(const std::string& address) {
-  if (stopping_) {
-    return;
-  }
-  const auto peer = peers_.peers().find(address);
-  // A peer not heard from yet tells its version in its first reply.
-  const uint64_t receiver_version = peer == peers_.peers().end()
-                                        ? manifests_.version()
-                                        : peer->second.info.manifest_version;
+void Node::Do(const dissemination::SendExchange& send) {
+  const common::Time now = common::Clock::now();
   links_->peer_client.Send(
-      address, messages::Encode(OwnExchange(receiver_version)),
-      kExchangeTimeout, [this, address](absl::StatusOr<std::string> reply) {
-        control_.Post([this, address, reply = std::move(reply)] {
-          OnReply(address, reply);
+      send.address, messages::Encode(ToWire(member_.MessageFor(send, now))),
+      kExchangeTimeout,
+      [this, address = send.address, now](absl::StatusOr<std::string> reply) {
+        control_.Post([this, address, now, reply = std::move(reply)] {
+          OnReply(address, now, reply);
         });
       });
 }
 
+void Node::Do(const dissemination::ReadPlatform&) {
+  if (links_->platform_watch != nullptr) {
+    links_->platform_watch->Look();
+  }
+}
+
 void Node::OnReply(const std::string& address,
+                   common::Time sent,
                    const absl::StatusOr<std::string>& reply) {
   if (!reply.ok()) {
-    const bool still_busy = absl::IsUnavailable(reply.status());
-    if (!still_busy && peers_.OnUnanswered(address) == kUnansweredBeforeEvent) {
-      common::LogEvent(common::EventId::kPeerUnreachable,
-                       common::StrCat("address=", address));
-    }
+    OnUnanswered(address, reply.status());
     return;
   }
   const auto exchange = messages::DecodePeerExchange(*reply);
   if (!exchange.ok()) {
     return;
   }
-  Learn(*exchange);
-  if (exchange->info.manifest_version < manifests_.version()) {
-    ExchangeWith(address);
+  Take(*exchange,
+       member_.OnReply(FromWire(*exchange), sent, common::Clock::now()));
+}
+
+void Node::OnUnanswered(const std::string& address,
+                        const absl::Status& status) {
+  const bool still_busy = absl::IsUnavailable(status);
+  if (!still_busy && member_.OnUnanswered(address) == kUnansweredBeforeEvent) {
+    common::LogEvent(common::EventId::kPeerUnreachable,
+                     common::StrCat("address=", address));
   }
 }
 
-void Node::Learn(const messages::PeerExchange& exchange) {
-  const membership::PeerChange change =
-      peers_.OnHeard(exchange.info, common::Clock::now());
-  if (change.began_leaving) {
+void Node::Take(const messages::PeerExchange& exchange,
+                const dissemination::Effects& effects) {
+  if (effects.change.began_leaving) {
     common::LogEvent(common::EventId::kEndpointLeaving,
                      common::StrCat("name=", exchange.info.name));
   }
+  Execute(effects);
+  hooks_.on_peer(exchange, effects.change);
+}
+
+dissemination::Message Node::FromWire(
+    const messages::PeerExchange& exchange) const {
+  dissemination::Message message{.info = exchange.info,
+                                 .entries = exchange.entries};
   if (exchange.manifest.has_value() &&
-      exchange.manifest->version > manifests_.version()) {
-    auto manifest = FromTransfer(*exchange.manifest);
-    if (manifest != nullptr) {
-      OfferManifest(std::move(manifest));
-    }
+      exchange.manifest->version > manifests().version()) {
+    message.manifest = FromTransfer(*exchange.manifest);
   }
-  hooks_.on_peer(exchange, change);
+  return message;
 }
 
-messages::PeerExchange Node::OwnExchange(uint64_t receiver_version) {
-  info_.manifest_version = manifests_.version();
-  messages::PeerExchange exchange{.info = info_,
+messages::PeerExchange Node::ToWire(dissemination::Message message) const {
+  messages::PeerExchange exchange{.info = std::move(message.info),
                                   .load = hooks_.load(),
-                                  .manifest = std::nullopt,
-                                  .entries = {}};
-  if (receiver_version < manifests_.version()) {
+                                  .entries = std::move(message.entries)};
+  if (message.manifest != nullptr) {
     exchange.manifest = messages::ManifestTransfer{
-        .version = manifests_.version(), .body = manifests_.current()->body};
-  }
-  for (const auto& [address, peer] : peers_.peers()) {
-    if (peer.info.role == membership::Role::kEntry && !peer.info.leaving) {
-      exchange.entries.push_back(address);
-    }
+        .version = message.manifest->manifest.version,
+        .body = message.manifest->body};
   }
   return exchange;
 }
@@ -246,8 +256,9 @@
     return Text(200, "ok\n");
   }
   if (request.path == "/readyz") {
-    const bool ready = control_.Call(
-        [this] { return manifests_.version() > 0 && !info_.leaving; });
+    const bool ready = control_.Call([this] {
+      return manifests().version() > 0 && !member_.info().leaving;
+    });
     return ready ? Text(200, "ready\n") : Text(503, "not ready\n");
   }
   if (request.path == "/dump") {
@@ -263,20 +274,23 @@
 
 std::string Node::Dump() {
   const common::Time now = common::Clock::now();
-  Json dump = {{"name", info_.name},
-               {"incarnation", info_.incarnation},
-               {"role", common::NameOf(membership::kRoleNames, info_.role)},
-               {"failure_domain", info_.failure_domain},
-               {"leaving", info_.leaving},
+  const membership::PeerInfo& info = member_.info();
+  Json dump = {{"name", info.name},
+               {"incarnation", info.incarnation},
+               {"role", common::NameOf(membership::kRoleNames, info.role)},
+               {"failure_domain", info.failure_domain},
+               {"leaving", info.leaving},
+               {"relay", member_.IsRelay(now)},
+               {"sees_platform", info.sees_platform},
                {"in_flight", gate_.in_flight()},
                {"manifest",
-                {{"version", manifests_.version()},
+                {{"version", manifests().version()},
                  {"in_force_for_ms",
-                  manifests_.version() == 0
+                  manifests().version() == 0
                       ? 0
-                      : common::ToMilliseconds(now - manifests_.since())}}},
+                      : common::ToMilliseconds(now - manifests().since())}}},
                {"peers", Json::array()}};
-  for (const auto& [address, peer] : peers_.peers()) {
+  for (const auto& [address, peer] : member_.peers().peers()) {
     dump["peers"].push_back(
         {{"name", peer.info.name},
          {"address", address},
--- a/packages/daemon/node/node.h
+++ b/packages/daemon/node/node.h
@@ -5,12 +5,12 @@
 #include <memory>
 #include <nlohmann/json_fwd.hpp>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
 #include "absl/status/status.h"
 #include "common/time.h"
+#include "coordination/dissemination/member.h"
 #include "coordination/draining/drain_gate.h"
 #include "coordination/membership/peer_table.h"
 #include "coordination/rollout/manifest_holder.h"
@@ -32,8 +32,6 @@
   std::function<void(const std::vector<platform_client::Instance>&)>
       on_instances;
   std::function<routing::LoadReport()> load;
-  // Peers to exchange with besides those heard from.
-  std::function<std::set<std::string>()> addresses;
   std::function<void(nlohmann::json&)> add_to_dump;
   // Requests to the admin address that the node does not know; called on the
   // connection's thread.
@@ -55,14 +53,17 @@
   const platform_client::PlatformClient& platform() const { return platform_; }
   const settings::Settings& settings() const { return settings_; }
   // Distinguishes this process from every other.
-  const std::string& incarnation() const { return info_.incarnation; }
+  const std::string& incarnation() const { return incarnation_; }
 
   // Only on the control thread:
 
-  rollout::ManifestHolder& manifests() { return manifests_; }
-  membership::PeerTable& peers() { return peers_; }
+  const rollout::ManifestHolder& manifests() const {
+    return member_.manifests();
+  }
+  membership::PeerTable& peers() { return member_.peers(); }
   draining::DrainGate& gate() { return gate_; }
-  // Puts the manifest in force if it is newer, and tells the peers at once.
+  // A manifest that the platform accepted: puts it in force if it is newer,
+  // and tells the peers at once.
   void OfferManifest(std::shared_ptr<const rollout::VersionedManifest> offered);
   // Marks this process as leaving and tells the peers at once.
   void AnnounceLeaving();
@@ -74,22 +75,29 @@
 
  private:
   // All on the control thread.
+  void StartPlatformWatch();
   std::string OnExchange(std::string_view request);
-  void ExchangeWithPeers();
-  void ExchangeWith(const std::string& address);
+  void Tick();
+  void Execute(const dissemination::Effects& effects);
+  void Do(const dissemination::SendExchange& send);
+  void Do(const dissemination::ReadPlatform& read);
   void OnReply(const std::string& address,
+               common::Time sent,
                const absl::StatusOr<std::string>& reply);
-  void Learn(const messages::PeerExchange& exchange);
-  messages::PeerExchange OwnExchange(uint64_t receiver_version);
+  void OnUnanswered(const std::string& address, const absl::Status& status);
+  // Takes the effects of a message and shows it to the role.
+  void Take(const messages::PeerExchange& exchange,
+            const dissemination::Effects& effects);
+  dissemination::Message FromWire(const messages::PeerExchange& exchange) const;
+  messages::PeerExchange ToWire(dissemination::Message message) const;
 
   http_server::Response OnAdmin(const http_server::Request& request);
   std::string Dump();
 
   settings::Settings settings_;
-  membership::PeerInfo info_;
+  const std::string incarnation_;
   NodeHooks hooks_;
-  rollout::ManifestHolder manifests_;
-  membership::PeerTable peers_;
+  dissemination::Member member_;
   draining::DrainGate gate_;
   platform_client::PlatformClient platform_;
   // Set on the control thread when the links are about to go.
--- a/packages/daemon/node/platform_watch.cc
+++ b/packages/daemon/node/platform_watch.cc
@@ -23,16 +23,28 @@
 }
 
 void PlatformWatch::Run() {
-  do {
+  while (WaitForNextLook()) {
     const bool manifest_seen = LookForManifest();
     const bool instances_seen = LookForInstances();
-    NoteAvailability(manifest_seen && instances_seen);
-  } while (WaitForNextLook());
+    const bool available = manifest_seen && instances_seen;
+    NoteAvailability(available);
+    options_.on_looked(available);
+  }
+}
+
+void PlatformWatch::Look() {
+  {
+    const std::lock_guard lock(mutex_);
+    asked_ = true;
+  }
+  wake_.notify_all();
 }
 
 bool PlatformWatch::WaitForNextLook() {
   std::unique_lock lock(mutex_);
-  return !wake_.wait_for(lock, options_.period, [this] { return stopping_; });
+  wake_.wait(lock, [this] { return stopping_ || asked_; });
+  asked_ = false;
+  return !stopping_;
 }
 
 bool PlatformWatch::LookForManifest() {
--- a/packages/daemon/node/platform_watch.h
+++ b/packages/daemon/node/platform_watch.h
@@ -16,7 +16,6 @@
 
 struct PlatformWatchOptions {
   const platform_client::PlatformClient* platform = nullptr;
-  common::Duration period = common::seconds(1);
   // Version in force here; called on the watch's thread.
   std::function<uint64_t()> current_version;
   // A newer manifest was read; called on the watch's thread.
@@ -25,10 +24,13 @@
   // The instance list was read; called on the watch's thread.
   std::function<void(const std::vector<platform_client::Instance>&)>
       on_instances;
+  // A look ended; tells whether the platform answered. Called on the watch's
+  // thread.
+  std::function<void(bool)> on_looked;
 };
 
-// Looks at the platform's manifest row and instance list from a thread of its
-// own, so that a slow platform holds up nothing else.
+// Looks at the platform's manifest row and instance list when told to, from a
+// thread of its own, so that a slow platform holds up nothing else.
 class PlatformWatch {
  public:
   explicit PlatformWatch(PlatformWatchOptions options);
@@ -36,9 +38,12 @@
   PlatformWatch(const PlatformWatch&) = delete;
   PlatformWatch& operator=(const PlatformWatch&) = delete;
 
+  // Begins a look, unless one is under way.
+  void Look();
+
  private:
   void Run();
-  // Waits for one period; false when the watch ends.
+  // Waits until the next look is asked for; false when the watch ends.
   bool WaitForNextLook();
   bool LookForManifest();
   bool LookForInstances();
@@ -48,6 +53,7 @@
   bool available_ = true;
   std::mutex mutex_;
   std::condition_variable wake_;
+  bool asked_ = false;
   bool stopping_ = false;
   std::thread thread_;
 };
--- a/packages/protocol/messages/messages.cc
+++ b/packages/protocol/messages/messages.cc
@@ -83,7 +83,8 @@
           {"failure_domain", info.failure_domain},
           {"peer_address", info.peer_address},
           {"manifest_version", info.manifest_version},
-          {"leaving", info.leaving}};
+          {"leaving", info.leaving},
+          {"sees_platform", info.sees_platform}};
 }
 
 membership::PeerInfo PeerInfoFrom(const Json& json) {
@@ -93,7 +94,8 @@
           .failure_domain = json.at("failure_domain"),
           .peer_address = json.at("peer_address"),
           .manifest_version = json.at("manifest_version"),
-          .leaving = json.at("leaving")};
+          .leaving = json.at("leaving"),
+          .sees_platform = json.at("sees_platform")};
 }
 
 }  // namespace
