--- a/packages/daemon/endpoint/endpoint.cc
+++ b/packages/daemon/endpoint/endpoint.cc
@@ -1,7 +1,6 @@
 #include "daemon/endpoint/endpoint.h"
 
 #include <nlohmann/json.hpp>
-#include <set>
 #include <string>
 #include <utility>
 
@@ -32,7 +31,6 @@
                    .running = static_cast<uint32_t>(node_.gate().in_flight()),
                    .slots = node_.settings().engine_slots};
              },
-         .addresses = [] { return std::set<std::string>(); },
          .add_to_dump = [](nlohmann::json&) {},
          .admin = [](const http_server::Request&)
              -> std::optional<http_server::Response> { return std::nullopt; }});
