--- a/packages/daemon/endpoint/engine_stream.cc
+++ b/packages/daemon/endpoint/engine_stream.cc
@@ -25,14 +25,11 @@
 }
 
 EngineOutcome ParsePiece(const std::string& line) {
-  const Json json = Json::parse(line, nullptr, /*allow_exceptions=*/false);
-  try {
-    return EnginePiece{.tokens = json.at("tokens"),
-                       .text = json.at("text"),
-                       .last = json.at("last")};
-  } catch (const Json::exception&) {
+  auto piece = engine_line::Parse(line);
+  if (!piece.ok()) {
     return EngineFailed{};
   }
+  return *std::move(piece);
 }
 
 }  // namespace
--- a/packages/daemon/endpoint/engine_stream.h
+++ b/packages/daemon/endpoint/engine_stream.h
@@ -6,17 +6,13 @@
 #include <variant>
 
 #include "common/time.h"
+#include "protocol/engine_line/engine_line.h"
 #include "protocol/messages/messages.h"
 #include "transport/http_client/http_client.h"
 
 namespace wagtailshore::endpoint {
 
-// A piece of the engine's answer.
-struct EnginePiece {
-  uint64_t tokens = 0;
-  std::string text;
-  bool last = false;
-};
+using engine_line::EnginePiece;
 // The engine refused the work before it began.
 struct EngineRefused {
   std::optional<common::Duration> retry_after;
