--- a/tests/bench/capacity_peers.cc
+++ b/tests/bench/capacity_peers.cc
@@ -37,7 +37,8 @@
   }
 }
 
-// State per candidate and the time of a pick among all of them.
+// State per candidate, and the time of a pick among all of them and of the
+// attempt's end.
 Cost PickCost(size_t endpoints) {
   const size_t before = HeapBytesInUse();
   routing::Router router({.failure_domain = "region-1-domain-1"});
@@ -45,7 +46,10 @@
   const size_t after = HeapBytesInUse();
   return {.heap_bytes = static_cast<double>(after - before),
           .microseconds = MicrosecondsOf([&] {
-            WS_INVARIANT(router.Pick("model-1", {}, common::Time{}));
+            const auto picked =
+                router.Pick({.target = "model-1"}, common::Time{});
+            WS_INVARIANT(picked.has_value());
+            router.OnAbandoned(*picked, common::Time{});
           })};
 }
 
@@ -53,8 +57,8 @@
   routing::Router router({.failure_domain = "region-1-domain-1"});
   Fill(router, endpoints);
   const std::string name = InfoOf(endpoints / 2).name;
-  return {.microseconds =
-              MicrosecondsOf([&] { router.OnReport(name, {.running = 1}); })};
+  return {.microseconds = MicrosecondsOf(
+              [&] { router.OnReport(name, {.running = 1}, common::Time{}); })};
 }
 
 // State per peer and the time of one exchange period's walk over them.
--- a/tests/bench/topics.h
+++ b/tests/bench/topics.h
@@ -10,6 +10,7 @@
 
 // Declarations begin here.
 void Capacity(const TopicOptions& options, std::ostream& out);
+void MeasureRouting(const TopicOptions& options, std::ostream& out);
 
 }  // namespace wagtailshore::bench
 
