Endpoint: refuse attempts that are meant for another endpoint

Ruled out: comparing the model's name only, which two groups may share. Before: real_address_passed_on fails, the wrong engine began 1 generation. After: it passes, 0 generations, one print.

--- a/packages/daemon/endpoint/attempt_server.cc
+++ b/packages/daemon/endpoint/attempt_server.cc
@@ -219,6 +219,9 @@
   if (!attempt.ok() || node_.settings().engine_url.empty()) {
     return http_server::FullResponse{.status = 400, .body = "bad attempt\n"};
   }
+  if (attempt->endpoint != node_.settings().name) {
+    return Refused(std::nullopt);
+  }
   const bool full = node_.control().Call([this] { return IsFull(node_); });
   if (full && !attempt->may_wait) {
     return Busy();
@@ -251,7 +254,9 @@
   }
   const GateHold hold = TryHold(node_);
   messages::CallReply reply;
-  if (hold == nullptr) {
+  if (attempt->endpoint != node_.settings().name) {
+    reply = NotRun(attempt->id, refusal::Code::kNoEndpoint);
+  } else if (hold == nullptr) {
     reply = NotRun(attempt->id, refusal::Code::kDraining);
   } else if (attempt->dispatch.has_value()) {
     reply = RunOnce(*attempt);
--- a/packages/daemon/entry/call_run.cc
+++ b/packages/daemon/entry/call_run.cc
@@ -43,8 +43,10 @@
 
 messages::CallAttempt AttemptOf(const Admitted& admitted,
                                 const http_api::ServiceCall& call,
+                                const std::string& endpoint,
                                 const stream::AttemptId& id) {
   return {.id = id,
+          .endpoint = endpoint,
           .customer = admitted.customer,
           .service = call.service,
           .call = call.call,
@@ -94,7 +96,7 @@
       return exchange_.OnNoEndpoint(now);
     }
     endpoint_ = *picked;
-    attempt_ = AttemptOf(admitted_, call_, start.id);
+    attempt_ = AttemptOf(admitted_, call_, endpoint_.name, start.id);
     return exchange_.OnSent(endpoint_.name, now);
   }
 
@@ -208,7 +210,7 @@
       return claims::NoEndpoint{};
     }
     messages::CallAttempt attempt =
-        AttemptOf(admitted_, call_,
+        AttemptOf(admitted_, call_, picked->name,
                   {.request = admitted_.request, .attempt = ++attempts_});
     attempt.idempotency_key = idempotency_key_;
     attempt.dispatch = dispatch;
--- a/packages/daemon/entry/generate_run.cc
+++ b/packages/daemon/entry/generate_run.cc
@@ -132,6 +132,7 @@
   }
   const messages::GenerateAttempt attempt{
       .id = start.id,
+      .endpoint = endpoint_.name,
       .customer = admitted_.customer,
       .model = call_.model,
       .prompt = call_.prompt,
--- a/packages/protocol/messages/messages.cc
+++ b/packages/protocol/messages/messages.cc
@@ -102,6 +102,7 @@
 
 std::string Encode(const GenerateAttempt& message) {
   return Pack({{"id", ToJson(message.id)},
+               {"endpoint", message.endpoint},
                {"customer", message.customer},
                {"model", message.model},
                {"prompt", Bytes(message.prompt)},
@@ -116,6 +117,7 @@
 absl::StatusOr<GenerateAttempt> DecodeGenerateAttempt(std::string_view bytes) {
   return Decode<GenerateAttempt>(bytes, [](const Json& json) {
     return GenerateAttempt{.id = AttemptIdFrom(json.at("id")),
+                           .endpoint = json.at("endpoint"),
                            .customer = json.at("customer"),
                            .model = json.at("model"),
                            .prompt = FromBytes(json.at("prompt")),
@@ -130,6 +132,7 @@
 
 std::string Encode(const CallAttempt& message) {
   Json json = {{"id", ToJson(message.id)},
+               {"endpoint", message.endpoint},
                {"customer", message.customer},
                {"service", message.service},
                {"call", message.call},
@@ -146,6 +149,7 @@
   return Decode<CallAttempt>(bytes, [](const Json& json) {
     CallAttempt message{
         .id = AttemptIdFrom(json.at("id")),
+        .endpoint = json.at("endpoint"),
         .customer = json.at("customer"),
         .service = json.at("service"),
         .call = json.at("call"),
--- a/packages/protocol/messages/messages.h
+++ b/packages/protocol/messages/messages.h
@@ -27,6 +27,8 @@
 // An entry asks an endpoint to generate a part of an answer.
 struct GenerateAttempt {
   stream::AttemptId id;
+  // Name of the endpoint that is meant: addresses pass to other instances.
+  std::string endpoint;
   std::string customer;
   std::string model;
   std::string prompt;
@@ -44,6 +46,8 @@
 // An entry asks an endpoint to call its plain service.
 struct CallAttempt {
   stream::AttemptId id;
+  // Name of the endpoint that is meant.
+  std::string endpoint;
   std::string customer;
   std::string service;
   std::string call;
--- a/tests/e2e/deployment.cc
+++ b/tests/e2e/deployment.cc
@@ -3,6 +3,7 @@
 #include <signal.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <thread>
 #include <utility>
@@ -137,9 +138,14 @@
   return command;
 }
 
-void Deployment::Launch(const std::string& name) {
+void Deployment::Launch(const std::string& name, const std::string& new_name) {
+  std::vector<std::string> command = CommandFor(name);
+  if (!new_name.empty()) {
+    std::replace(command.begin(), command.end(), "--name=" + name,
+                 "--name=" + new_name);
+  }
   processes_[name] = std::make_unique<ChildProcess>(
-      CommandFor(name), common::StrCat(log_folder_, "/", name, ".log"));
+      command, common::StrCat(log_folder_, "/", name, ".log"));
 }
 
 absl::Status Deployment::Start() {
@@ -180,9 +186,10 @@
   return found == processes_.end() ? nullptr : found->second.get();
 }
 
-absl::Status Deployment::Restart(const std::string& name) {
+absl::Status Deployment::Restart(const std::string& name,
+                                 const std::string& new_name) {
   processes_.erase(name);
-  Launch(name);
+  Launch(name, new_name);
   const bool standin = IsKind(name, "platform") || IsKind(name, "service") ||
                        IsKind(name, "engine");
   if (!standin && !WaitUntilOk(AdminUrl(name) + "/healthz", kStartTimeout)) {
--- a/tests/e2e/deployment.h
+++ b/tests/e2e/deployment.h
@@ -40,8 +40,9 @@
 
   // The process called `name`, or null.
   ChildProcess* Find(const std::string& name);
-  // Ends the process, if it still runs, and starts it anew.
-  absl::Status Restart(const std::string& name);
+  // Ends the process, if it still runs, and starts it anew at the same
+  // addresses; as another instance if `new_name` is not empty.
+  absl::Status Restart(const std::string& name, const std::string& new_name);
 
   std::string CallerUrl(const std::string& entry) const;
   std::string AdminUrl(const std::string& name) const;
@@ -57,7 +58,7 @@
 
  private:
   std::string Address(const std::string& name, int port) const;
-  void Launch(const std::string& name);
+  void Launch(const std::string& name, const std::string& new_name = "");
   std::vector<std::string> CommandFor(const std::string& name) const;
   std::vector<std::string> DaemonCommand(const std::string& name,
                                          const std::string& role) const;
--- a/tests/e2e/process_world.cc
+++ b/tests/e2e/process_world.cc
@@ -162,7 +162,7 @@
 }
 
 absl::Status ProcessWorld::DoRestart(const Command& command) {
-  return deployment_->Restart(Word(command, 0));
+  return deployment_->Restart(Word(command, 0), Option(command, "as"));
 }
 
 absl::Status ProcessWorld::DoPlatform(const Command& command) {
--- a/tests/e2e/process_world.h
+++ b/tests/e2e/process_world.h
@@ -20,7 +20,7 @@
 //   print NAME entry=E key=K [badge=B] [customer=two]   badge: else the key
 //   look_up NAME entry=E key=K               ask for a past outcome
 //   kill|term|freeze|thaw PROCESS...
-//   restart PROCESS
+//   restart PROCESS [as=NAME]                NAME: another instance's name
 //   platform none|down|lose_answers
 //   submit entry=E base=V [phase=P]          must be accepted
 //   expect complete NAME                     the whole and own answer
--- a/tests/unit/protocol/messages/messages_test.cc
+++ b/tests/unit/protocol/messages/messages_test.cc
@@ -8,6 +8,7 @@
 
 TEST(MessagesTest, GenerateAttemptComesBackWhole) {
   const GenerateAttempt sent{.id = {"r", 3},
+                             .endpoint = "e",
                              .customer = "c",
                              .model = "m",
                              .prompt = std::string("p\0\xff", 3),
@@ -19,6 +20,7 @@
   const auto received = DecodeGenerateAttempt(Encode(sent));
   ASSERT_TRUE(received.ok()) << received.status();
   EXPECT_EQ(received->id, sent.id);
+  EXPECT_EQ(received->endpoint, sent.endpoint);
   EXPECT_EQ(received->prompt, sent.prompt);
   EXPECT_EQ(received->offset, sent.offset);
   EXPECT_EQ(received->text_so_far, sent.text_so_far);
