--- a/tests/unit/transport/control_loop/control_loop_test.cc
+++ b/tests/unit/transport/control_loop/control_loop_test.cc
@@ -18,6 +18,7 @@
     const auto control_thread =
         loop.Call([] { return std::this_thread::get_id(); });
     std::vector<std::thread> threads;
+    threads.reserve(kThreads);
     for (int i = 0; i < kThreads; ++i) {
       threads.emplace_back([&] {
         for (int j = 0; j < kCalls; ++j) {
