--- a/tests/bench/topics.h
+++ b/tests/bench/topics.h
@@ -12,6 +12,7 @@
 void MeasureOverload(const TopicOptions& options, std::ostream& out);
 void MeasureRouting(const TopicOptions& options, std::ostream& out);
 void Capacity(const TopicOptions& options, std::ostream& out);
+void MeasurePlacement(const TopicOptions& options, std::ostream& out);
 
 }  // namespace wagtailshore::bench
 
