Protocol: refuse numbers out of range and deep claim rows

Whole numbers are now read by common::IntegerFrom; the depth check moves to common and claim rows pass it.

--- a/packages/protocol/messages/depth_check.cc
+++ b/packages/common/msgpack_depth.cc
@@ -1,8 +1,8 @@
-#include "protocol/messages/depth_check.h"
+#include "common/msgpack_depth.h"
 
 #include <nlohmann/json.hpp>
 
-namespace wagtailshore::messages {
+namespace wagtailshore::common {
 namespace {
 
 using Json = nlohmann::json;
@@ -48,4 +48,4 @@
   return Json::sax_parse(bytes, &counter, Json::input_format_t::msgpack);
 }
 
-}  // namespace wagtailshore::messages
+}  // namespace wagtailshore::common
--- a/packages/protocol/messages/depth_check.h
+++ b/packages/common/msgpack_depth.h
@@ -1,15 +1,15 @@
-#ifndef PROTOCOL_MESSAGES_DEPTH_CHECK_H_
-#define PROTOCOL_MESSAGES_DEPTH_CHECK_H_
+#ifndef COMMON_MSGPACK_DEPTH_H_
+#define COMMON_MSGPACK_DEPTH_H_
 
 #include <string_view>
 
-namespace wagtailshore::messages {
+namespace wagtailshore::common {
 
 // Whether `bytes` is msgpack nested no deeper than any of our messages. The
 // library's decoder recurses once per level, so deeper input could exhaust
 // the stack.
 bool NestsWithinLimit(std::string_view bytes);
 
-}  // namespace wagtailshore::messages
+}  // namespace wagtailshore::common
 
-#endif  // PROTOCOL_MESSAGES_DEPTH_CHECK_H_
+#endif  // COMMON_MSGPACK_DEPTH_H_
--- a/packages/coordination/claims/claim_row.cc
+++ b/packages/coordination/claims/claim_row.cc
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 
 #include "common/digest.h"
+#include "common/json_integer.h"
+#include "common/msgpack_depth.h"
 #include "common/strings.h"
 
 namespace wagtailshore::claims {
@@ -31,6 +33,9 @@
 }
 
 absl::StatusOr<ClaimRow> Parse(const std::string& value) {
+  if (!common::NestsWithinLimit(value)) {
+    return absl::DataLossError("claim row: not msgpack, or nested too deep");
+  }
   try {
     const nlohmann::json json = nlohmann::json::from_msgpack(value);
     const auto state = common::ValueOf(
@@ -39,15 +44,16 @@
       return absl::DataLossError("claim row: unknown state");
     }
     ClaimRow row{.state = *state,
-                 .attempt = json.at("attempt").get<uint32_t>(),
+                 .attempt = common::IntegerFrom<uint32_t>(json.at("attempt")),
                  .request_digest = json.at("request_digest")};
     if (row.state == ClaimState::kDone) {
       const auto& body = json.at("answer").at("body").get_binary();
-      row.answer.status = json.at("answer").at("status");
+      row.answer.status =
+          common::IntegerFrom<int>(json.at("answer").at("status"));
       row.answer.body.assign(body.begin(), body.end());
     }
     return row;
-  } catch (const nlohmann::json::exception& error) {
+  } catch (const std::exception& error) {
     return absl::DataLossError(common::StrCat("claim row: ", error.what()));
   }
 }
--- a/packages/protocol/messages/messages.cc
+++ b/packages/protocol/messages/messages.cc
@@ -4,12 +4,14 @@
 #include <stdexcept>
 #include <utility>
 
-#include "protocol/messages/depth_check.h"
+#include "common/json_integer.h"
+#include "common/msgpack_depth.h"
 
 namespace wagtailshore::messages {
 namespace {
 
 using Json = nlohmann::json;
+using common::IntegerFrom;
 
 constexpr size_t kSizeBytes = 4;
 constexpr int kBitsPerByte = 8;
@@ -41,7 +43,7 @@
 // Runs `build` on the decoded message and turns every fault into a status.
 template <typename Message, typename Build>
 absl::StatusOr<Message> Decode(std::string_view bytes, Build build) {
-  if (!NestsWithinLimit(bytes)) {
+  if (!common::NestsWithinLimit(bytes)) {
     return absl::InvalidArgumentError("not a message, or nested too deep");
   }
   try {
@@ -56,7 +58,8 @@
 }
 
 stream::AttemptId AttemptIdFrom(const Json& json) {
-  return {.request = json.at("request"), .attempt = json.at("attempt")};
+  return {.request = json.at("request"),
+          .attempt = IntegerFrom<uint32_t>(json.at("attempt"))};
 }
 
 Json ToJson(const claims::Dispatch& dispatch) {
@@ -72,7 +75,7 @@
     throw std::invalid_argument(std::string(row.status().message()));
   }
   return {.row_key = json.at("row_key"),
-          .row_version = json.at("row_version"),
+          .row_version = IntegerFrom<uint64_t>(json.at("row_version")),
           .row = *std::move(row)};
 }
 
@@ -87,13 +90,14 @@
 }
 
 membership::PeerInfo PeerInfoFrom(const Json& json) {
-  return {.name = json.at("name"),
-          .incarnation = json.at("incarnation"),
-          .role = EnumFrom(json.at("role"), membership::kRoleNames),
-          .failure_domain = json.at("failure_domain"),
-          .peer_address = json.at("peer_address"),
-          .manifest_version = json.at("manifest_version"),
-          .leaving = json.at("leaving")};
+  return {
+      .name = json.at("name"),
+      .incarnation = json.at("incarnation"),
+      .role = EnumFrom(json.at("role"), membership::kRoleNames),
+      .failure_domain = json.at("failure_domain"),
+      .peer_address = json.at("peer_address"),
+      .manifest_version = IntegerFrom<uint64_t>(json.at("manifest_version")),
+      .leaving = json.at("leaving")};
 }
 
 }  // namespace
@@ -113,16 +117,17 @@
 
 absl::StatusOr<GenerateAttempt> DecodeGenerateAttempt(std::string_view bytes) {
   return Decode<GenerateAttempt>(bytes, [](const Json& json) {
-    return GenerateAttempt{.id = AttemptIdFrom(json.at("id")),
-                           .customer = json.at("customer"),
-                           .model = json.at("model"),
-                           .prompt = FromBytes(json.at("prompt")),
-                           .offset = json.at("offset"),
-                           .text_so_far = FromBytes(json.at("text_so_far")),
-                           .max_tokens = json.at("max_tokens"),
-                           .deadline_ms = json.at("deadline_ms"),
-                           .priority = json.at("priority"),
-                           .may_wait = json.at("may_wait")};
+    return GenerateAttempt{
+        .id = AttemptIdFrom(json.at("id")),
+        .customer = json.at("customer"),
+        .model = json.at("model"),
+        .prompt = FromBytes(json.at("prompt")),
+        .offset = IntegerFrom<uint64_t>(json.at("offset")),
+        .text_so_far = FromBytes(json.at("text_so_far")),
+        .max_tokens = IntegerFrom<uint64_t>(json.at("max_tokens")),
+        .deadline_ms = IntegerFrom<int64_t>(json.at("deadline_ms")),
+        .priority = json.at("priority"),
+        .may_wait = json.at("may_wait")};
   });
 }
 
@@ -149,7 +154,7 @@
         .call = json.at("call"),
         .body = FromBytes(json.at("body")),
         .idempotency_key = FromBytes(json.at("idempotency_key")),
-        .deadline_ms = json.at("deadline_ms"),
+        .deadline_ms = IntegerFrom<int64_t>(json.at("deadline_ms")),
         .dispatch = std::nullopt};
     if (json.contains("dispatch")) {
       message.dispatch = DispatchFrom(json.at("dispatch"));
@@ -169,12 +174,13 @@
 
 absl::StatusOr<CallReply> DecodeCallReply(std::string_view bytes) {
   return Decode<CallReply>(bytes, [](const Json& json) {
-    return CallReply{.id = AttemptIdFrom(json.at("id")),
-                     .result = EnumFrom(json.at("result"), kCallResultNames),
-                     .answer = {.status = json.at("status"),
-                                .body = FromBytes(json.at("body"))},
-                     .code = EnumFrom(json.at("code"), refusal::kCodeNames),
-                     .retry_after_ms = json.at("retry_after_ms")};
+    return CallReply{
+        .id = AttemptIdFrom(json.at("id")),
+        .result = EnumFrom(json.at("result"), kCallResultNames),
+        .answer = {.status = IntegerFrom<int>(json.at("status")),
+                   .body = FromBytes(json.at("body"))},
+        .code = EnumFrom(json.at("code"), refusal::kCodeNames),
+        .retry_after_ms = IntegerFrom<int64_t>(json.at("retry_after_ms"))};
   });
 }
 
@@ -193,17 +199,18 @@
 
 absl::StatusOr<PeerExchange> DecodePeerExchange(std::string_view bytes) {
   return Decode<PeerExchange>(bytes, [](const Json& json) {
-    PeerExchange message{.info = PeerInfoFrom(json.at("info")),
-                         .load = {.queued = json.at("queued"),
-                                  .running = json.at("running"),
-                                  .slots = json.at("slots")},
-                         .manifest = std::nullopt,
-                         .entries = json.at("entries")};
+    PeerExchange message{
+        .info = PeerInfoFrom(json.at("info")),
+        .load = {.queued = IntegerFrom<uint32_t>(json.at("queued")),
+                 .running = IntegerFrom<uint32_t>(json.at("running")),
+                 .slots = IntegerFrom<uint32_t>(json.at("slots"))},
+        .manifest = std::nullopt,
+        .entries = json.at("entries")};
     if (json.contains("manifest")) {
       const Json& manifest = json.at("manifest");
-      message.manifest =
-          ManifestTransfer{.version = manifest.at("version"),
-                           .body = FromBytes(manifest.at("body"))};
+      message.manifest = ManifestTransfer{
+          .version = IntegerFrom<uint64_t>(manifest.at("version")),
+          .body = FromBytes(manifest.at("body"))};
     }
     return message;
   });
@@ -220,8 +227,8 @@
 absl::StatusOr<stream::Frame> DecodeFrame(std::string_view bytes) {
   return Decode<stream::Frame>(bytes, [](const Json& json) {
     return stream::Frame{.id = AttemptIdFrom(json.at("id")),
-                         .offset = json.at("offset"),
-                         .tokens = json.at("tokens"),
+                         .offset = IntegerFrom<uint64_t>(json.at("offset")),
+                         .tokens = IntegerFrom<uint64_t>(json.at("tokens")),
                          .text = FromBytes(json.at("text")),
                          .last = json.at("last")};
   });
--- a/tests/unit/protocol/messages/messages_test.cc
+++ b/tests/unit/protocol/messages/messages_test.cc
@@ -3,9 +3,16 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <nlohmann/json.hpp>
+
 namespace wagtailshore::messages {
 namespace {
 
+std::string Pack(const nlohmann::json& json) {
+  const std::vector<uint8_t> bytes = nlohmann::json::to_msgpack(json);
+  return {bytes.begin(), bytes.end()};
+}
+
 TEST(MessagesTest, GenerateAttemptComesBackWhole) {
   const GenerateAttempt sent{.id = {"r", 3},
                              .customer = "c",
@@ -38,6 +45,39 @@
   EXPECT_EQ(received->entries, sent.entries);
 }
 
+TEST(MessagesTest, AClaimRowNestedDeepInACallIsRefused) {
+  CallAttempt sent{.dispatch = claims::Dispatch{.row_key = "k"}};
+  auto json = nlohmann::json::from_msgpack(Encode(sent));
+  // Each byte 0x91 opens an array with one item.
+  json["dispatch"]["row"] =
+      nlohmann::json::binary(std::vector<uint8_t>(1 << 20, 0x91));
+  EXPECT_FALSE(DecodeCallAttempt(Pack(json)).ok());
+}
+
+struct OddNumber {
+  const char* field;
+  nlohmann::json value;
+};
+
+class OddNumberTest : public testing::TestWithParam<OddNumber> {};
+
+TEST_P(OddNumberTest, IsRefused) {
+  auto json = nlohmann::json::from_msgpack(
+      Encode(stream::Frame{.id = {"r", 1}, .text = "text"}));
+  ASSERT_TRUE(DecodeFrame(Pack(json)).ok());
+  json[nlohmann::json::json_pointer(GetParam().field)] = GetParam().value;
+  EXPECT_FALSE(DecodeFrame(Pack(json)).ok());
+}
+
+INSTANTIATE_TEST_SUITE_P(Frame,
+                         OddNumberTest,
+                         testing::Values(OddNumber{"/id/attempt", -1},
+                                         OddNumber{"/id/attempt", 1LL << 32},
+                                         OddNumber{"/id/attempt", -1e300},
+                                         OddNumber{"/offset", -1},
+                                         OddNumber{"/tokens", 1.5},
+                                         OddNumber{"/tokens", true}));
+
 TEST(MessagesTest, DeepNestingIsRefused) {
   // Each byte 0x91 opens an array with one item.
   const std::string bytes(1 << 20, '\x91');
