--- a/tests/bench/capacity_manifest.cc
+++ b/tests/bench/capacity_manifest.cc
@@ -24,7 +24,19 @@
                         ":", port);
 }
 
-manifest::Manifest ManifestOf(size_t endpoints, size_t customers) {
+}  // namespace
+
+std::string PeerAddress(size_t number) {
+  return Address(number, 7200);
+}
+
+std::string FailureDomain(size_t number, size_t domains) {
+  return common::StrCat("region-1-domain-", number % domains);
+}
+
+manifest::Manifest ManifestOf(size_t endpoints,
+                              size_t customers,
+                              size_t domains) {
   manifest::Manifest manifest;
   for (size_t i = 0; i < kModels; ++i) {
     manifest.groups.push_back({.name = common::StrCat("model-", i, "-group"),
@@ -42,10 +54,9 @@
   for (size_t i = 0; i < endpoints; ++i) {
     manifest.endpoints.push_back(
         {.name = common::StrCat("endpoint-", i),
-         .failure_domain =
-             common::StrCat("region-1-domain-", i % kFailureDomains),
+         .failure_domain = FailureDomain(i, domains),
          .traffic_address = Address(i, 7100),
-         .peer_address = Address(i, 7200),
+         .peer_address = PeerAddress(i),
          .duty = manifest::GroupRank{
              .group = common::StrCat("model-", i % kModels, "-group"),
              .rank = static_cast<int>(i / kModels)}});
@@ -53,6 +64,8 @@
   return manifest;
 }
 
+namespace {
+
 // Heap and time of the parsed manifest, bytes of its text.
 Cost ParseCost(const manifest::Manifest& manifest) {
   const std::string text = manifest_codec::Format(manifest);
@@ -74,7 +87,8 @@
 }
 
 Cost LookUpCost(size_t customers) {
-  const manifest::Manifest manifest = ManifestOf(kFewEndpoints, customers);
+  const manifest::Manifest manifest =
+      ManifestOf(kFewEndpoints, customers, kFailureDomains);
   const std::string& key = manifest.customers.back().key_sha256;
   const size_t before = HeapBytesInUse();
   const manifest::CustomerIndex index(manifest);
@@ -91,11 +105,15 @@
       {"manifest endpoint",
        "endpoints",
        {14, 350, 1400},
-       [](size_t n) { return ParseCost(ManifestOf(n, kFewCustomers)); }},
+       [](size_t n) {
+         return ParseCost(ManifestOf(n, kFewCustomers, kFailureDomains));
+       }},
       {"manifest customer",
        "customers",
        {10, 1000, 5400},
-       [](size_t n) { return ParseCost(ManifestOf(kFewEndpoints, n)); }},
+       [](size_t n) {
+         return ParseCost(ManifestOf(kFewEndpoints, n, kFailureDomains));
+       }},
       {"manifest digest", "bytes", {10'000, 100'000, 1'000'000}, &DigestCost},
       {"customer look-up", "customers", {10, 1000, 5400}, &LookUpCost},
   };
--- a/tests/bench/capacity_peers.cc
+++ b/tests/bench/capacity_peers.cc
@@ -1,9 +1,14 @@
-#include <set>
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <optional>
 #include <string>
+#include <variant>
 
 #include "bench/capacity.h"
 #include "common/invariant.h"
 #include "common/strings.h"
+#include "coordination/dissemination/member.h"
 #include "coordination/membership/peer_table.h"
 #include "protocol/messages/messages.h"
 #include "state/routing/router.h"
@@ -11,21 +16,16 @@
 namespace wagtailshore::bench::capacity {
 namespace {
 
-constexpr common::Duration kPeerHorizon = common::seconds(60);
+// Members of one failure domain at the target, endpoints and entries.
+constexpr size_t kMembersPerDomain = 90;
+constexpr size_t kEndpointsPerDomain = 70;
 constexpr size_t kFailureDomains = 20;
 
-std::string PeerAddress(size_t number) {
-  constexpr size_t kNumbers = 250;
-  return common::StrCat("10.1.", number / kNumbers, ".", number % kNumbers + 1,
-                        ":7200");
-}
-
 membership::PeerInfo InfoOf(size_t number) {
   return {.name = common::StrCat("endpoint-", number),
           .incarnation = "0123456789abcdef0123456789abcdef",
           .role = membership::Role::kEndpoint,
-          .failure_domain =
-              common::StrCat("region-1-domain-", number % kFailureDomains),
+          .failure_domain = FailureDomain(number, kFailureDomains),
           .peer_address = PeerAddress(number),
           .manifest_version = 1100};
 }
@@ -61,19 +61,93 @@
               [&] { router.OnReport(name, {.running = 1}, common::Time{}); })};
 }
 
-// State per peer and the time of one exchange period's walk over them.
-Cost PeerTableCost(size_t peers) {
-  const size_t before = HeapBytesInUse();
-  membership::PeerTable table;
-  for (size_t i = 0; i < peers; ++i) {
-    table.OnHeard(InfoOf(i), common::Time{});
+// One process among others that answer it at once.
+class Membership {
+ public:
+  Membership(size_t members, membership::Role role)
+      : domains_(std::max<size_t>(1, members / kMembersPerDomain)),
+        endpoints_(members * kEndpointsPerDomain / kMembersPerDomain) {
+    for (size_t i = 0; i < members; ++i) {
+      membership::PeerInfo info = InfoOf(i);
+      info.role = i < endpoints_ ? membership::Role::kEndpoint
+                                 : membership::Role::kEntry;
+      info.failure_domain = FailureDomain(i, domains_);
+      infos_[info.peer_address] = info;
+    }
+    const size_t own = role == membership::Role::kEndpoint ? 0 : endpoints_;
+    const membership::PeerInfo& info = infos_.at(PeerAddress(own));
+    member_.emplace(info, dissemination::PlannerOptions{
+                              .address = info.peer_address,
+                              .failure_domain = info.failure_domain,
+                              .role = role});
+    manifest::Manifest manifest = ManifestOf(endpoints_, 1, domains_);
+    manifest.version = info.manifest_version;
+    member_->OnAccepted(std::make_shared<const rollout::VersionedManifest>(
+                            rollout::VersionedManifest{.manifest = manifest}),
+                        now_);
+    for (const auto& [address, peer] : infos_) {
+      if (address != info.peer_address) {
+        member_->OnRequest({.info = peer}, now_);
+      }
+    }
+  }
+
+  // One tick; returns the bytes of the requests that it sent.
+  size_t Tick() {
+    now_ += dissemination::kTickPeriod;
+    size_t bytes = 0;
+    for (const auto& action : member_->OnTick(now_).actions) {
+      if (std::holds_alternative<dissemination::ReadPlatform>(action)) {
+        member_->OnPlatformRead(true);
+        continue;
+      }
+      const auto& send = std::get<dissemination::SendExchange>(action);
+      const dissemination::Message message = member_->MessageFor(send, now_);
+      bytes +=
+          messages::Encode(messages::PeerExchange{.info = message.info,
+                                                  .entries = message.entries})
+              .size();
+      member_->OnReply({.info = infos_.at(send.address)}, now_, now_);
+    }
+    return bytes;
   }
+
+ private:
+  size_t domains_;
+  size_t endpoints_;
+  std::map<std::string, membership::PeerInfo> infos_;
+  std::optional<dissemination::Member> member_;
+  common::Time now_{common::seconds(1000)};
+};
+
+// State, bytes of requests a second, and time a second of one process's ticks,
+// among this many members in all failure domains.
+Cost MembershipCost(size_t members, membership::Role role) {
+  constexpr size_t kTicksPerSecond = 10;
+  constexpr size_t kSeconds = 70;
+  const size_t before = HeapBytesInUse();
+  Membership membership(members, role);
   const size_t after = HeapBytesInUse();
+  // Peers that are not exchanged with are forgotten within this time.
+  for (size_t i = 0; i < kSeconds * kTicksPerSecond; ++i) {
+    membership.Tick();
+  }
+  size_t bytes = 0;
+  for (size_t i = 0; i < kSeconds * kTicksPerSecond; ++i) {
+    bytes += membership.Tick();
+  }
   return {.heap_bytes = static_cast<double>(after - before),
-          .microseconds = MicrosecondsOf([&] {
-            table.Expire(common::Time{}, kPeerHorizon);
-            (void)table.Addresses(common::Time{}, kPeerHorizon);
-          })};
+          .wire_bytes = static_cast<double>(bytes) / kSeconds,
+          .microseconds =
+              MicrosecondsOf([&] { membership.Tick(); }) * kTicksPerSecond};
+}
+
+Cost EntryMembershipCost(size_t members) {
+  return MembershipCost(members, membership::Role::kEntry);
+}
+
+Cost EndpointMembershipCost(size_t members) {
+  return MembershipCost(members, membership::Role::kEndpoint);
 }
 
 // Encoding a request and decoding its reply: what one side of an exchange
@@ -107,7 +181,14 @@
   return {
       {"router pick", "endpoints", {15, 70, 350, 1400}, &PickCost},
       {"router report", "endpoints", {15, 70, 350, 1400}, &ReportCost},
-      {"peer table", "peers", {20, 90, 450, 1800}, &PeerTableCost},
+      {"entry a second",
+       "members",
+       {18, 45, 90, 450, 1800},
+       &EntryMembershipCost},
+      {"endpoint a second",
+       "members",
+       {18, 45, 90, 450, 1800},
+       &EndpointMembershipCost},
       {"exchange", "entries", {0, 6, 20, 400}, &ExchangeOfEntries},
       {"exchange + manifest",
        "bytes",
--- a/tests/bench/topics.h
+++ b/tests/bench/topics.h
@@ -9,8 +9,9 @@
 namespace wagtailshore::bench {
 
 // Declarations begin here.
-void Capacity(const TopicOptions& options, std::ostream& out);
+void MeasureOverload(const TopicOptions& options, std::ostream& out);
 void MeasureRouting(const TopicOptions& options, std::ostream& out);
+void Capacity(const TopicOptions& options, std::ostream& out);
 
 }  // namespace wagtailshore::bench
 
--- a/tests/e2e/process_world.cc
+++ b/tests/e2e/process_world.cc
@@ -127,7 +127,7 @@
           .key = Option(command, "customer", "one") == "two" ? kOtherCustomerKey
                                                              : kCustomerKey,
           .idempotency_key = Option(command, "key"),
-          .badge = Option(command, "badge", "7")};
+          .badge = Option(command, "badge", Option(command, "key"))};
 }
 
 absl::Status ProcessWorld::DoPrint(const Command& command) {
@@ -259,7 +259,8 @@
   if (!runs.ok()) {
     return runs.status();
   }
-  const int64_t count = runs->value(Option(command, "key"), int64_t{0});
+  const std::string badge = Json(Option(command, "badge")).dump();
+  const int64_t count = runs->value(badge, int64_t{0});
   return count == Number(command, "count")
              ? absl::OkStatus()
              : Failed(common::StrCat("it ran ", count, " times"));
