BucketLeases: decide calls by leased key buckets while the table is away

Keys fall into buckets, each leased through a row to one endpoint process, which alone decides, in memory, and writes its records behind. The lease counts from the sending of the write; another process takes a held bucket over only after lease and drift bound, and then answers unknown to every key without a record, since the owner before may have run it. A bucket that was given back carries all its records over and goes on as before.

--- /dev/null
+++ b/packages/coordination/bucket_leases/bucket_row.cc
@@ -0,0 +1,68 @@
+#include "coordination/bucket_leases/bucket_row.h"
+
+#include <nlohmann/json.hpp>
+
+#include "common/strings.h"
+
+namespace wagtailshore::bucket_leases {
+namespace {
+
+using Json = nlohmann::json;
+
+Json ToJson(const Record& record) {
+  Json json = {{"state", common::NameOf(kRecordStateNames, record.state)}};
+  if (record.state == RecordState::kDone) {
+    json["status"] = record.answer.status;
+    json["body"] =
+        Json::binary({record.answer.body.begin(), record.answer.body.end()});
+  }
+  return json;
+}
+
+// Throws what nlohmann-json throws; a state without a name is kUnknown.
+Record RecordFrom(const Json& json) {
+  Record record{
+      .state = common::ValueOf(kRecordStateNames,
+                               json.at("state").get_ref<const std::string&>())
+                   .value_or(RecordState::kUnknown)};
+  if (record.state == RecordState::kDone) {
+    const auto& body = json.at("body").get_binary();
+    record.answer = {.status = json.at("status"),
+                     .body = {body.begin(), body.end()}};
+  }
+  return record;
+}
+
+}  // namespace
+
+std::string Serialize(const BucketRow& row) {
+  Json json = {{"owner", row.owner},
+               {"epoch", row.epoch},
+               {"held", row.held},
+               {"barred", row.barred},
+               {"records", Json::object()}};
+  for (const auto& [key, record] : row.records) {
+    json["records"][key] = ToJson(record);
+  }
+  const std::vector<uint8_t> bytes = Json::to_msgpack(json);
+  return {bytes.begin(), bytes.end()};
+}
+
+absl::StatusOr<BucketRow> Parse(const std::string& value) {
+  try {
+    const Json json = Json::from_msgpack(value);
+    BucketRow row{.owner = json.at("owner"),
+                  .epoch = json.at("epoch"),
+                  .held = json.at("held"),
+                  .barred = json.at("barred"),
+                  .records = {}};
+    for (const auto& [key, record] : json.at("records").items()) {
+      row.records[key] = RecordFrom(record);
+    }
+    return row;
+  } catch (const Json::exception& error) {
+    return absl::DataLossError(common::StrCat("bucket row: ", error.what()));
+  }
+}
+
+}  // namespace wagtailshore::bucket_leases
--- a/tests/support/random_calls.cc
+++ b/tests/support/random_calls.cc
@@ -110,19 +110,28 @@
       break;
     case 3:
     case 4:
-      world_.KillEndpoint(endpoint);
-      world_.events().After(Milliseconds(50, 5000), [this, endpoint] {
-        world_.RestartEndpoint(endpoint);
-      });
+      ReplaceEndpoint(endpoint);
       break;
     case 5:
-      world_.PauseEndpoint(endpoint, Milliseconds(100, 20000));
+      world_.PauseEndpoint(endpoint, Milliseconds(100, 40000));
       break;
     default:
       world_.SetDraining(endpoint, Number(2) == 0);
   }
 }
 
+void RandomCalls::ReplaceEndpoint(int endpoint) {
+  common::Duration restart_after = Milliseconds(50, 5000);
+  if (endpoints_ == Endpoints::kDie) {
+    world_.KillEndpoint(endpoint);
+  } else {
+    world_.SetDraining(endpoint, true);
+    restart_after += common::seconds(10);
+  }
+  world_.events().After(restart_after,
+                        [this, endpoint] { world_.RestartEndpoint(endpoint); });
+}
+
 void RandomCalls::HealAll() {
   world_.faults().Heal();
   world_.faults().set_store_down(false);
--- a/tests/support/random_calls.h
+++ b/tests/support/random_calls.h
@@ -15,7 +15,13 @@
 // with processes, links and the table failing at random.
 class RandomCalls {
  public:
-  RandomCalls(CallWorld& world, uint64_t seed) : world_(world), dice_(seed) {}
+  // Whether endpoint processes die, or are drained before they are replaced.
+  enum class Endpoints { kDie, kDrain };
+
+  RandomCalls(CallWorld& world,
+              uint64_t seed,
+              Endpoints endpoints = Endpoints::kDie)
+      : world_(world), dice_(seed), endpoints_(endpoints) {}
 
   // Runs for `time` with faults, then heals everything and lets every request
   // reach its deadline.
@@ -26,12 +32,14 @@
   common::Duration Milliseconds(int low, int high);
   void Disturb();
   void DisturbProcess();
+  void ReplaceEndpoint(int endpoint);
   void NewRequest();
   void SendAgain(const CallKey& key, int sendings_left);
   void HealAll();
 
   CallWorld& world_;
   std::mt19937_64 dice_;
+  Endpoints endpoints_;
   int next_key_ = 0;
 };
 
