--- a/packages/daemon/endpoint/endpoint.cc
+++ b/packages/daemon/endpoint/endpoint.cc
@@ -1,7 +1,6 @@
 #include "daemon/endpoint/endpoint.h"
 
 #include <nlohmann/json.hpp>
-#include <set>
 #include <string>
 #include <utility>
 
@@ -29,9 +28,9 @@
          .load =
              [this] {
                return routing::LoadReport{
-                   .running = static_cast<uint32_t>(node_.gate().in_flight())};
+                   .running = static_cast<uint32_t>(node_.gate().in_flight()),
+                   .slots = node_.settings().engine_slots};
              },
-         .addresses = [] { return std::set<std::string>(); },
          .add_to_dump = [](nlohmann::json&) {},
          .admin = [](const http_server::Request&)
              -> std::optional<http_server::Response> { return std::nullopt; }});
@@ -41,7 +40,7 @@
     const settings::Settings& settings = node_.settings();
     auto server =
         http_server::Server::Start({.address = settings.traffic_address,
-                                    .max_connections = settings.max_connections,
+                                    .max_requests = settings.max_connections,
                                     .max_body_bytes = settings.max_body_bytes},
                                    [this](const http_server::Request& request) {
                                      return attempts_.OnRequest(request);
--- a/packages/daemon/entry/caller_server.h
+++ b/packages/daemon/entry/caller_server.h
@@ -1,9 +1,11 @@
 #ifndef DAEMON_ENTRY_CALLER_SERVER_H_
 #define DAEMON_ENTRY_CALLER_SERVER_H_
 
+#include <optional>
 #include <string>
 #include <variant>
 
+#include "daemon/entry/call_run.h"
 #include "daemon/entry/entry_core.h"
 #include "protocol/http_api/http_api.h"
 #include "transport/http_server/http_server.h"
@@ -28,6 +30,14 @@
       const http_api::Envelope& envelope,
       const http_api::Call& call);
 
+  // Why this entry's share of the customer's limit, or the wait predicted for
+  // the first token, refuses the call, if it does. On the control thread.
+  std::optional<refusal::Refusal> RefusedByLimit(
+      const manifest::Customer& customer,
+      const http_api::Call& call);
+  std::optional<refusal::Refusal> RefusedByLoad(common::Time deadline,
+                                                const http_api::Call& call);
+
   http_server::Response Serve(Admitted admitted,
                               const http_api::Envelope& envelope,
                               const http_api::GenerateCall& call);
@@ -38,6 +48,10 @@
                               const http_api::Envelope& envelope,
                               const http_api::OutcomeLookup& lookup);
 
+  // The responses to a refusal and to a call's outcome; both are counted.
+  http_server::FullResponse Refused(const refusal::Refusal& refusal);
+  http_server::FullResponse Respond(const CallOutcome& outcome);
+
   node::Node& node_;
   EntryCore& core_;
   EntryControl& control_;
--- a/packages/protocol/messages/messages.cc
+++ b/packages/protocol/messages/messages.cc
@@ -83,7 +83,8 @@
           {"failure_domain", info.failure_domain},
           {"peer_address", info.peer_address},
           {"manifest_version", info.manifest_version},
-          {"leaving", info.leaving}};
+          {"leaving", info.leaving},
+          {"sees_platform", info.sees_platform}};
 }
 
 membership::PeerInfo PeerInfoFrom(const Json& json) {
@@ -93,7 +94,8 @@
           .failure_domain = json.at("failure_domain"),
           .peer_address = json.at("peer_address"),
           .manifest_version = json.at("manifest_version"),
-          .leaving = json.at("leaving")};
+          .leaving = json.at("leaving"),
+          .sees_platform = json.at("sees_platform")};
 }
 
 }  // namespace
@@ -107,7 +109,8 @@
                {"text_so_far", Bytes(message.text_so_far)},
                {"max_tokens", message.max_tokens},
                {"deadline_ms", message.deadline_ms},
-               {"priority", message.priority}});
+               {"priority", message.priority},
+               {"may_wait", message.may_wait}});
 }
 
 absl::StatusOr<GenerateAttempt> DecodeGenerateAttempt(std::string_view bytes) {
@@ -120,7 +123,8 @@
                            .text_so_far = FromBytes(json.at("text_so_far")),
                            .max_tokens = json.at("max_tokens"),
                            .deadline_ms = json.at("deadline_ms"),
-                           .priority = json.at("priority")};
+                           .priority = json.at("priority"),
+                           .may_wait = json.at("may_wait")};
   });
 }
 
@@ -180,6 +184,7 @@
   Json json = {{"info", ToJson(message.info)},
                {"queued", message.load.queued},
                {"running", message.load.running},
+               {"slots", message.load.slots},
                {"entries", message.entries}};
   if (message.manifest.has_value()) {
     json["manifest"] = {{"version", message.manifest->version},
@@ -190,11 +195,12 @@
 
 absl::StatusOr<PeerExchange> DecodePeerExchange(std::string_view bytes) {
   return Decode<PeerExchange>(bytes, [](const Json& json) {
-    PeerExchange message{
-        .info = PeerInfoFrom(json.at("info")),
-        .load = {.queued = json.at("queued"), .running = json.at("running")},
-        .manifest = std::nullopt,
-        .entries = json.at("entries")};
+    PeerExchange message{.info = PeerInfoFrom(json.at("info")),
+                         .load = {.queued = json.at("queued"),
+                                  .running = json.at("running"),
+                                  .slots = json.at("slots")},
+                         .manifest = std::nullopt,
+                         .entries = json.at("entries")};
     if (json.contains("manifest")) {
       const Json& manifest = json.at("manifest");
       message.manifest =
--- a/tests/bench/topics.h
+++ b/tests/bench/topics.h
@@ -9,6 +9,9 @@
 namespace wagtailshore::bench {
 
 // Declarations begin here.
+void MeasureOverload(const TopicOptions& options, std::ostream& out);
+void MeasureRouting(const TopicOptions& options, std::ostream& out);
+void Capacity(const TopicOptions& options, std::ostream& out);
 
 }  // namespace wagtailshore::bench
 
