--- a/tests/support/bucket_world.cc
+++ b/tests/support/bucket_world.cc
@@ -110,7 +110,13 @@
   }
   for (int i = 0; i < entries(); ++i) {
     Send(endpoint(number).domain, entry(i).domain,
-         Guard(entry(i), [this, i, owned] {
+         Guard(entry(i), [this, i, number, owned,
+                          incarnation = endpoint(number).incarnation] {
+           // What an older process at this address owned has no owner now.
+           std::erase_if(known_owners_[i], [&](const auto& known) {
+             return known.second.endpoint == number &&
+                    known.second.incarnation < incarnation;
+           });
            for (const auto& [bucket, owner] : owned) {
              KnownOwner& known = known_owners_[i][bucket];
              if (owner.epoch >= known.epoch) {
