--- a/packages/daemon/entry/entry.cc
+++ b/packages/daemon/entry/entry.cc
@@ -62,6 +62,19 @@
   });
 }
 
+void EntryControl::RecordAnswer(const metrics::AnswerTimes& times) {
+  node_.control().Post(
+      [&core = core_, times] { core.metrics.OnAnswer(times); });
+}
+
+void EntryControl::RecordComplete() {
+  node_.control().Post([&core = core_] { core.metrics.OnComplete(); });
+}
+
+void EntryControl::RecordRefused(refusal::Code code) {
+  node_.control().Post([&core = core_, code] { core.metrics.OnRefused(code); });
+}
+
 class Entry::Impl {
  public:
   explicit Impl(const settings::Settings& settings)
@@ -84,11 +97,15 @@
     const settings::Settings& settings = node_.settings();
     auto server = http_server::Server::Start(
         {.address = settings.caller_address,
-         .max_connections = settings.max_connections,
+         .max_requests = settings.max_connections,
          .max_body_bytes = settings.max_body_bytes,
          .too_large_body = http_api::FormatRefusal(
              {.code = refusal::Code::kTooLarge,
-              .message = "the body is beyond the limit"})},
+              .message = "the body is beyond the limit"}),
+         .overloaded_body =
+             http_api::FormatRefusal({.code = refusal::Code::kOverloaded,
+                                      .message = "too many requests at once",
+                                      .retry_after = common::seconds(1)})},
         [this](const http_server::Request& request) {
           return callers_.OnRequest(request);
         });
@@ -127,11 +144,24 @@
         .add_to_dump = [this](nlohmann::json& dump) { AddToDump(dump); },
         .admin =
             [this](const http_server::Request& request) {
-              return OnAdminRequest(node_, request);
+              return OnAdmin(request);
             }};
   }
 
+  // On the connection's thread.
+  std::optional<http_server::Response> OnAdmin(
+      const http_server::Request& request) {
+    if (request.path != "/metrics") {
+      return OnAdminRequest(node_, request);
+    }
+    return http_server::FullResponse{
+        .content_type = "text/plain; version=0.0.4",
+        .body =
+            node_.control().Call([this] { return core_.metrics.Format(); })};
+  }
+
   void OnManifest(const manifest::Manifest& manifest) {
+    core_.customers = manifest::CustomerIndex(manifest);
     std::set<std::string> names;
     endpoint_addresses_.clear();
     for (const manifest::Endpoint& endpoint : manifest.endpoints) {
--- a/packages/daemon/entry/entry_core.h
+++ b/packages/daemon/entry/entry_core.h
@@ -11,6 +11,8 @@
 #include "coordination/rollout/manifest_holder.h"
 #include "daemon/node/node.h"
 #include "state/limits/token_bucket.h"
+#include "state/manifest/customer_index.h"
+#include "state/metrics/metrics.h"
 #include "state/refusal/refusal.h"
 #include "state/routing/router.h"
 
@@ -24,6 +26,9 @@
   routing::Router router;
   // By customer.
   std::map<std::string, limits::TokenBucket> buckets;
+  // Of the manifest in force.
+  manifest::CustomerIndex customers;
+  metrics::Metrics metrics;
   uint64_t next_request = 1;
 };
 
@@ -89,6 +94,10 @@
   void Report(const std::string& endpoint,
               AttemptResult result,
               routing::AttemptTimes times = {});
+  // For the metrics.
+  void RecordAnswer(const metrics::AnswerTimes& times);
+  void RecordComplete();
+  void RecordRefused(refusal::Code code);
 
   node::Node& node() { return node_; }
 
--- a/packages/daemon/entry/generate_run.cc
+++ b/packages/daemon/entry/generate_run.cc
@@ -10,6 +10,7 @@
 
 constexpr size_t kMaxFrameBytes = size_t{1} << 20;
 constexpr int kOk = 200;
+constexpr int kBadGateway = 502;
 
 // Only the two statuses that say so mean that the attempt did not run.
 exchange::AttemptEnd EndOfStatus(int status) {
@@ -46,7 +47,8 @@
           {.request = admitted_.request,
            .deadline = admitted_.deadline,
            .progress_timeout = control.node().settings().progress_timeout}),
-      prefixes_(routing::PrefixesOf(call_.prompt)) {}
+      prefixes_(routing::PrefixesOf(call_.prompt)),
+      times_(common::Clock::now()) {}
 
 GenerateRun::~GenerateRun() {
   ReportEnd(AttemptResult::kAbandoned);
@@ -65,9 +67,12 @@
       if (deliver->last) {
         ReportEnd(AttemptResult::kServed);
       }
+      RecordPiece(*deliver);
       return std::move(*deliver);
     }
     if (auto* give_up = std::get_if<exchange::GiveUp>(&action)) {
+      control_.RecordAnswer(times_);
+      control_.RecordRefused(give_up->refusal.code);
       return std::move(give_up->refusal);
     }
     if (const auto* start = std::get_if<exchange::StartAttempt>(&action)) {
@@ -78,6 +83,15 @@
   }
 }
 
+void GenerateRun::RecordPiece(const exchange::DeliverText& piece) {
+  times_.OnPiece(tokens() - counted_tokens_, common::Clock::now());
+  counted_tokens_ = tokens();
+  if (piece.last) {
+    control_.RecordAnswer(times_);
+    control_.RecordComplete();
+  }
+}
+
 std::optional<Picked> GenerateRun::PickFor(
     const exchange::StartAttempt& start) {
   if (start.prefer.has_value()) {
@@ -153,6 +167,10 @@
                                    : exchange::AttemptEnd::kNotSent,
                       std::nullopt);
   }
+  // The endpoint answers so when its engine failed after it took the work.
+  if (connection_->status() == kBadGateway) {
+    return EndAttempt(exchange::AttemptEnd::kBroken, std::nullopt);
+  }
   if (connection_->status() != kOk) {
     return EndAttempt(EndOfStatus(connection_->status()),
                       connection_->retry_after());
--- a/tests/e2e/process_world.h
+++ b/tests/e2e/process_world.h
@@ -17,15 +17,16 @@
 //
 //   deploy [token=20ms] [call=0ms]           start everything
 //   generate NAME entry=E tokens=N           send a streamed model request
-//   print NAME entry=E key=K [badge=B] [customer=two]
+//   print NAME entry=E key=K [badge=B] [customer=two]   badge: else the key
 //   look_up NAME entry=E key=K               ask for a past outcome
-//   kill|term|freeze|thaw|restart PROCESS
+//   kill|term|freeze|thaw PROCESS...
+//   restart PROCESS
 //   platform none|down|lose_answers
 //   submit entry=E base=V [phase=P]          must be accepted
 //   expect complete NAME                     the whole and own answer
 //   expect refused NAME code=C [ran=R]
 //   expect same NAME OTHER                   both complete and equal
-//   expect runs key=K count=N                at the service
+//   expect runs badge=B count=N              at the service
 //   expect exited PROCESS code=C
 //   expect version entry=E is=V
 //   expect logged PROCESS event=WS-N count=N
--- a/tests/standins/service_standin.cc
+++ b/tests/standins/service_standin.cc
@@ -1,7 +1,7 @@
-// Stands in for one plain service. Counts how often each key ran.
+// Stands in for one plain service. Counts how often each badge was printed.
 //
 //   POST /call    JSON in and out
-//   GET /runs     {"KEY": N, ...}
+//   GET /runs     {"BADGE": N, ...}
 
 #include <chrono>
 #include <map>
@@ -34,9 +34,9 @@
       return Reply(404, "{}");
     }
     const Json json = Json::parse(request.body);
-    const auto key = request.headers.find("idempotency-key");
-    if (key != request.headers.end() && !key->second.empty()) {
-      ++runs_[key->second];
+    const Json& input = json.at("input");
+    if (input.is_object() && input.contains("badge")) {
+      ++runs_[input["badge"].dump()];
     }
     return Reply(200, Json({{"call", json.at("call")},
                             {"input", json.at("input")},
