Retries: bound them by a share of the successes

Cause: each request was tried up to three times whatever happened to the others, so that losing a failure domain multiplied the work on the rest.

Wired into generate and idempotent calls. Hedging is not done.

Faults put in and caught: resumed streams counted as retries (ExchangeRetryTest), half a retry taken for a whole one (invariant in retry_budget_test).

--- a/packages/coordination/exchange/exchange.cc
+++ b/packages/coordination/exchange/exchange.cc
@@ -33,6 +33,11 @@
   return Abandon(refusal::Code::kNoEndpoint, "no endpoint can take it");
 }
 
+Action Exchange::OnNoBudget(common::Time) {
+  return Abandon(refusal::Code::kOverloaded,
+                 "too many attempts fail for another one; ask again later");
+}
+
 Action Exchange::OnFrame(const stream::Frame& frame, common::Time now) {
   const stream::FrameOutcome outcome = assembler_.Accept(frame);
   if (const auto* deliver = std::get_if<stream::Deliver>(&outcome)) {
@@ -61,6 +66,7 @@
     retried_same_endpoint_ = false;
   }
   ++fruitless_attempts_;
+  repeats_work_ = !progressed;
   if (retry_after.has_value()) {
     retry_after_ = retry_after;
   }
@@ -110,7 +116,8 @@
                       .prefer = std::move(prefer),
                       .avoid = avoid_,
                       .busy_refusals = busy_refusals_,
-                      .may_wait = may_wait_};
+                      .may_wait = may_wait_,
+                      .is_retry = std::exchange(repeats_work_, false)};
 }
 
 Action Exchange::Read(common::Time now) const {
--- a/packages/coordination/exchange/exchange.h
+++ b/packages/coordination/exchange/exchange.h
@@ -39,6 +39,8 @@
   uint32_t busy_refusals = 0;
   // Whether the attempt may wait at an endpoint without a free slot.
   bool may_wait = false;
+  // Whether the attempt repeats work and so needs the retry budget.
+  bool is_retry = false;
 };
 
 // Wait this long for the current attempt's next frame.
@@ -84,6 +86,8 @@
   Action OnSent(const std::string& endpoint, common::Time now);
   // No endpoint can take the attempt.
   Action OnNoEndpoint(common::Time now);
+  // The retry budget has nothing left for the attempt.
+  Action OnNoBudget(common::Time now);
   Action OnFrame(const stream::Frame& frame, common::Time now);
   // The text of a DeliverText was handed over.
   Action OnDelivered(common::Time now);
@@ -114,6 +118,8 @@
   // Whether any endpoint may have begun to run the request.
   bool may_have_run_ = false;
   bool retried_same_endpoint_ = false;
+  // Whether the next attempt repeats one that got no further.
+  bool repeats_work_ = false;
   std::optional<common::Duration> retry_after_;
 };
 
--- a/packages/daemon/entry/call_run.cc
+++ b/packages/daemon/entry/call_run.cc
@@ -88,6 +88,9 @@
  private:
   exchange::Action Start(const exchange::StartAttempt& start) {
     const common::Time now = common::Clock::now();
+    if (start.is_retry && !control_.TryTakeRetry()) {
+      return exchange_.OnNoBudget(now);
+    }
     const auto picked = control_.Pick(
         admitted_, {.target = call_.service, .avoid = start.avoid});
     if (!picked.has_value()) {
--- a/packages/daemon/entry/entry.cc
+++ b/packages/daemon/entry/entry.cc
@@ -33,6 +33,10 @@
   return std::nullopt;
 }
 
+bool EntryControl::TryTakeRetry() {
+  return node_.control().Call([this] { return core_.retries.TryTake(); });
+}
+
 void EntryControl::Resume(const std::string& endpoint) {
   node_.control().Post([this, endpoint] {
     core_.router.OnResumed(endpoint, common::Clock::now());
@@ -47,6 +51,7 @@
     switch (result) {
       case AttemptResult::kServed:
         core_.router.OnSuccess(endpoint, times, now);
+        core_.retries.OnSuccess();
         break;
       case AttemptResult::kRefused:
       case AttemptResult::kFailed:
--- a/packages/daemon/entry/entry_core.h
+++ b/packages/daemon/entry/entry_core.h
@@ -8,6 +8,7 @@
 #include <variant>
 
 #include "common/time.h"
+#include "coordination/retry_budget/retry_budget.h"
 #include "coordination/rollout/manifest_holder.h"
 #include "daemon/node/node.h"
 #include "state/limits/token_bucket.h"
@@ -26,6 +27,7 @@
   routing::Router router;
   // By customer.
   std::map<std::string, limits::TokenBucket> buckets;
+  retry_budget::RetryBudget retries{{}};
   // Of the manifest in force.
   manifest::CustomerIndex customers;
   metrics::Metrics metrics;
@@ -89,6 +91,8 @@
   // Report().
   std::optional<Picked> Pick(const Admitted& admitted,
                              const routing::PickRequest& request);
+  // Whether the budget allows another attempt, which it then counts.
+  bool TryTakeRetry();
   // Another attempt goes to the same endpoint.
   void Resume(const std::string& endpoint);
   void Report(const std::string& endpoint,
--- a/packages/daemon/entry/generate_run.cc
+++ b/packages/daemon/entry/generate_run.cc
@@ -115,6 +115,9 @@
 
 exchange::Action GenerateRun::Perform(const exchange::StartAttempt& start) {
   connection_.reset();
+  if (start.is_retry && !control_.TryTakeRetry()) {
+    return exchange_.OnNoBudget(common::Clock::now());
+  }
   const std::optional<Picked> picked = PickFor(start);
   const common::Time now = common::Clock::now();
   if (!picked.has_value()) {
--- a/tests/bench/topics.h
+++ b/tests/bench/topics.h
@@ -10,6 +10,7 @@
 
 // Declarations begin here.
 void MeasureOverload(const TopicOptions& options, std::ostream& out);
+void MeasureRetries(const TopicOptions& options, std::ostream& out);
 void MeasureRouting(const TopicOptions& options, std::ostream& out);
 void Capacity(const TopicOptions& options, std::ostream& out);
 
--- a/tests/unit/coordination/exchange/exchange_busy_test.cc
+++ b/tests/unit/coordination/exchange/exchange_busy_test.cc
@@ -36,6 +36,26 @@
   EXPECT_EQ(std::get<GiveUp>(action).refusal.ran, refusal::Ran::kNotRun);
 }
 
+// Only attempts that repeat work need the retry budget.
+TEST(ExchangeRetryTest, ResumingAfterProgressIsNoRetry) {
+  Exchange exchange({.request = "r", .deadline = kStart + seconds(10)});
+  auto action = exchange.Start(kStart);
+  EXPECT_FALSE(std::get<StartAttempt>(action).is_retry);
+  const stream::AttemptId id = std::get<StartAttempt>(action).id;
+  exchange.OnSent("a", kStart);
+  exchange.OnFrame({.id = id, .offset = 0, .tokens = 1}, kStart);
+  action = exchange.OnAttemptEnd(AttemptEnd::kBroken, std::nullopt, kStart);
+  EXPECT_FALSE(std::get<StartAttempt>(action).is_retry);
+  exchange.OnSent("b", kStart);
+  action = exchange.OnAttemptEnd(AttemptEnd::kBroken, std::nullopt, kStart);
+  EXPECT_TRUE(std::get<StartAttempt>(action).is_retry);
+  exchange.OnSent("c", kStart);
+  action = exchange.OnAttemptEnd(AttemptEnd::kBusy, std::nullopt, kStart);
+  EXPECT_FALSE(std::get<StartAttempt>(action).is_retry);
+  action = exchange.OnNoBudget(kStart);
+  EXPECT_EQ(std::get<GiveUp>(action).refusal.ran, refusal::Ran::kUnknown);
+}
+
 // Attempts end in any way at any time: the request ends, waits only after
 // refusals, and is called not run only if nothing can have run.
 RC_GTEST_PROP(ExchangeBusyProperty, EndsAndIsHonest, ()) {
