--- a/packages/protocol/messages/messages.cc
+++ b/packages/protocol/messages/messages.cc
@@ -83,7 +83,8 @@
           {"failure_domain", info.failure_domain},
           {"peer_address", info.peer_address},
           {"manifest_version", info.manifest_version},
-          {"leaving", info.leaving}};
+          {"leaving", info.leaving},
+          {"sees_platform", info.sees_platform}};
 }
 
 membership::PeerInfo PeerInfoFrom(const Json& json) {
@@ -93,13 +94,15 @@
           .failure_domain = json.at("failure_domain"),
           .peer_address = json.at("peer_address"),
           .manifest_version = json.at("manifest_version"),
-          .leaving = json.at("leaving")};
+          .leaving = json.at("leaving"),
+          .sees_platform = json.at("sees_platform")};
 }
 
 }  // namespace
 
 std::string Encode(const GenerateAttempt& message) {
   return Pack({{"id", ToJson(message.id)},
+               {"endpoint", message.endpoint},
                {"customer", message.customer},
                {"model", message.model},
                {"prompt", Bytes(message.prompt)},
@@ -114,6 +117,7 @@
 absl::StatusOr<GenerateAttempt> DecodeGenerateAttempt(std::string_view bytes) {
   return Decode<GenerateAttempt>(bytes, [](const Json& json) {
     return GenerateAttempt{.id = AttemptIdFrom(json.at("id")),
+                           .endpoint = json.at("endpoint"),
                            .customer = json.at("customer"),
                            .model = json.at("model"),
                            .prompt = FromBytes(json.at("prompt")),
@@ -128,6 +132,7 @@
 
 std::string Encode(const CallAttempt& message) {
   Json json = {{"id", ToJson(message.id)},
+               {"endpoint", message.endpoint},
                {"customer", message.customer},
                {"service", message.service},
                {"call", message.call},
@@ -144,6 +149,7 @@
   return Decode<CallAttempt>(bytes, [](const Json& json) {
     CallAttempt message{
         .id = AttemptIdFrom(json.at("id")),
+        .endpoint = json.at("endpoint"),
         .customer = json.at("customer"),
         .service = json.at("service"),
         .call = json.at("call"),
--- a/tests/support/call_world.h
+++ b/tests/support/call_world.h
@@ -2,7 +2,9 @@
 #define SUPPORT_CALL_WORLD_H_
 
 #include <functional>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "coordination/claims/claim_row.h"
@@ -58,6 +60,10 @@
   }
   // The next `count` calls run and their answers are lost.
   void LoseServiceAnswers(int count) { service_answers_to_lose_ += count; }
+  // The next message arrives later by `time`.
+  void DelayNextMessage(common::Duration time) { next_delay_ = time; }
+  // A second copy of the next message follows after `time`.
+  void DoubleNextMessage(common::Duration time) { next_copy_after_ = time; }
   void set_service_time(common::Duration time) { service_time_ = time; }
 
   EventQueue& events() { return events_; }
@@ -81,6 +87,16 @@
 
   // `action`, held back while `process` pauses and dropped if it has died.
   std::function<void()> Guard(Process& process, std::function<void()> action);
+  // The same for a table operation's outcome.
+  template <typename Outcome>
+  std::function<void(Outcome)> GuardOutcome(
+      Process& process,
+      std::function<void(const Outcome&)> action) {
+    return [this, &process, incarnation = process.incarnation,
+            action = std::move(action)](const Outcome& outcome) {
+      RunGuarded(process, incarnation, [action, outcome] { action(outcome); });
+    };
+  }
   // Carries a message over; it may be lost, late or doubled.
   void Send(int from_domain,
             int to_domain,
@@ -98,6 +114,10 @@
   void Restart(Process& process);
   // Nothing is owed any more to what an entry has under way.
   void ExcuseAll(int entry);
+  void Deliver(int from_domain,
+               int to_domain,
+               common::Duration delay,
+               const std::function<void()>& deliver);
   void RunGuarded(Process& process,
                   uint64_t incarnation,
                   const std::function<void()>& action);
@@ -115,6 +135,8 @@
   int service_answers_to_lose_ = 0;
   common::Duration service_time_ = common::milliseconds(50);
   uint64_t next_token_ = 1;
+  common::Duration next_delay_{};
+  std::optional<common::Duration> next_copy_after_;
 };
 
 }  // namespace wagtailshore::test_support
