Membership: one view of leaving endpoints, digests across domains

LeavingView weighs an endpoint's own word, the digests and the lagging instance list, newest first; before, an entry that read a lagging list marked a restarted endpoint as leaving for good.

--- a/packages/coordination/dissemination/member.cc
+++ b/packages/coordination/dissemination/member.cc
@@ -64,7 +64,9 @@
 }
 
 Message Member::MessageFor(const SendExchange& send, common::Time now) {
-  Message message = OwnWord(now);
+  const auto peer = peers_.peers().find(send.address);
+  Message message =
+      WordFor(peer == peers_.peers().end() ? nullptr : &peer->second.info, now);
   if (send.with_manifest) {
     message.manifest = manifests_.current();
   }
@@ -72,7 +74,7 @@
 }
 
 Message Member::ReplyTo(const Message& request, common::Time now) {
-  Message message = OwnWord(now);
+  Message message = WordFor(&request.info, now);
   if (request.info.manifest_version < manifests_.version()) {
     message.manifest = manifests_.current();
   }
@@ -97,6 +99,18 @@
   Effects effects;
   effects.change = peers_.OnHeard(message.info, now);
   peers_.AddSeeds(message.entries);
+  for (const DomainDigest& digest : message.domains) {
+    if (digest.failure_domain != info_.failure_domain &&
+        digests_.Take(digest, now)) {
+      Append(planner_.OnForeignDigestChanged(SituationAt(now)),
+             effects.actions);
+    }
+  }
+  if (effects.change.began_leaving &&
+      message.info.role == membership::Role::kEndpoint &&
+      message.info.failure_domain == info_.failure_domain) {
+    Append(planner_.OnOwnDigestChanged(SituationAt(now)), effects.actions);
+  }
   if (message.manifest != nullptr) {
     Offer(message.manifest, Source::kPeer, now, effects);
   }
@@ -121,8 +135,38 @@
   Append(planner_.OnLearned(source, SituationAt(now)), effects.actions);
 }
 
-Message Member::OwnWord(common::Time now) {
-  return {.info = info_, .entries = planner_.EntriesToName(SituationAt(now))};
+Message Member::WordFor(const membership::PeerInfo* receiver,
+                        common::Time now) {
+  Message message{.info = info_,
+                  .entries = planner_.EntriesToName(SituationAt(now))};
+  if (receiver != nullptr) {
+    AddDigests(*receiver, message, now);
+  }
+  return message;
+}
+
+void Member::AddDigests(const membership::PeerInfo& receiver,
+                        Message& message,
+                        common::Time now) {
+  // An endpoint hears no other endpoints.
+  if (info_.role != membership::Role::kEntry ||
+      receiver.role != membership::Role::kEntry ||
+      planner_.IsDirect(SituationAt(now))) {
+    return;
+  }
+  if (receiver.failure_domain == info_.failure_domain) {
+    if (IsRelay(now)) {
+      message.domains = digests_.ToPassOn(now);
+    }
+    return;
+  }
+  // Every entry hears its own domain's endpoints, so that a relay elsewhere
+  // gets the digest whichever entry it asks.
+  message.domains = {DigestBook::Summarise(info_.failure_domain, peers_, now)};
+}
+
+std::vector<DomainDigest> Member::Digests(common::Time now) const {
+  return digests_.All(now);
 }
 
 }  // namespace wagtailshore::dissemination
--- a/packages/coordination/dissemination/member.h
+++ b/packages/coordination/dissemination/member.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "common/time.h"
+#include "coordination/dissemination/digest_book.h"
 #include "coordination/dissemination/planner.h"
 #include "coordination/membership/peer_table.h"
 #include "coordination/rollout/manifest_holder.h"
@@ -22,6 +23,8 @@
   ManifestPtr manifest;
   // Peer addresses of some entries that the sender heard lately.
   std::vector<std::string> entries;
+  // Of the sender's failure domain, or of others that it passes on.
+  std::vector<DomainDigest> domains;
 };
 
 // What came of an event.
@@ -63,6 +66,8 @@
   bool IsRelay(common::Time now);
   const membership::PeerInfo& info() const { return info_; }
   const rollout::ManifestHolder& manifests() const { return manifests_; }
+  // Of the failure domains whose endpoints are not heard directly.
+  std::vector<DomainDigest> Digests(common::Time now) const;
   membership::PeerTable& peers() { return peers_; }
   const membership::PeerTable& peers() const { return peers_; }
 
@@ -74,7 +79,12 @@
              Source source,
              common::Time now,
              Effects& effects);
-  Message OwnWord(common::Time now);
+  // A message to a process of this role and failure domain, which may be
+  // unknown.
+  Message WordFor(const membership::PeerInfo* receiver, common::Time now);
+  void AddDigests(const membership::PeerInfo& receiver,
+                  Message& message,
+                  common::Time now);
 
   membership::PeerInfo info_;
   // When the process began to leave, if it did.
@@ -82,6 +92,7 @@
   Planner planner_;
   rollout::ManifestHolder manifests_;
   membership::PeerTable peers_;
+  DigestBook digests_;
   // Failure domains of the manifest's endpoints, by peer address.
   std::map<std::string, std::string> endpoints_;
 };
--- a/packages/coordination/dissemination/planner.cc
+++ b/packages/coordination/dissemination/planner.cc
@@ -30,6 +30,8 @@
 constexpr size_t kOwnRelays = 3;
 // Relays of another domain that a relay exchanges with.
 constexpr size_t kForeignRelays = 1;
+// Entries asked of a domain in which none answers.
+constexpr size_t kSilentRelays = 3;
 // Unanswered exchanges after which a peer counts as unreachable.
 constexpr uint32_t kMaxUnanswered = 3;
 constexpr size_t kMaxNamedEntries = 8;
@@ -47,6 +49,22 @@
          found->second.info.manifest_version < situation.version;
 }
 
+// The few of `entries` that were heard last: asked while a whole failure
+// domain is silent, so that both sides meet again once a cut heals.
+std::vector<std::string> LastHeard(std::vector<const Peer*> entries) {
+  const size_t count = std::min(entries.size(), kSilentRelays);
+  std::partial_sort(entries.begin(),
+                    entries.begin() + static_cast<ptrdiff_t>(count),
+                    entries.end(), [](const Peer* left, const Peer* right) {
+                      return left->last_heard > right->last_heard;
+                    });
+  std::vector<std::string> addresses;
+  for (size_t i = 0; i < count; ++i) {
+    addresses.push_back(entries[i]->info.peer_address);
+  }
+  return addresses;
+}
+
 }  // namespace
 
 Planner::Planner(PlannerOptions options) : options_(std::move(options)) {}
@@ -99,6 +117,31 @@
   return actions;
 }
 
+Actions Planner::OnOwnDigestChanged(const Situation& situation) {
+  Actions actions;
+  if (IsDirect(situation) || !IsRelay(situation)) {
+    return actions;
+  }
+  for (const std::string& address : ForeignRelays(situation)) {
+    Send(address, /*with_manifest=*/false, situation, actions);
+  }
+  return actions;
+}
+
+Actions Planner::OnForeignDigestChanged(const Situation& situation) {
+  Actions actions;
+  if (!IsRelay(situation)) {
+    return actions;
+  }
+  for (const auto& [address, peer] : situation.peers.peers()) {
+    if (peer.info.failure_domain == options_.failure_domain &&
+        IsLiveEntry(peer, situation)) {
+      Send(address, /*with_manifest=*/false, situation, actions);
+    }
+  }
+  return actions;
+}
+
 Actions Planner::OnLeaving(const Situation& situation) {
   told_leaving_.clear();
   Actions actions;
@@ -178,21 +221,26 @@
 
 std::vector<std::string> Planner::ForeignRelays(const Situation& situation) {
   // Entries of another domain are heard seldom, so each known one counts.
-  std::map<std::string, std::vector<std::string>> by_domain;
+  std::map<std::string, std::vector<const Peer*>> by_domain;
   for (const auto& [address, peer] : situation.peers.peers()) {
     if (peer.info.role == Role::kEntry && !peer.info.leaving &&
         peer.info.failure_domain != options_.failure_domain) {
-      auto& entries = by_domain[peer.info.failure_domain];
-      if (peer.unanswered < kMaxUnanswered) {
-        entries.push_back(address);
-      }
+      by_domain[peer.info.failure_domain].push_back(&peer);
     }
   }
   std::vector<std::string> relays;
   for (auto& [failure_domain, entries] : by_domain) {
-    for (std::string& relay :
-         rank_.Top(failure_domain, std::move(entries), kForeignRelays)) {
-      relays.push_back(std::move(relay));
+    std::vector<std::string> answering;
+    for (const Peer* peer : entries) {
+      if (peer->unanswered < kMaxUnanswered) {
+        answering.push_back(peer->info.peer_address);
+      }
+    }
+    for (const std::string& relay :
+         answering.empty()
+             ? LastHeard(std::move(entries))
+             : rank_.Top(failure_domain, answering, kForeignRelays)) {
+      relays.push_back(relay);
     }
   }
   return relays;
--- a/packages/coordination/dissemination/planner.h
+++ b/packages/coordination/dissemination/planner.h
@@ -70,6 +70,10 @@
   Actions OnTick(const Situation& situation);
   // A newer manifest came into force here.
   Actions OnLearned(Source source, const Situation& situation);
+  // An endpoint of the own failure domain began to leave.
+  Actions OnOwnDigestChanged(const Situation& situation);
+  // Another failure domain's digest tells of other leaving endpoints.
+  Actions OnForeignDigestChanged(const Situation& situation);
   // This process began to leave.
   Actions OnLeaving(const Situation& situation);
   // `address` answered an exchange that told it of the leaving.
@@ -81,6 +85,9 @@
   // hold themselves for the relay only read and send twice.
   bool IsRelay(const Situation& situation);
 
+  // Whether there are few enough members for everybody to hear everybody.
+  bool IsDirect(const Situation& situation) const;
+
   // Peer addresses of entries to name in an exchange: a few at a time, in
   // turn, so that the message stays small.
   std::vector<std::string> EntriesToName(const Situation& situation);
@@ -89,7 +96,6 @@
   // The time between exchanges, by peer address.
   using Partners = std::map<std::string, common::Duration>;
 
-  bool IsDirect(const Situation& situation) const;
   // Entries of `failure_domain` that can relay: live, and with a view of the
   // platform if any has one. Includes this process.
   std::vector<std::string> RelayCandidates(const std::string& failure_domain,
--- a/packages/daemon/entry/entry.cc
+++ b/packages/daemon/entry/entry.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "common/event_log.h"
+#include "coordination/membership/leaving_view.h"
 #include "daemon/entry/caller_server.h"
 #include "daemon/entry/entry_admin.h"
 #include "daemon/entry/entry_core.h"
@@ -133,30 +134,56 @@
   void OnPeer(const messages::PeerExchange& exchange,
               membership::PeerChange change) {
     if (exchange.info.role == membership::Role::kEntry) {
-      node_.peers().AddSeeds(exchange.entries);
+      for (const dissemination::DomainDigest& digest : node_.Digests()) {
+        leaving_view_.OnDigest(digest.failure_domain,
+                               {digest.leaving.begin(), digest.leaving.end()},
+                               common::Clock::now() - digest.age);
+      }
+      UpdateLeaving();
       return;
     }
     if (change.restarted) {
       core_.router.OnRestarted(exchange.info.name);
+      leaving_.erase(exchange.info.name);
     }
     core_.router.OnReport(exchange.info.name, exchange.load);
-    if (exchange.info.leaving) {
-      core_.router.OnLeaving(exchange.info.name);
+    leaving_view_.OnWord(exchange.info.name, exchange.info.failure_domain,
+                         exchange.info.leaving, common::Clock::now());
+    UpdateLeaving();
+  }
+
+  // Tells the router of endpoints that began to leave, and of those that turn
+  // out to be new processes.
+  void UpdateLeaving() {
+    std::set<std::string> leaving = leaving_view_.Leaving(common::Clock::now());
+    for (const std::string& endpoint : leaving) {
+      if (!leaving_.contains(endpoint)) {
+        core_.router.OnLeaving(endpoint);
+      }
+    }
+    for (const std::string& endpoint : leaving_) {
+      if (!leaving.contains(endpoint)) {
+        core_.router.OnRestarted(endpoint);
+      }
     }
+    leaving_ = std::move(leaving);
   }
 
   void OnInstances(const std::vector<platform_client::Instance>& instances) {
     std::vector<std::string> entries;
+    std::set<std::string> leaving;
     for (const platform_client::Instance& instance : instances) {
       if (endpoint_addresses_.contains(instance.peer_address)) {
         if (instance.leaving) {
-          core_.router.OnLeaving(instance.name);
+          leaving.insert(instance.name);
         }
         continue;
       }
       entries.push_back(instance.peer_address);
     }
     node_.peers().AddSeeds(entries);
+    leaving_view_.OnInstanceList(std::move(leaving));
+    UpdateLeaving();
   }
 
   void AddToDump(nlohmann::json& dump) {
@@ -177,6 +204,9 @@
 
   EntryCore core_;
   std::set<std::string> endpoint_addresses_;
+  membership::LeavingView leaving_view_;
+  // What the router was last told.
+  std::set<std::string> leaving_;
   node::Node node_;
   EntryControl control_;
   CallerServer callers_;
--- a/packages/daemon/node/node.cc
+++ b/packages/daemon/node/node.cc
@@ -231,7 +231,8 @@
 dissemination::Message Node::FromWire(
     const messages::PeerExchange& exchange) const {
   dissemination::Message message{.info = exchange.info,
-                                 .entries = exchange.entries};
+                                 .entries = exchange.entries,
+                                 .domains = exchange.domains};
   if (exchange.manifest.has_value() &&
       exchange.manifest->version > manifests().version()) {
     message.manifest = FromTransfer(*exchange.manifest);
@@ -242,7 +243,8 @@
 messages::PeerExchange Node::ToWire(dissemination::Message message) const {
   messages::PeerExchange exchange{.info = std::move(message.info),
                                   .load = hooks_.load(),
-                                  .entries = std::move(message.entries)};
+                                  .entries = std::move(message.entries),
+                                  .domains = std::move(message.domains)};
   if (message.manifest != nullptr) {
     exchange.manifest = messages::ManifestTransfer{
         .version = message.manifest->manifest.version,
--- a/packages/daemon/node/node.h
+++ b/packages/daemon/node/node.h
@@ -61,6 +61,10 @@
     return member_.manifests();
   }
   membership::PeerTable& peers() { return member_.peers(); }
+  // Of the failure domains whose endpoints are not heard directly.
+  std::vector<dissemination::DomainDigest> Digests() const {
+    return member_.Digests(common::Clock::now());
+  }
   draining::DrainGate& gate() { return gate_; }
   // A manifest that the platform accepted: puts it in force if it is newer,
   // and tells the peers at once.
--- a/packages/protocol/messages/messages.cc
+++ b/packages/protocol/messages/messages.cc
@@ -1,5 +1,6 @@
 #include "protocol/messages/messages.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 #include <utility>
@@ -98,6 +99,22 @@
           .sees_platform = json.at("sees_platform")};
 }
 
+Json ToJson(const dissemination::DomainDigest& digest) {
+  return {{"failure_domain", digest.failure_domain},
+          {"endpoints", digest.endpoints},
+          {"leaving", digest.leaving},
+          {"age_ms", common::ToMilliseconds(digest.age)}};
+}
+
+dissemination::DomainDigest DomainDigestFrom(const Json& json) {
+  constexpr int64_t kMaxAgeMs = 3'600'000;
+  return {.failure_domain = json.at("failure_domain"),
+          .endpoints = json.at("endpoints"),
+          .leaving = json.at("leaving"),
+          .age = common::milliseconds(std::clamp(
+              json.at("age_ms").get<int64_t>(), int64_t{0}, kMaxAgeMs))};
+}
+
 }  // namespace
 
 std::string Encode(const GenerateAttempt& message) {
@@ -187,6 +204,9 @@
     json["manifest"] = {{"version", message.manifest->version},
                         {"body", Bytes(message.manifest->body)}};
   }
+  for (const dissemination::DomainDigest& digest : message.domains) {
+    json["domains"].push_back(ToJson(digest));
+  }
   return Pack(json);
 }
 
@@ -203,6 +223,11 @@
           ManifestTransfer{.version = manifest.at("version"),
                            .body = FromBytes(manifest.at("body"))};
     }
+    if (json.contains("domains")) {
+      for (const Json& digest : json.at("domains")) {
+        message.domains.push_back(DomainDigestFrom(digest));
+      }
+    }
     return message;
   });
 }
--- a/packages/protocol/messages/messages.h
+++ b/packages/protocol/messages/messages.h
@@ -10,6 +10,7 @@
 
 #include "absl/status/statusor.h"
 #include "coordination/claims/endpoint_claim.h"
+#include "coordination/dissemination/digest_book.h"
 #include "coordination/membership/peer_table.h"
 #include "state/refusal/refusal.h"
 #include "state/routing/router.h"
@@ -81,6 +82,8 @@
   std::optional<ManifestTransfer> manifest;
   // Peer addresses of entries that the sender heard lately.
   std::vector<std::string> entries;
+  // Of failure domains whose endpoints the receiver does not hear itself.
+  std::vector<dissemination::DomainDigest> domains;
 };
 
 std::string Encode(const GenerateAttempt& message);
