--- a/packages/daemon/endpoint/attempt_server.cc
+++ b/packages/daemon/endpoint/attempt_server.cc
@@ -9,6 +9,7 @@
 #include "common/strings.h"
 #include "coordination/claims/endpoint_claim.h"
 #include "daemon/endpoint/engine_stream.h"
+#include "daemon/endpoint/settler.h"
 #include "transport/http_client/http_client.h"
 
 namespace wagtailshore::endpoint {
@@ -23,7 +24,7 @@
 http_server::FullResponse Refused(std::optional<common::Duration> retry_after) {
   const auto seconds = std::chrono::ceil<std::chrono::seconds>(
       retry_after.value_or(kRetryAfter));
-  return {.status = 503,
+  return {.status = messages::kRefusedStatus,
           .headers = {{"Retry-After", common::StrCat(seconds.count())}},
           .body = "not run\n"};
 }
@@ -43,6 +44,17 @@
   return GateHold(begun ? &node : nullptr);
 }
 
+// Whether every slot of the engine is taken.
+bool IsFull(node::Node& node) {
+  const uint32_t slots = node.settings().engine_slots;
+  return slots > 0 && node.gate().in_flight() >= slots;
+}
+
+// The endpoint has no free slot, but another one may.
+http_server::FullResponse Busy() {
+  return {.status = messages::kBusyStatus, .body = "not run\n"};
+}
+
 // Sends an engine's answer as frames.
 class FrameSource final : public http_server::BodySource {
  public:
@@ -86,11 +98,24 @@
   bool done_ = false;
 };
 
+// The key that the service sees. Two customers may use the same key; the
+// customer's part has a fixed length, so that theirs never meet.
+std::string ServiceKey(const messages::CallAttempt& attempt) {
+  constexpr size_t kCustomerDigits = 16;
+  if (attempt.idempotency_key.empty()) {
+    return "";
+  }
+  return common::StrCat(
+      common::Sha256Hex(attempt.customer).substr(0, kCustomerDigits), "/",
+      attempt.idempotency_key);
+}
+
 // The service's answer, or nothing when the call may have run unanswered.
 // `sent` tells whether the service may have seen the call.
 std::optional<claims::ServiceAnswer> CallService(
     const std::string& service_url,
     const messages::CallAttempt& attempt,
+    common::Duration timeout,
     bool& sent) {
   Json body = {{"service", attempt.service}, {"call", attempt.call}};
   body["input"] = Json::parse(attempt.body.empty() ? "null" : attempt.body,
@@ -98,9 +123,9 @@
   const auto outcome = http_client::Call(
       {.method = "POST",
        .url = common::StrCat(service_url, "/call"),
-       .headers = {{"Idempotency-Key", attempt.idempotency_key}},
+       .headers = {{"Idempotency-Key", ServiceKey(attempt)}},
        .body = body.dump(-1, ' ', false, Json::error_handler_t::replace)},
-      common::milliseconds(attempt.deadline_ms));
+      timeout);
   if (const auto* failure = std::get_if<http_client::CallFailure>(&outcome)) {
     sent = failure->sent;
     return std::nullopt;
@@ -124,31 +149,38 @@
   OnceRun(const node::Node& node, const messages::CallAttempt& attempt)
       : node_(node),
         attempt_(attempt),
-        claim_(*attempt.dispatch, common::RandomId(), common::RandomId()) {}
+        deadline_(common::Clock::now() +
+                  common::milliseconds(attempt.deadline_ms)),
+        claim_({.dispatch = *attempt.dispatch,
+                .deadline = deadline_,
+                .start_token = common::RandomId(),
+                .outcome_token = common::RandomId()}) {}
 
   messages::CallReply Run() {
-    claims::EndpointAction action = claim_.Start();
+    claims::EndpointAction action = claim_.Start(common::Clock::now());
     while (true) {
-      if (const auto* read = std::get_if<table::ReadRow>(&action)) {
-        action = claim_.OnRead(node_.platform().Read(*read));
-      } else if (const auto* write = std::get_if<table::WriteRow>(&action)) {
-        action = claim_.OnWrite(node_.platform().Write(*write));
-      } else if (std::holds_alternative<claims::RunService>(action)) {
+      if (std::holds_alternative<claims::RunService>(action)) {
         action = CallOnce();
+      } else if (auto next = OnTable(node_.platform(), claim_, action)) {
+        action = *std::move(next);
       } else {
         return ToReply(action);
       }
     }
   }
 
+  // The claim, with what is left to settle in its row.
+  claims::EndpointClaim TakeClaim() { return std::move(claim_); }
+
  private:
   claims::EndpointAction CallOnce() {
     bool sent = false;
-    auto answer = CallService(node_.settings().service_url, attempt_, sent);
-    if (!answer.has_value()) {
-      return claim_.OnServiceSilent();
+    auto answer = CallService(node_.settings().service_url, attempt_,
+                              deadline_ - common::Clock::now(), sent);
+    if (answer.has_value()) {
+      return claim_.OnServiceAnswer(*std::move(answer));
     }
-    return claim_.OnServiceAnswer(*std::move(answer));
+    return sent ? claim_.OnServiceSilent() : claim_.OnServiceNotReached();
   }
 
   messages::CallReply ToReply(const claims::EndpointAction& action) const {
@@ -165,6 +197,7 @@
 
   const node::Node& node_;
   const messages::CallAttempt& attempt_;
+  common::Time deadline_;
   claims::EndpointClaim claim_;
 };
 
@@ -186,6 +219,13 @@
   if (!attempt.ok() || node_.settings().engine_url.empty()) {
     return http_server::FullResponse{.status = 400, .body = "bad attempt\n"};
   }
+  if (attempt->endpoint != node_.settings().name) {
+    return Refused(std::nullopt);
+  }
+  const bool full = node_.control().Call([this] { return IsFull(node_); });
+  if (full && !attempt->may_wait) {
+    return Busy();
+  }
   GateHold hold = TryHold(node_);
   if (hold == nullptr) {
     return Refused(std::nullopt);
@@ -214,7 +254,9 @@
   }
   const GateHold hold = TryHold(node_);
   messages::CallReply reply;
-  if (hold == nullptr) {
+  if (attempt->endpoint != node_.settings().name) {
+    reply = NotRun(attempt->id, refusal::Code::kNoEndpoint);
+  } else if (hold == nullptr) {
     reply = NotRun(attempt->id, refusal::Code::kDraining);
   } else if (attempt->dispatch.has_value()) {
     reply = RunOnce(*attempt);
@@ -227,13 +269,17 @@
 
 messages::CallReply AttemptServer::RunOnce(
     const messages::CallAttempt& attempt) {
-  return OnceRun(node_, attempt).Run();
+  OnceRun run(node_, attempt);
+  messages::CallReply reply = run.Run();
+  settler_.Add(run.TakeClaim());
+  return reply;
 }
 
 messages::CallReply AttemptServer::RunRepeatable(
     const messages::CallAttempt& attempt) {
   bool sent = false;
-  auto answer = CallService(node_.settings().service_url, attempt, sent);
+  auto answer = CallService(node_.settings().service_url, attempt,
+                            common::milliseconds(attempt.deadline_ms), sent);
   if (answer.has_value()) {
     return {.id = attempt.id,
             .result = messages::CallResult::kAnswered,
--- a/packages/daemon/entry/call_run.cc
+++ b/packages/daemon/entry/call_run.cc
@@ -43,8 +43,10 @@
 
 messages::CallAttempt AttemptOf(const Admitted& admitted,
                                 const http_api::ServiceCall& call,
+                                const std::string& endpoint,
                                 const stream::AttemptId& id) {
   return {.id = id,
+          .endpoint = endpoint,
           .customer = admitted.customer,
           .service = call.service,
           .call = call.call,
@@ -88,12 +90,16 @@
  private:
   exchange::Action Start(const exchange::StartAttempt& start) {
     const common::Time now = common::Clock::now();
-    const auto picked = control_.Pick(admitted_, call_.service, start.avoid);
+    if (start.is_retry && !control_.TryTakeRetry()) {
+      return exchange_.OnNoBudget(now);
+    }
+    const auto picked = control_.Pick(
+        admitted_, {.target = call_.service, .avoid = start.avoid});
     if (!picked.has_value()) {
       return exchange_.OnNoEndpoint(now);
     }
     endpoint_ = *picked;
-    attempt_ = AttemptOf(admitted_, call_, start.id);
+    attempt_ = AttemptOf(admitted_, call_, endpoint_.name, start.id);
     return exchange_.OnSent(endpoint_.name, now);
   }
 
@@ -135,6 +141,14 @@
   messages::CallReply reply_;
 };
 
+// Tells requests apart that carry the same key. The parts are hashed apart, so
+// that no two requests share a digest by where one part ends.
+std::string RequestDigest(const http_api::ServiceCall& call) {
+  return common::Sha256Hex(common::StrCat(common::Sha256Hex(call.service),
+                                          common::Sha256Hex(call.call),
+                                          common::Sha256Hex(call.body)));
+}
+
 // Carries out what a claim asks for.
 class NonIdempotentRun {
  public:
@@ -147,11 +161,7 @@
         call_(call),
         idempotency_key_(std::move(idempotency_key)),
         claim_({.row_key = claims::RowKey(admitted.customer, idempotency_key_),
-                .request_digest = common::Sha256Hex(common::StrCat(call.service,
-                                                                   "\n",
-                                                                   call.call,
-                                                                   "\n",
-                                                                   call.body)),
+                .request_digest = RequestDigest(call),
                 .deadline = admitted.deadline,
                 .new_token = &common::RandomId}) {}
 
@@ -171,12 +181,14 @@
 
  private:
   claims::EntryAction Perform(const table::ReadRow& read) {
-    const table::ReadOutcome outcome = control_.node().platform().Read(read);
+    const table::ReadOutcome outcome = control_.node().platform().Read(
+        read, claim_.StepTimeout(common::Clock::now()));
     return claim_.OnRead(outcome, common::Clock::now());
   }
 
   claims::EntryAction Perform(const table::WriteRow& write) {
-    const table::WriteOutcome outcome = control_.node().platform().Write(write);
+    const table::WriteOutcome outcome = control_.node().platform().Write(
+        write, claim_.StepTimeout(common::Clock::now()));
     return claim_.OnWrite(outcome, common::Clock::now());
   }
 
@@ -187,7 +199,7 @@
 
   claims::EntryAction Perform(const claims::SendDispatch& send) {
     const claims::DispatchOutcome outcome = SendTo(send.dispatch);
-    return claim_.OnDispatched(outcome);
+    return claim_.OnDispatched(outcome, common::Clock::now());
   }
 
   // Final actions end the run before they would be performed.
@@ -195,23 +207,26 @@
   claims::EntryAction Perform(const claims::CallRefused& done) { return done; }
 
   claims::DispatchOutcome SendTo(const claims::Dispatch& dispatch) {
-    const auto picked = control_.Pick(admitted_, call_.service, avoid_);
+    const auto picked =
+        control_.Pick(admitted_, {.target = call_.service, .avoid = avoid_});
     if (!picked.has_value()) {
-      return claims::DispatchNotSent{};
+      return claims::NoEndpoint{};
     }
     messages::CallAttempt attempt =
-        AttemptOf(admitted_, call_,
+        AttemptOf(admitted_, call_, picked->name,
                   {.request = admitted_.request, .attempt = ++attempts_});
     attempt.idempotency_key = idempotency_key_;
     attempt.dispatch = dispatch;
-    const common::Duration left = admitted_.deadline - common::Clock::now();
-    SendOutcome outcome = Send(*picked, attempt, std::min(kCallTimeout, left));
+    const common::Duration timeout =
+        std::min(kCallTimeout, claim_.StepTimeout(common::Clock::now()));
+    // The endpoint starts nothing that this entry would no longer hear of.
+    attempt.deadline_ms = common::ToMilliseconds(timeout);
+    SendOutcome outcome = Send(*picked, attempt, timeout);
     if (const auto* failure = std::get_if<http_client::CallFailure>(&outcome)) {
       control_.Report(picked->name, AttemptResult::kFailed);
       avoid_.insert(picked->name);
       return failure->sent ? claims::DispatchOutcome(claims::DispatchLost{})
-                           : claims::DispatchOutcome(claims::AttemptNotRun{
-                                 refusal::Code::kNoEndpoint});
+                           : claims::DispatchOutcome(claims::DispatchNotSent{});
     }
     return ToOutcome(picked->name, std::get<messages::CallReply>(outcome));
   }
@@ -296,6 +311,10 @@
                               .ran = refusal::Ran::kNotRun,
                               .message = "the call did not run",
                               .retry_after = kAskAgain};
+    case claims::ClaimState::kUnknown:
+      return refusal::Refusal{.code = refusal::Code::kOutcomeUnknown,
+                              .ran = refusal::Ran::kUnknown,
+                              .message = "the call's answer was lost"};
     case claims::ClaimState::kClaimed:
     case claims::ClaimState::kStarted:
       break;
--- a/packages/daemon/entry/caller_server.cc
+++ b/packages/daemon/entry/caller_server.cc
@@ -1,12 +1,12 @@
 #include "daemon/entry/caller_server.h"
 
 #include <algorithm>
+#include <cmath>
 #include <memory>
 #include <utility>
 
 #include "common/event_log.h"
 #include "common/strings.h"
-#include "daemon/entry/call_run.h"
 #include "daemon/entry/generate_run.h"
 #include "state/manifest/manifest.h"
 
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr common::Duration kRetryAfter = common::seconds(1);
+// How much of a customer's unused rate can be saved up.
+constexpr common::Duration kLimitBurst = common::seconds(30);
 
 // Streams a model's answer as server-sent events. The first piece is fetched
 // before the response begins, so that a refusal can still have its status.
@@ -64,13 +66,6 @@
   return response;
 }
 
-http_server::FullResponse OutcomeResponse(const CallOutcome& outcome) {
-  if (const auto* answered = std::get_if<claims::CallAnswered>(&outcome)) {
-    return AnswerResponse(*answered);
-  }
-  return RefusalResponse(std::get<refusal::Refusal>(outcome));
-}
-
 refusal::Refusal Refuse(refusal::Code code, std::string message) {
   return {.code = code, .message = std::move(message)};
 }
@@ -112,15 +107,29 @@
   return response;
 }
 
+http_server::FullResponse CallerServer::Refused(
+    const refusal::Refusal& refusal) {
+  control_.RecordRefused(refusal.code);
+  return RefusalResponse(refusal);
+}
+
+http_server::FullResponse CallerServer::Respond(const CallOutcome& outcome) {
+  if (const auto* answered = std::get_if<claims::CallAnswered>(&outcome)) {
+    control_.RecordComplete();
+    return AnswerResponse(*answered);
+  }
+  return Refused(std::get<refusal::Refusal>(outcome));
+}
+
 http_server::Response CallerServer::OnRequest(
     const http_server::Request& request) {
   auto envelope = http_api::ParseEnvelope(request.headers);
   if (const auto* refusal = std::get_if<refusal::Refusal>(&envelope)) {
-    return RefusalResponse(*refusal);
+    return Refused(*refusal);
   }
   auto call = http_api::ParseCall(request.method, request.path, request.body);
   if (const auto* refusal = std::get_if<refusal::Refusal>(&call)) {
-    return RefusalResponse(*refusal);
+    return Refused(*refusal);
   }
   const auto& parsed_envelope = std::get<http_api::Envelope>(envelope);
   const auto& parsed_call = std::get<http_api::Call>(call);
@@ -129,7 +138,7 @@
     common::LogEvent(common::EventId::kRequestRefused,
                      common::StrCat("code=", common::NameOf(refusal::kCodeNames,
                                                             refusal->code)));
-    return RefusalResponse(*refusal);
+    return Refused(*refusal);
   }
   return std::visit(
       [&](const auto& kind) {
@@ -156,7 +165,7 @@
     return refusal;
   }
   const manifest::Customer* customer =
-      manifest::FindCustomerByKeyHash(manifest->manifest, envelope.key_sha256);
+      core_.customers.Find(manifest->manifest, envelope.key_sha256);
   if (customer == nullptr) {
     return Refuse(refusal::Code::kUnauthorized, "no customer has this key");
   }
@@ -164,6 +173,15 @@
   if (by_phase.has_value()) {
     return *std::move(by_phase);
   }
+  const common::Time now = common::Clock::now();
+  auto by_load = RefusedByLoad(now + envelope.timeout, call);
+  if (by_load.has_value()) {
+    return *std::move(by_load);
+  }
+  auto by_limit = RefusedByLimit(*customer, call);
+  if (by_limit.has_value()) {
+    return *std::move(by_limit);
+  }
   if (!node_.gate().TryBegin()) {
     refusal::Refusal refusal =
         Refuse(refusal::Code::kDraining, "this entry is stopping");
@@ -174,11 +192,56 @@
       .request = common::StrCat(node_.incarnation(), "-", core_.next_request++),
       .customer = customer->name,
       .priority = std::string(EffectivePriority(*customer, envelope.priority)),
-      .deadline = common::Clock::now() + envelope.timeout,
+      .deadline = now + envelope.timeout,
       .manifest = manifest,
       .in_flight = InFlight(node_)};
 }
 
+std::optional<refusal::Refusal> CallerServer::RefusedByLimit(
+    const manifest::Customer& customer,
+    const http_api::Call& call) {
+  // A look-up costs the endpoints nothing and may be what saves a repetition.
+  if (std::holds_alternative<http_api::OutcomeLookup>(call)) {
+    return std::nullopt;
+  }
+  const common::Time now = common::Clock::now();
+  limits::TokenBucket& bucket =
+      core_.buckets.try_emplace(customer.name, kLimitBurst).first->second;
+  bucket.SetRate(customer.requests_per_second / node_.settings().limit_entries,
+                 now);
+  if (bucket.TryTake(now)) {
+    return std::nullopt;
+  }
+  refusal::Refusal refusal =
+      Refuse(refusal::Code::kLimited, "the customer's limit is used up");
+  refusal.retry_after = bucket.UntilNext(now);
+  return refusal;
+}
+
+std::optional<refusal::Refusal> CallerServer::RefusedByLoad(
+    common::Time deadline,
+    const http_api::Call& call) {
+  const auto* generate = std::get_if<http_api::GenerateCall>(&call);
+  if (generate == nullptr) {
+    return std::nullopt;
+  }
+  const common::Time now = common::Clock::now();
+  const double wait_ms = core_.router.PredictedWaitMs(generate->model, now);
+  const double left_ms =
+      std::chrono::duration<double, std::milli>(deadline - now).count();
+  // Without an endpoint the request ends with a reason of its own.
+  if (std::isinf(wait_ms) || wait_ms < left_ms) {
+    return std::nullopt;
+  }
+  refusal::Refusal refusal =
+      Refuse(refusal::Code::kOverloaded,
+             "the first token is predicted after the deadline");
+  refusal.retry_after =
+      std::max(kRetryAfter, common::Duration(common::milliseconds(
+                                static_cast<int64_t>(wait_ms - left_ms))));
+  return refusal;
+}
+
 http_server::Response CallerServer::Serve(Admitted admitted,
                                           const http_api::Envelope&,
                                           const http_api::GenerateCall& call) {
@@ -187,8 +250,9 @@
       std::any_of(groups.begin(), groups.end(),
                   [&](const auto& group) { return group.model == call.model; });
   if (!known) {
-    return RefusalResponse(Refuse(refusal::Code::kNotFound, "no such model"));
+    return Refused(Refuse(refusal::Code::kNotFound, "no such model"));
   }
+  // The run counts its own outcome.
   auto run = std::make_unique<GenerateRun>(control_, std::move(admitted), call);
   auto piece = run->Next();
   if (const auto* refusal = std::get_if<refusal::Refusal>(&piece)) {
@@ -220,16 +284,16 @@
   const manifest::Service* service =
       manifest::FindService(admitted.manifest->manifest, call.service);
   if (service == nullptr) {
-    return RefusalResponse(Refuse(refusal::Code::kNotFound, "no such service"));
+    return Refused(Refuse(refusal::Code::kNotFound, "no such service"));
   }
   if (!manifest::IsNonIdempotent(*service, call.call)) {
-    return OutcomeResponse(RunIdempotentCall(control_, admitted, call));
+    return Respond(RunIdempotentCall(control_, admitted, call));
   }
   if (envelope.idempotency_key.empty()) {
-    return RefusalResponse(Refuse(refusal::Code::kBadRequest,
-                                  "this call needs an Idempotency-Key"));
+    return Refused(Refuse(refusal::Code::kBadRequest,
+                          "this call needs an Idempotency-Key"));
   }
-  return OutcomeResponse(
+  return Respond(
       RunNonIdempotentCall(control_, admitted, call, envelope.idempotency_key));
 }
 
@@ -237,11 +301,11 @@
                                           const http_api::Envelope& envelope,
                                           const http_api::OutcomeLookup&) {
   if (envelope.idempotency_key.empty()) {
-    return RefusalResponse(
+    return Refused(
         Refuse(refusal::Code::kBadRequest, "Idempotency-Key is missing"));
   }
-  return OutcomeResponse(LookUpOutcome(node_.platform(), admitted.customer,
-                                       envelope.idempotency_key));
+  return Respond(LookUpOutcome(node_.platform(), admitted.customer,
+                               envelope.idempotency_key));
 }
 
 }  // namespace wagtailshore::entry
--- a/packages/protocol/messages/messages.h
+++ b/packages/protocol/messages/messages.h
@@ -10,6 +10,7 @@
 
 #include "absl/status/statusor.h"
 #include "coordination/claims/endpoint_claim.h"
+#include "coordination/dissemination/digest_book.h"
 #include "coordination/membership/peer_table.h"
 #include "state/refusal/refusal.h"
 #include "state/routing/router.h"
@@ -19,9 +20,16 @@
 // Decoders treat their input as hostile: they bound sizes and never throw.
 namespace wagtailshore::messages {
 
+// HTTP status of an endpoint that refuses an attempt as not run: at all, or
+// because no slot is free.
+inline constexpr int kRefusedStatus = 503;
+inline constexpr int kBusyStatus = 429;
+
 // An entry asks an endpoint to generate a part of an answer.
 struct GenerateAttempt {
   stream::AttemptId id;
+  // Name of the endpoint that is meant: addresses pass to other instances.
+  std::string endpoint;
   std::string customer;
   std::string model;
   std::string prompt;
@@ -32,11 +40,15 @@
   // Time left until the caller's deadline, in milliseconds.
   int64_t deadline_ms = 0;
   std::string priority;
+  // Whether the attempt may wait at an endpoint without a free slot.
+  bool may_wait = true;
 };
 
 // An entry asks an endpoint to call its plain service.
 struct CallAttempt {
   stream::AttemptId id;
+  // Name of the endpoint that is meant.
+  std::string endpoint;
   std::string customer;
   std::string service;
   std::string call;
@@ -81,6 +93,8 @@
   std::optional<ManifestTransfer> manifest;
   // Peer addresses of entries that the sender heard lately.
   std::vector<std::string> entries;
+  // Of failure domains whose endpoints the receiver does not hear itself.
+  std::vector<dissemination::DomainDigest> domains;
 };
 
 std::string Encode(const GenerateAttempt& message);
