Quarantine: bound what a crashing content costs

Cause: a request that crashes its endpoint was sent to the next one, and its caller sent it again.

Contents in flight at a crash become suspects, run alone among suspects, and are cleared by ending well or quarantined by a second crash; contents that never ended well go where one is in flight. Entries share the crashes as sets. Through one entry, or several that hear of each crash, two endpoints are lost; entries that do not hear of each other lose two each. No innocent request is refused beside one crashing content. Decision code, not in the daemon yet.

--- /dev/null
+++ b/tests/unit/coordination/quarantine/quarantine_test.cc
@@ -0,0 +1,156 @@
+#include "coordination/quarantine/quarantine.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "common/strings.h"
+#include "support/scenario.h"
+#include "unit/coordination/quarantine/fleet.h"
+
+namespace wagtailshore::quarantine {
+namespace {
+
+using common::milliseconds;
+using common::seconds;
+
+// Through one entry, sent as often and as much at once as one likes, beside
+// innocent requests: two endpoints at most, and no innocent one refused.
+RC_GTEST_PROP(QuarantineProperty, OneEntryLosesTwoEndpointsAtMost, ()) {
+  constexpr size_t kEndpoints = 6;
+  Fleet fleet(1, kEndpoints);
+  const int steps = *rc::gen::inRange(1, 200);
+  for (int i = 0; i < steps; ++i) {
+    const auto endpoint = *rc::gen::inRange<size_t>(0, kEndpoints);
+    switch (*rc::gen::inRange(0, 4)) {
+      case 0:
+        fleet.Send(0, kBad, endpoint);
+        break;
+      case 1: {
+        const bool refused = fleet.Send(
+            0, common::StrCat("good-", *rc::gen::inRange(0, 5)), endpoint);
+        RC_ASSERT(!refused);
+        break;
+      }
+      default:
+        fleet.EndFirst();
+    }
+    fleet.Advance(milliseconds(*rc::gen::inRange(0, 1000)));
+    RC_ASSERT(fleet.crashes() <= 2);
+  }
+}
+
+// Through several entries that tell each other between the sends: two in all.
+// Entries that do not hear of each other: two each.
+RC_GTEST_PROP(QuarantineProperty, EntriesShareWhatTheyKnow, ()) {
+  constexpr size_t kEntries = 3;
+  constexpr size_t kEndpoints = 6;
+  const bool cut = *rc::gen::arbitrary<bool>();
+  Fleet fleet(kEntries, kEndpoints);
+  for (int i = 0; i < 20; ++i) {
+    const auto entry = *rc::gen::inRange<size_t>(0, kEntries);
+    fleet.Send(entry, kBad, *rc::gen::inRange<size_t>(0, kEndpoints));
+    fleet.EndAll();
+    for (size_t other = 0; other < kEntries && !cut; ++other) {
+      fleet.Tell(entry, other);
+    }
+  }
+  RC_ASSERT(fleet.crashes() <= (cut ? static_cast<int>(2 * kEntries) : 2));
+}
+
+TEST(QuarantineTest, WindsBackThoughEntriesGoOnTelling) {
+  Fleet fleet(2, 4);
+  for (size_t endpoint = 0; endpoint < 2; ++endpoint) {
+    fleet.Send(0, kBad, endpoint);
+    fleet.EndAll();
+  }
+  // Two messages a second, each on its way for half of one.
+  const auto tell_for = [&](int periods) {
+    for (int i = 0; i < periods; ++i) {
+      fleet.Tell(0, 1, milliseconds(500));
+      fleet.Tell(1, 0, milliseconds(500));
+    }
+  };
+  // The first message is slow, so that the second entry's record ends later.
+  fleet.Tell(0, 1, milliseconds(1500));
+  tell_for(597);
+  EXPECT_TRUE(fleet.Send(0, kBad, 0));
+  EXPECT_TRUE(fleet.Send(1, kBad, 0));
+  bool forgotten = false;
+  bool came_back = false;
+  for (int i = 0; i < 8; ++i) {
+    tell_for(1);
+    const bool refused = fleet.Send(0, kBad, 0);
+    came_back = came_back || (forgotten && refused);
+    forgotten = forgotten || !refused;
+  }
+  EXPECT_TRUE(forgotten);
+  EXPECT_FALSE(came_back);
+}
+
+TEST(QuarantineTest, AClearedContentDoesNotComeBack) {
+  Quarantine first({});
+  Quarantine second({});
+  const uint64_t lost = first.OnSent("good", "e/1");
+  EXPECT_FALSE(first.OnEnded(lost, true, false, kStart));
+  second.Learn(first.Share(kStart), kStart);
+  EXPECT_EQ(second.suspects(), 1U);
+  const uint64_t served = second.OnSent("good", "f/1");
+  second.OnEnded(served, false, true, kStart);
+  second.Learn(first.Share(kStart), kStart);
+  EXPECT_EQ(second.suspects(), 0U);
+}
+
+// Verbs: "send ENTRY CONTENT ENDPOINT [refused]", "end" (all in flight),
+// "tell FROM TO", "expect crashes N".
+class FleetWorld final : public scenario::World {
+ public:
+  void AdvanceTo(common::Duration at) override {
+    fleet_.Advance(at - now_);
+    now_ = at;
+  }
+
+  absl::Status Do(const scenario::Command& command) override {
+    const auto number = [&](size_t word) {
+      return std::stoul(command.words.at(word));
+    };
+    if (command.verb == "send") {
+      const bool refused =
+          fleet_.Send(number(0), command.words.at(1), number(2));
+      const bool expected = command.words.back() == "refused";
+      return refused == expected
+                 ? absl::OkStatus()
+                 : absl::FailedPreconditionError(refused ? "was refused"
+                                                         : "was not refused");
+    }
+    if (command.verb == "end") {
+      fleet_.EndAll();
+      return absl::OkStatus();
+    }
+    if (command.verb == "tell") {
+      fleet_.Tell(number(0), number(1));
+      return absl::OkStatus();
+    }
+    if (command.verb == "expect") {
+      return fleet_.crashes() == static_cast<int>(number(1))
+                 ? absl::OkStatus()
+                 : absl::FailedPreconditionError(
+                       common::StrCat(fleet_.crashes(), " crashes"));
+    }
+    return absl::InvalidArgumentError("no such verb");
+  }
+
+ private:
+  Fleet fleet_{3, 6};
+  common::Duration now_{};
+};
+
+TEST(QuarantineScenarioTest, QuarantineCrashingContent) {
+  FleetWorld world;
+  const absl::Status run = scenario::RunFile(
+      std::string(SCENARIO_DIR) + "/quarantine_crashing_content.scenario",
+      world);
+  EXPECT_TRUE(run.ok()) << run;
+}
+
+}  // namespace
+}  // namespace wagtailshore::quarantine
