--- a/packages/protocol/messages/messages.cc
+++ b/packages/protocol/messages/messages.cc
@@ -98,27 +98,6 @@
           .sees_platform = json.at("sees_platform")};
 }
 
-Json ToJson(const std::vector<quarantine::SharedContent>& contents) {
-  Json json = Json::array();
-  for (const quarantine::SharedContent& content : contents) {
-    json.push_back({{"digest", content.digest},
-                    {"crashes", content.crashes},
-                    {"ends_in_ms", common::ToMilliseconds(content.ends_in)}});
-  }
-  return json;
-}
-
-std::vector<quarantine::SharedContent> CrashedContentsFrom(const Json& json) {
-  std::vector<quarantine::SharedContent> contents;
-  for (const Json& item : json) {
-    contents.push_back(
-        {.digest = item.at("digest"),
-         .crashes = item.at("crashes"),
-         .ends_in = common::milliseconds(item.at("ends_in_ms"))});
-  }
-  return contents;
-}
-
 }  // namespace
 
 std::string Encode(const GenerateAttempt& message) {
@@ -210,8 +189,7 @@
                {"queued", message.load.queued},
                {"running", message.load.running},
                {"slots", message.load.slots},
-               {"entries", message.entries},
-               {"crashed_contents", ToJson(message.crashed_contents)}};
+               {"entries", message.entries}};
   if (message.manifest.has_value()) {
     json["manifest"] = {{"version", message.manifest->version},
                         {"body", Bytes(message.manifest->body)}};
@@ -221,14 +199,12 @@
 
 absl::StatusOr<PeerExchange> DecodePeerExchange(std::string_view bytes) {
   return Decode<PeerExchange>(bytes, [](const Json& json) {
-    PeerExchange message{
-        .info = PeerInfoFrom(json.at("info")),
-        .load = {.queued = json.at("queued"),
-                 .running = json.at("running"),
-                 .slots = json.at("slots")},
-        .manifest = std::nullopt,
-        .entries = json.at("entries"),
-        .crashed_contents = CrashedContentsFrom(json.at("crashed_contents"))};
+    PeerExchange message{.info = PeerInfoFrom(json.at("info")),
+                         .load = {.queued = json.at("queued"),
+                                  .running = json.at("running"),
+                                  .slots = json.at("slots")},
+                         .manifest = std::nullopt,
+                         .entries = json.at("entries")};
     if (json.contains("manifest")) {
       const Json& manifest = json.at("manifest");
       message.manifest =
--- a/packages/protocol/messages/messages.h
+++ b/packages/protocol/messages/messages.h
@@ -11,7 +11,6 @@
 #include "absl/status/statusor.h"
 #include "coordination/claims/endpoint_claim.h"
 #include "coordination/membership/peer_table.h"
-#include "coordination/quarantine/quarantine.h"
 #include "state/refusal/refusal.h"
 #include "state/routing/router.h"
 #include "state/stream/stream_assembler.h"
@@ -93,8 +92,6 @@
   std::optional<ManifestTransfer> manifest;
   // Peer addresses of entries that the sender heard lately.
   std::vector<std::string> entries;
-  // Contents that were in flight when endpoints crashed.
-  std::vector<quarantine::SharedContent> crashed_contents;
 };
 
 std::string Encode(const GenerateAttempt& message);
