--- /dev/null
+++ b/packages/state/placement/improver.cc
@@ -0,0 +1,275 @@
+#include "state/placement/improver.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace wagtailshore::placement {
+namespace {
+
+// Smaller gains are rounding.
+constexpr double kLeastGain = 1e-6;
+
+// Ranks looked at as partners of the slowest one.
+constexpr ptrdiff_t kMaxPartners = 24;
+
+Loads Scaled(const Loads& loads, size_t ranks) {
+  const double sum = std::accumulate(loads.begin(), loads.end(), 0.0);
+  Loads scaled = loads;
+  for (double& load : scaled) {
+    load = sum > 0 ? load * static_cast<double>(ranks) / sum : 0;
+  }
+  return scaled;
+}
+
+}  // namespace
+
+Improver::Improver(const ExpertMap& map, const Scenarios& scenarios)
+    : map_(map),
+      counts_(ReplicaCounts(map, scenarios.front().size())),
+      loads_of_ranks_(map.ranks.size()),
+      held_(map.ranks.size() * counts_.size()),
+      holders_(counts_.size()) {
+  for (const Loads& loads : scenarios) {
+    loads_.push_back(Scaled(loads, map_.ranks.size()));
+  }
+  for (RankLoad& load : loads_of_ranks_) {
+    load.by_scenario.resize(loads_.size());
+  }
+  for (size_t rank = 0; rank < map_.ranks.size(); ++rank) {
+    for (int expert : map_.ranks[rank]) {
+      held_[rank * counts_.size() + expert] = true;
+      holders_[expert].push_back(static_cast<int>(rank));
+    }
+  }
+  for (int expert = 0; expert < std::ssize(counts_); ++expert) {
+    AddShares(expert, 1);
+  }
+}
+
+int Improver::Step() {
+  const int hot = Slowest();
+  peak_ = loads_of_ranks_[hot].peak;
+  FindPartners();
+  std::optional<Change> best;
+  OfferReplicas(hot, best);
+  OfferDrops(hot, best);
+  OfferSwaps(hot, best);
+  if (!best) {
+    return 0;
+  }
+  Carry(*best);
+  return best->moves;
+}
+
+int Improver::Unblock() {
+  const int hot = Slowest();
+  const int expert = Heaviest(hot);
+  std::optional<Change> best;
+  for (int rank = 0; rank < std::ssize(map_.ranks); ++rank) {
+    if (Holds(rank, expert)) {
+      continue;
+    }
+    for (int slot = 0; slot < std::ssize(map_.ranks[rank]); ++slot) {
+      if (counts_[map_.ranks[rank][slot]] < 2) {
+        continue;
+      }
+      const double peak = PeakAfterReplace(hot, rank, slot, expert);
+      if (!best || peak < best->peak) {
+        best = {.rank = rank, .slot = slot, .expert = expert, .peak = peak};
+      }
+    }
+  }
+  if (!best) {
+    return 0;
+  }
+  Carry(*best);
+  return best->moves;
+}
+
+int Improver::Heaviest(int rank) const {
+  const auto weight = [&](int expert) {
+    double weight = 0;
+    for (size_t scenario = 0; scenario < loads_.size(); ++scenario) {
+      weight = std::max(weight, Share(scenario, expert));
+    }
+    return weight;
+  };
+  return *std::max_element(map_.ranks[rank].begin(), map_.ranks[rank].end(),
+                           [&](int a, int b) { return weight(a) < weight(b); });
+}
+
+int Improver::Slowest() const {
+  const auto lighter = [](const RankLoad& a, const RankLoad& b) {
+    return a.peak < b.peak;
+  };
+  return static_cast<int>(std::max_element(loads_of_ranks_.begin(),
+                                           loads_of_ranks_.end(), lighter) -
+                          loads_of_ranks_.begin());
+}
+
+void Improver::FindPartners() {
+  partners_.resize(map_.ranks.size());
+  std::iota(partners_.begin(), partners_.end(), 0);
+  const ptrdiff_t count = std::min(std::ssize(partners_), kMaxPartners);
+  const auto lighter = [&](int a, int b) {
+    return std::pair(loads_of_ranks_[a].peak, a) <
+           std::pair(loads_of_ranks_[b].peak, b);
+  };
+  std::nth_element(partners_.begin(), partners_.begin() + count - 1,
+                   partners_.end(), lighter);
+  partners_.resize(static_cast<size_t>(count));
+}
+
+void Improver::Offer(const Change& change, std::optional<Change>& best) const {
+  const double gain = (peak_ - change.peak) / change.moves;
+  if (gain <= peak_ * kLeastGain) {
+    return;
+  }
+  if (!best || gain > (peak_ - best->peak) / best->moves) {
+    best = change;
+  }
+}
+
+double Improver::PeakAfterReplace(int hot,
+                                  int rank,
+                                  int slot,
+                                  int expert) const {
+  const int dropped = map_.ranks[rank][slot];
+  double peak = 0;
+  for (size_t scenario = 0; scenario < loads_.size(); ++scenario) {
+    const double dropped_after =
+        Load(scenario, dropped) / (counts_[dropped] - 1);
+    const double added_after = Load(scenario, expert) / (counts_[expert] + 1);
+    const double dropped_change = dropped_after - Share(scenario, dropped);
+    const double added_change = added_after - Share(scenario, expert);
+    const auto load_after = [&](int at) {
+      return loads_of_ranks_[at].by_scenario[scenario] +
+             (Holds(at, expert) ? added_change : 0) +
+             (Holds(at, dropped) ? dropped_change : 0);
+    };
+    peak = std::max(peak, load_after(rank) - dropped_after + added_after);
+    if (rank != hot) {
+      peak = std::max(peak, load_after(hot));
+    }
+    for (int holder : holders_[dropped]) {
+      if (holder != rank) {
+        peak = std::max(peak, load_after(holder));
+      }
+    }
+  }
+  return peak;
+}
+
+double Improver::PeakAfterSwap(int hot, int out, int rank, int in) const {
+  double peak = 0;
+  for (size_t scenario = 0; scenario < loads_.size(); ++scenario) {
+    const double shift = Share(scenario, out) - Share(scenario, in);
+    peak = std::max({peak, loads_of_ranks_[hot].by_scenario[scenario] - shift,
+                     loads_of_ranks_[rank].by_scenario[scenario] + shift});
+  }
+  return peak;
+}
+
+void Improver::OfferReplicas(int hot, std::optional<Change>& best) const {
+  for (int expert : map_.ranks[hot]) {
+    for (int rank : partners_) {
+      if (Holds(rank, expert)) {
+        continue;
+      }
+      for (int slot = 0; slot < std::ssize(map_.ranks[rank]); ++slot) {
+        if (counts_[map_.ranks[rank][slot]] < 2) {
+          continue;
+        }
+        Offer({.rank = rank,
+               .slot = slot,
+               .expert = expert,
+               .peak = PeakAfterReplace(hot, rank, slot, expert)},
+              best);
+      }
+    }
+  }
+}
+
+void Improver::OfferDrops(int hot, std::optional<Change>& best) const {
+  for (int slot = 0; slot < std::ssize(map_.ranks[hot]); ++slot) {
+    if (counts_[map_.ranks[hot][slot]] < 2) {
+      continue;
+    }
+    for (int partner : partners_) {
+      for (int expert : map_.ranks[partner]) {
+        if (!Holds(hot, expert)) {
+          Offer({.rank = hot,
+                 .slot = slot,
+                 .expert = expert,
+                 .peak = PeakAfterReplace(hot, hot, slot, expert)},
+                best);
+        }
+      }
+    }
+  }
+}
+
+void Improver::OfferSwaps(int hot, std::optional<Change>& best) const {
+  for (int slot = 0; slot < std::ssize(map_.ranks[hot]); ++slot) {
+    const int out = map_.ranks[hot][slot];
+    for (int rank : partners_) {
+      if (Holds(rank, out)) {
+        continue;
+      }
+      for (int other = 0; other < std::ssize(map_.ranks[rank]); ++other) {
+        const int in = map_.ranks[rank][other];
+        if (Holds(hot, in)) {
+          continue;
+        }
+        Offer({.rank = hot,
+               .slot = slot,
+               .expert = in,
+               .swap_rank = rank,
+               .swap_slot = other,
+               .moves = 2,
+               .peak = PeakAfterSwap(hot, out, rank, in)},
+              best);
+      }
+    }
+  }
+}
+
+void Improver::AddShares(int expert, double sign) {
+  for (int holder : holders_[expert]) {
+    RankLoad& load = loads_of_ranks_[holder];
+    load.peak = 0;
+    for (size_t scenario = 0; scenario < loads_.size(); ++scenario) {
+      load.by_scenario[scenario] += sign * Share(scenario, expert);
+      load.peak = std::max(load.peak, load.by_scenario[scenario]);
+    }
+  }
+}
+
+void Improver::Put(int rank, int slot, int expert) {
+  int& held = map_.ranks[rank][slot];
+  const size_t row = static_cast<size_t>(rank) * counts_.size();
+  AddShares(held, -1);
+  AddShares(expert, -1);
+  std::erase(holders_[held], rank);
+  holders_[expert].push_back(rank);
+  --counts_[held];
+  ++counts_[expert];
+  held_[row + held] = false;
+  held_[row + expert] = true;
+  AddShares(held, 1);
+  AddShares(expert, 1);
+  held = expert;
+}
+
+void Improver::Carry(const Change& change) {
+  const int dropped = map_.ranks[change.rank][change.slot];
+  if (change.swap_rank < 0) {
+    Put(change.rank, change.slot, change.expert);
+    return;
+  }
+  // One more replica first: an expert is never without any.
+  Put(change.swap_rank, change.swap_slot, dropped);
+  Put(change.rank, change.slot, change.expert);
+}
+
+}  // namespace wagtailshore::placement
--- a/tests/bench/capacity.h
+++ b/tests/bench/capacity.h
@@ -3,9 +3,12 @@
 
 #include <cstddef>
 #include <functional>
+#include <string>
 #include <string_view>
 #include <vector>
 
+#include "state/manifest/manifest.h"
+
 // The parts of the topic "capacity": each measures one cost of the pure code
 // at one size.
 namespace wagtailshore::bench::capacity {
@@ -28,6 +31,15 @@
   std::function<Cost(size_t)> measure;
 };
 
+// A manifest whose endpoints are spread over `domains` failure domains.
+manifest::Manifest ManifestOf(size_t endpoints,
+                              size_t customers,
+                              size_t domains);
+// Where endpoint `number` of that manifest takes control messages, and its
+// failure domain.
+std::string PeerAddress(size_t number);
+std::string FailureDomain(size_t number, size_t domains);
+
 // Manifest and its readers: parsing, digests, look-ups.
 std::vector<Part> ManifestParts();
 // Peers: routing state, membership and the control exchange.
--- a/tests/bench/topics.h
+++ b/tests/bench/topics.h
@@ -12,7 +12,9 @@
 void MeasureOverload(const TopicOptions& options, std::ostream& out);
 void MeasureRetries(const TopicOptions& options, std::ostream& out);
 void MeasureRouting(const TopicOptions& options, std::ostream& out);
+void AtMostOnce(const TopicOptions& options, std::ostream& out);
 void Capacity(const TopicOptions& options, std::ostream& out);
+void MeasurePlacement(const TopicOptions& options, std::ostream& out);
 
 }  // namespace wagtailshore::bench
 
