--- a/packages/daemon/entry/entry_core.h
+++ b/packages/daemon/entry/entry_core.h
@@ -10,9 +10,9 @@
 #include "common/time.h"
 #include "coordination/rollout/manifest_holder.h"
 #include "daemon/node/node.h"
+#include "state/limits/token_bucket.h"
 #include "state/manifest/customer_index.h"
 #include "state/metrics/metrics.h"
-#include "state/limits/token_bucket.h"
 #include "state/refusal/refusal.h"
 #include "state/routing/router.h"
 
