--- a/tests/fuzz/messages_fuzz.cc
+++ b/tests/fuzz/messages_fuzz.cc
@@ -20,16 +20,18 @@
   WS_INVARIANT(again.ok() && Encode(*again) == encoded);
 }
 
-}  // namespace
-}  // namespace wagtailshore::messages
-
-extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
-  using namespace wagtailshore::messages;
-  const std::string bytes(data, data + size);
+void TryAll(const std::string& bytes) {
   Try(&DecodeGenerateAttempt, bytes);
   Try(&DecodeCallAttempt, bytes);
   Try(&DecodeCallReply, bytes);
   Try(&DecodePeerExchange, bytes);
   Try(&DecodeFrame, bytes);
+}
+
+}  // namespace
+}  // namespace wagtailshore::messages
+
+extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
+  wagtailshore::messages::TryAll(std::string(data, data + size));
   return 0;
 }
