Entry: run model requests under the quarantine

Cause: a prompt that crashes each engine cost all three of a model (real_crashing_content before: no_endpoint after the third engine).

--- a/packages/common/event_log.cc
+++ b/packages/common/event_log.cc
@@ -47,6 +47,11 @@
     EventSpec{EventId::kStreamResumed, Severity::kInfo, "stream resumed",
               "A cut stream goes on at its offset on a new connection.",
               "None."},
+    EventSpec{EventId::kContentQuarantined, Severity::kError,
+              "content quarantined",
+              "Two endpoints crashed while they ran this content.",
+              "Find the caller's request by its digest; it is refused until "
+              "the quarantine winds back."},
     EventSpec{EventId::kOutcomeUnknown, Severity::kError, "outcome unknown",
               "A non-idempotent call started and its answer was lost.",
               "Look the outcome up at the service before repeating by hand."},
--- a/packages/common/event_log.h
+++ b/packages/common/event_log.h
@@ -22,6 +22,7 @@
   kAttemptFailed = 1301,
   kRequestRefused = 1302,
   kStreamResumed = 1303,
+  kContentQuarantined = 1310,
   kOutcomeUnknown = 1401,
   kOutcomeNotRecorded = 1402,
   kPlatformUnavailable = 1501,
--- a/packages/coordination/exchange/exchange.cc
+++ b/packages/coordination/exchange/exchange.cc
@@ -33,6 +33,12 @@
   return Abandon(refusal::Code::kNoEndpoint, "no endpoint can take it");
 }
 
+Action Exchange::OnQuarantined(common::Duration ends_in) {
+  retry_after_ = ends_in;
+  return Abandon(refusal::Code::kQuarantined,
+                 "this content crashed two endpoints");
+}
+
 Action Exchange::OnNoBudget(common::Time) {
   return Abandon(refusal::Code::kOverloaded,
                  "too many attempts fail for another one; ask again later");
--- a/packages/coordination/exchange/exchange.h
+++ b/packages/coordination/exchange/exchange.h
@@ -86,6 +86,8 @@
   Action OnSent(const std::string& endpoint, common::Time now);
   // No endpoint can take the attempt.
   Action OnNoEndpoint(common::Time now);
+  // The request's content is quarantined for this long.
+  Action OnQuarantined(common::Duration ends_in);
   // The retry budget has nothing left for the attempt.
   Action OnNoBudget(common::Time now);
   Action OnFrame(const stream::Frame& frame, common::Time now);
--- a/packages/daemon/entry/entry_core.h
+++ b/packages/daemon/entry/entry_core.h
@@ -8,6 +8,7 @@
 #include <variant>
 
 #include "common/time.h"
+#include "coordination/quarantine/quarantine.h"
 #include "coordination/retry_budget/retry_budget.h"
 #include "coordination/rollout/manifest_holder.h"
 #include "daemon/node/node.h"
@@ -28,6 +29,7 @@
   // By customer.
   std::map<std::string, limits::TokenBucket> buckets;
   retry_budget::RetryBudget retries{{}};
+  quarantine::Quarantine quarantine{{}};
   // Of the manifest in force.
   manifest::CustomerIndex customers;
   metrics::Metrics metrics;
@@ -71,6 +73,22 @@
   std::string traffic_address;
 };
 
+// An endpoint chosen under the quarantine's rules.
+struct PickedRun {
+  Picked endpoint;
+  // The attempt's number with the quarantine.
+  uint64_t attempt = 0;
+};
+
+// No endpoint can take the attempt.
+struct NoneFree {};
+
+using ContentPick = std::
+    variant<PickedRun, NoneFree, quarantine::MustWait, quarantine::Refused>;
+
+// How an attempt with a content ended.
+enum class ContentEnd { kAnswered, kCrashed, kOther };
+
 // How an attempt went, for the router.
 enum class AttemptResult {
   kServed,
@@ -93,8 +111,13 @@
                              const routing::PickRequest& request);
   // Whether the budget allows another attempt, which it then counts.
   bool TryTakeRetry();
-  // Another attempt goes to the same endpoint.
-  void Resume(const std::string& endpoint);
+  // As Pick(), for a content that may crash endpoints. `prefer` is taken if
+  // the rules allow it. EndContent() must follow a PickedRun.
+  ContentPick PickForContent(const Admitted& admitted,
+                             routing::PickRequest request,
+                             const std::string& digest,
+                             const std::optional<std::string>& prefer);
+  void EndContent(uint64_t attempt, const std::string& digest, ContentEnd end);
   void Report(const std::string& endpoint,
               AttemptResult result,
               routing::AttemptTimes times = {});
@@ -106,6 +129,14 @@
   node::Node& node() { return node_; }
 
  private:
+  // Where the manifests that may name the endpoint say that it is.
+  std::optional<Picked> Locate(const Admitted& admitted,
+                               const std::string& name);
+  // On the control thread; without the endpoint's address.
+  ContentPick PickOnControl(routing::PickRequest& request,
+                            const std::string& digest,
+                            std::optional<std::string> endpoint);
+
   node::Node& node_;
   EntryCore& core_;
 };
--- a/packages/daemon/entry/generate_run.cc
+++ b/packages/daemon/entry/generate_run.cc
@@ -1,7 +1,9 @@
 #include "daemon/entry/generate_run.h"
 
+#include <thread>
 #include <utility>
 
+#include "common/digest.h"
 #include "common/event_log.h"
 #include "common/strings.h"
 
@@ -10,6 +12,8 @@
 
 constexpr size_t kMaxFrameBytes = size_t{1} << 20;
 constexpr int kOk = 200;
+// How often a request asks whether its content may run now.
+constexpr common::Duration kContentPoll = common::milliseconds(20);
 constexpr int kBadGateway = 502;
 
 // Only the two statuses that say so mean that the attempt did not run.
@@ -48,10 +52,12 @@
            .deadline = admitted_.deadline,
            .progress_timeout = control.node().settings().progress_timeout}),
       prefixes_(routing::PrefixesOf(call_.prompt)),
+      digest_(
+          common::Sha256Hex(common::StrCat(call_.model, "\n", call_.prompt))),
       times_(common::Clock::now()) {}
 
 GenerateRun::~GenerateRun() {
-  ReportEnd(AttemptResult::kAbandoned);
+  ReportEnd(AttemptResult::kAbandoned, ContentEnd::kOther);
 }
 
 std::variant<exchange::DeliverText, refusal::Refusal> GenerateRun::Next() {
@@ -65,7 +71,7 @@
         first_token_ = common::Clock::now() - sent_at_;
       }
       if (deliver->last) {
-        ReportEnd(AttemptResult::kServed);
+        ReportEnd(AttemptResult::kServed, ContentEnd::kAnswered);
       }
       RecordPiece(*deliver);
       return std::move(*deliver);
@@ -92,22 +98,32 @@
   }
 }
 
-std::optional<Picked> GenerateRun::PickFor(
-    const exchange::StartAttempt& start) {
+ContentPick GenerateRun::PickFor(const exchange::StartAttempt& start) {
+  std::optional<std::string> prefer;
   if (start.prefer.has_value()) {
-    control_.Resume(endpoint_.name);
-    return endpoint_;
+    prefer = endpoint_.name;
+  }
+  while (true) {
+    ContentPick pick =
+        control_.PickForContent(admitted_,
+                                {.target = call_.model,
+                                 .avoid = start.avoid,
+                                 .prefixes = prefixes_,
+                                 .busy_refusals = start.busy_refusals},
+                                digest_, prefer);
+    const bool waits = std::holds_alternative<quarantine::MustWait>(pick);
+    if (!waits || common::Clock::now() >= admitted_.deadline) {
+      return pick;
+    }
+    std::this_thread::sleep_for(kContentPoll);
   }
-  return control_.Pick(admitted_, {.target = call_.model,
-                                   .avoid = start.avoid,
-                                   .prefixes = prefixes_,
-                                   .busy_refusals = start.busy_refusals});
 }
 
-void GenerateRun::ReportEnd(AttemptResult result) {
+void GenerateRun::ReportEnd(AttemptResult result, ContentEnd end) {
   if (!std::exchange(attempt_counts_, false)) {
     return;
   }
+  control_.EndContent(content_attempt_, digest_, end);
   control_.Report(endpoint_.name, result,
                   {.first_token = first_token_.value_or(common::Duration{}),
                    .total = common::Clock::now() - sent_at_});
@@ -118,12 +134,17 @@
   if (start.is_retry && !control_.TryTakeRetry()) {
     return exchange_.OnNoBudget(common::Clock::now());
   }
-  const std::optional<Picked> picked = PickFor(start);
+  const ContentPick pick = PickFor(start);
   const common::Time now = common::Clock::now();
-  if (!picked.has_value()) {
+  if (const auto* refused = std::get_if<quarantine::Refused>(&pick)) {
+    return exchange_.OnQuarantined(refused->ends_in);
+  }
+  const auto* run = std::get_if<PickedRun>(&pick);
+  if (run == nullptr) {
     return exchange_.OnNoEndpoint(now);
   }
-  endpoint_ = *picked;
+  endpoint_ = run->endpoint;
+  content_attempt_ = run->attempt;
   attempt_counts_ = true;
   sent_at_ = now;
   first_token_.reset();
@@ -198,7 +219,9 @@
     exchange::AttemptEnd end,
     std::optional<common::Duration> retry_after) {
   connection_.reset();
-  ReportEnd(ResultOf(end));
+  ReportEnd(ResultOf(end), end == exchange::AttemptEnd::kBroken
+                               ? ContentEnd::kCrashed
+                               : ContentEnd::kOther);
   if (end == exchange::AttemptEnd::kBusy) {
     return exchange_.OnAttemptEnd(end, retry_after, common::Clock::now());
   }
--- a/packages/daemon/entry/generate_run.h
+++ b/packages/daemon/entry/generate_run.h
@@ -40,15 +40,19 @@
   exchange::Action OnData(const std::string& bytes);
   exchange::Action EndAttempt(exchange::AttemptEnd end,
                               std::optional<common::Duration> retry_after);
-  std::optional<Picked> PickFor(const exchange::StartAttempt& start);
+  // Waits while the content's rules ask for it.
+  ContentPick PickFor(const exchange::StartAttempt& start);
   // Tells the router how the current attempt ended.
-  void ReportEnd(AttemptResult result);
+  void ReportEnd(AttemptResult result, ContentEnd end);
 
   EntryControl& control_;
   Admitted admitted_;
   http_api::GenerateCall call_;
   exchange::Exchange exchange_;
   std::vector<routing::Prefix> prefixes_;
+  // Digest of what the engine is given.
+  std::string digest_;
+  uint64_t content_attempt_ = 0;
   Picked endpoint_;
   // Whether the router counts an attempt of this run as in flight.
   bool attempt_counts_ = false;
--- a/packages/daemon/main.cc
+++ b/packages/daemon/main.cc
@@ -1,6 +1,7 @@
 #include <glog/logging.h>
 #include <signal.h>
 
+#include <cstdlib>
 #include <iostream>
 #include <string>
 #include <variant>
@@ -47,7 +48,10 @@
                    common::StrCat("signal=", signal));
   (*role)->Drain();
   common::LogEvent(common::EventId::kProcessStopped, "");
-  return kExitDone;
+  google::FlushLogFiles(google::GLOG_INFO);
+  // Everything in flight has ended. Taking the objects down adds nothing, and
+  // nng's close of a socket can wait forever.
+  std::_Exit(kExitDone);
 }
 
 int Main(int argc, char** argv) {
--- a/packages/daemon/node/node.cc
+++ b/packages/daemon/node/node.cc
@@ -250,6 +250,9 @@
         .version = message.manifest->manifest.version,
         .body = message.manifest->body};
   }
+  if (hooks_.add_to_exchange) {
+    hooks_.add_to_exchange(exchange);
+  }
   return exchange;
 }
 
--- a/packages/daemon/node/node.h
+++ b/packages/daemon/node/node.h
@@ -32,6 +32,8 @@
   std::function<void(const std::vector<platform_client::Instance>&)>
       on_instances;
   std::function<routing::LoadReport()> load;
+  // Adds what the role tells its peers; may be left out.
+  std::function<void(messages::PeerExchange&)> add_to_exchange;
   std::function<void(nlohmann::json&)> add_to_dump;
   // Requests to the admin address that the node does not know; called on the
   // connection's thread.
--- a/packages/protocol/messages/messages.cc
+++ b/packages/protocol/messages/messages.cc
@@ -119,6 +119,29 @@
               json.at("age_ms").get<int64_t>(), int64_t{0}, kMaxAgeMs))};
 }
 
+Json ToJson(const std::vector<quarantine::SharedContent>& contents) {
+  Json json = Json::array();
+  for (const quarantine::SharedContent& content : contents) {
+    json.push_back({{"digest", content.digest},
+                    {"crashes", content.crashes},
+                    {"ends_in_ms", common::ToMilliseconds(content.ends_in)}});
+  }
+  return json;
+}
+
+std::vector<quarantine::SharedContent> CrashedContentsFrom(const Json& json) {
+  constexpr int64_t kMaxEndsInMs = 3'600'000;
+  std::vector<quarantine::SharedContent> contents;
+  for (const Json& item : json) {
+    contents.push_back(
+        {.digest = item.at("digest"),
+         .crashes = item.at("crashes"),
+         .ends_in = common::milliseconds(std::clamp(
+             item.at("ends_in_ms").get<int64_t>(), int64_t{0}, kMaxEndsInMs))});
+  }
+  return contents;
+}
+
 }  // namespace
 
 std::string Encode(const GenerateAttempt& message) {
@@ -212,7 +235,8 @@
                {"queued", message.load.queued},
                {"running", message.load.running},
                {"slots", message.load.slots},
-               {"entries", message.entries}};
+               {"entries", message.entries},
+               {"crashed_contents", ToJson(message.crashed_contents)}};
   if (message.manifest.has_value()) {
     json["manifest"] = {{"version", message.manifest->version},
                         {"body", Bytes(message.manifest->body)}};
@@ -231,7 +255,8 @@
                  .running = IntegerFrom<uint32_t>(json.at("running")),
                  .slots = IntegerFrom<uint32_t>(json.at("slots"))},
         .manifest = std::nullopt,
-        .entries = json.at("entries")};
+        .entries = json.at("entries"),
+        .crashed_contents = CrashedContentsFrom(json.at("crashed_contents"))};
     if (json.contains("manifest")) {
       const Json& manifest = json.at("manifest");
       message.manifest = ManifestTransfer{
--- a/packages/protocol/messages/messages.h
+++ b/packages/protocol/messages/messages.h
@@ -12,6 +12,7 @@
 #include "coordination/claims/endpoint_claim.h"
 #include "coordination/dissemination/digest_book.h"
 #include "coordination/membership/peer_table.h"
+#include "coordination/quarantine/quarantine.h"
 #include "state/refusal/refusal.h"
 #include "state/routing/router.h"
 #include "state/stream/stream_assembler.h"
@@ -95,6 +96,8 @@
   std::vector<std::string> entries;
   // Of failure domains whose endpoints the receiver does not hear itself.
   std::vector<dissemination::DomainDigest> domains;
+  // Contents that were in flight when endpoints crashed.
+  std::vector<quarantine::SharedContent> crashed_contents;
 };
 
 std::string Encode(const GenerateAttempt& message);
--- a/packages/state/routing/router.cc
+++ b/packages/state/routing/router.cc
@@ -122,6 +122,13 @@
   hints_.Forget(candidate->id);
 }
 
+bool Router::MayTake(const std::string& endpoint,
+                     const std::set<std::string>& avoid) const {
+  const auto found = candidates_.find(endpoint);
+  return found != candidates_.end() && !found->second.leaving &&
+         !avoid.contains(endpoint);
+}
+
 void Router::OnResumed(const std::string& endpoint, common::Time now) {
   Candidate* candidate = Find(endpoint);
   if (candidate != nullptr) {
--- a/packages/state/routing/router.h
+++ b/packages/state/routing/router.h
@@ -125,7 +125,10 @@
   // The endpoint for an attempt, or nothing when there is none. The attempt
   // counts as in flight until one of the three calls below.
   std::optional<std::string> Pick(const PickRequest& request, common::Time now);
-  // Another attempt goes to the same endpoint without a pick.
+  // Whether an attempt may go to this endpoint without a pick.
+  bool MayTake(const std::string& endpoint,
+               const std::set<std::string>& avoid) const;
+  // An attempt goes to the endpoint without a pick.
   void OnResumed(const std::string& endpoint, common::Time now);
 
   void OnSuccess(const std::string& endpoint,
--- a/tests/e2e/process_world.h
+++ b/tests/e2e/process_world.h
@@ -16,7 +16,8 @@
 // scenarios order what happens but assert no durations. Verbs:
 //
 //   deploy [token=20ms] [call=0ms]           start everything
-//   generate NAME entry=E tokens=N           send a streamed model request
+//   generate NAME entry=E tokens=N [prompt=P]   send a streamed request; a
+//                                            prompt "crash..." crashes engines
 //   print NAME entry=E key=K [badge=B] [customer=two]   badge: else the key
 //   look_up NAME entry=E key=K               ask for a past outcome
 //   kill|term|freeze|thaw PROCESS...
