--- a/tests/bench/topics.h
+++ b/tests/bench/topics.h
@@ -9,6 +9,7 @@
 namespace wagtailshore::bench {
 
 // Declarations begin here.
+void RolloutTopic(const TopicOptions& options, std::ostream& out);
 
 }  // namespace wagtailshore::bench
 
--- a/tests/support/rollout_world.cc
+++ b/tests/support/rollout_world.cc
@@ -186,6 +186,7 @@
   const bool begun = endpoint.gate.TryBegin();
   if (begun) {
     endpoint.gate.End();
+    endpoint.last_begun = now_;
   }
   if (!endpoint.leaving_since.has_value()) {
     return;
--- a/tests/support/rollout_world.h
+++ b/tests/support/rollout_world.h
@@ -75,6 +75,8 @@
   std::optional<common::Time> leaving_since;
   // When it last refused work as not run because of that.
   std::optional<common::Time> last_refused;
+  // When this endpoint last began work.
+  std::optional<common::Time> last_begun;
   uint64_t bytes_sent = 0;
   uint64_t bytes_received = 0;
 };
@@ -84,6 +86,7 @@
   explicit RolloutWorld(WorldOptions options);
 
   common::Time now() const { return now_; }
+  common::Duration SinceStart(common::Time time) const { return time - kStart; }
   void AdvanceTo(common::Duration since_start);
   void Advance(common::Duration by) { AdvanceTo(now_ - kStart + by); }
 
