Cli: one file per subcommand, plan, status by failure domain, output formats

Seen to fail first: a number above its range, a non-loopback address taken for loopback, a changed default, a changed event title, plan without removals, status with the highest version for the lowest.

TCLAP remembers an optional argument for the whole process; each command line resets that.

--- /dev/null
+++ b/packages/cli/commands/command_line.h
@@ -0,0 +1,55 @@
+#ifndef CLI_COMMANDS_COMMAND_LINE_H_
+#define CLI_COMMANDS_COMMAND_LINE_H_
+
+#include <tclap/CmdLine.h>
+
+#include <optional>
+#include <ostream>
+#include <string>
+#include <vector>
+
+#include "cli/commands/commands.h"
+
+namespace wagtailshore::commands {
+
+enum class OutputFormat { kText, kJson };
+
+// Where a subcommand writes to, and how it reaches admin addresses.
+struct Context {
+  std::ostream& out;
+  std::ostream& err;
+  // Sent to admin addresses; never printed.
+  std::optional<std::string> admin_token;
+};
+
+// The flags that every subcommand has, and the parser of its own.
+class CommandLine {
+ public:
+  CommandLine(const std::string& help, const std::string& name);
+
+  TCLAP::CmdLine& parser() { return parser_; }
+  // Throws what TCLAP throws.
+  void Parse();
+  void SetArguments(std::vector<std::string> arguments);
+  OutputFormat format() const;
+
+ private:
+  std::string name_;
+  std::vector<std::string> arguments_;
+  TCLAP::CmdLine parser_;
+  std::vector<std::string> formats_ = {"text", "json"};
+  TCLAP::ValuesConstraint<std::string> format_constraint_;
+  TCLAP::ValueArg<std::string> format_;
+};
+
+// The subcommands, each in the file of its name.
+ExitCode RunCheck(CommandLine& line, const Context& context);
+ExitCode RunSubmit(CommandLine& line, const Context& context);
+ExitCode RunStatus(CommandLine& line, const Context& context);
+ExitCode RunDump(CommandLine& line, const Context& context);
+ExitCode RunEvents(CommandLine& line, const Context& context);
+ExitCode RunPlan(CommandLine& line, const Context& context);
+
+}  // namespace wagtailshore::commands
+
+#endif  // CLI_COMMANDS_COMMAND_LINE_H_
--- a/packages/coordination/dissemination/relay_rank.cc
+++ b/packages/coordination/dissemination/relay_rank.cc
@@ -1,7 +1,9 @@
 #include "coordination/dissemination/relay_rank.h"
 
 #include <algorithm>
+#include <functional>
 #include <string_view>
+#include <utility>
 
 #include "absl/strings/numbers.h"
 #include "common/digest.h"
@@ -21,13 +23,20 @@
                                         std::vector<std::string> addresses,
                                         size_t count) {
   count = std::min(count, addresses.size());
-  const auto heavier = [&](const std::string& left, const std::string& right) {
-    return Weight(failure_domain, left) > Weight(failure_domain, right);
-  };
-  const auto middle = addresses.begin() + static_cast<ptrdiff_t>(count);
-  std::partial_sort(addresses.begin(), middle, addresses.end(), heavier);
-  addresses.resize(count);
-  return addresses;
+  std::vector<std::pair<uint64_t, std::string>> weighed;
+  weighed.reserve(addresses.size());
+  for (std::string& address : addresses) {
+    const uint64_t weight = Weight(failure_domain, address);
+    weighed.emplace_back(weight, std::move(address));
+  }
+  std::partial_sort(weighed.begin(),
+                    weighed.begin() + static_cast<ptrdiff_t>(count),
+                    weighed.end(), std::greater<>());
+  std::vector<std::string> top;
+  for (size_t i = 0; i < count; ++i) {
+    top.push_back(std::move(weighed[i].second));
+  }
+  return top;
 }
 
 uint64_t RelayRank::Weight(const std::string& failure_domain,
--- a/packages/coordination/membership/peer_table.cc
+++ b/packages/coordination/membership/peer_table.cc
@@ -9,6 +9,9 @@
   change.restarted = !same_process && !peer.info.incarnation.empty();
   const bool was_leaving = same_process && peer.info.leaving;
   change.began_leaving = info.leaving && !was_leaving;
+  if (peer.info.manifest_version != info.manifest_version) {
+    peer.version_since = now;
+  }
   peer.info = info;
   peer.info.leaving = info.leaving || was_leaving;
   peer.last_heard = now;
--- a/packages/coordination/membership/peer_table.h
+++ b/packages/coordination/membership/peer_table.h
@@ -39,6 +39,8 @@
   PeerInfo info;
   common::Time last_heard{};
   uint32_t unanswered = 0;
+  // Since when the peer has told of its manifest version.
+  common::Time version_since{};
 };
 
 // What changed with a word from a peer.
--- a/packages/daemon/node/node.cc
+++ b/packages/daemon/node/node.cc
@@ -253,6 +253,18 @@
   return exchange;
 }
 
+bool Node::IsAllowed(const http_server::Request& request) const {
+  if (settings_.admin_token.empty()) {
+    return true;
+  }
+  const auto header = request.headers.find("authorization");
+  // Digests are of one length, so that the comparison tells nothing of it.
+  return header != request.headers.end() &&
+         common::ConstantTimeEquals(common::Sha256Hex(header->second),
+                                    common::Sha256Hex(common::StrCat(
+                                        "Bearer ", settings_.admin_token)));
+}
+
 http_server::Response Node::OnAdmin(const http_server::Request& request) {
   if (request.path == "/healthz") {
     return Text(200, "ok\n");
@@ -263,6 +275,9 @@
     });
     return ready ? Text(200, "ready\n") : Text(503, "not ready\n");
   }
+  if (!IsAllowed(request)) {
+    return Text(401, "the admin token is missing or wrong\n");
+  }
   if (request.path == "/dump") {
     return http_server::FullResponse{
         .body = control_.Call([this] { return Dump(); })};
@@ -299,6 +314,8 @@
          {"role", common::NameOf(membership::kRoleNames, peer.info.role)},
          {"failure_domain", peer.info.failure_domain},
          {"manifest_version", peer.info.manifest_version},
+         {"manifest_version_for_ms",
+          common::ToMilliseconds(now - peer.version_since)},
          {"leaving", peer.info.leaving},
          {"age_ms", common::ToMilliseconds(now - peer.last_heard)},
          {"unanswered", peer.unanswered}});
--- a/packages/daemon/node/node.h
+++ b/packages/daemon/node/node.h
@@ -95,6 +95,8 @@
   dissemination::Message FromWire(const messages::PeerExchange& exchange) const;
   messages::PeerExchange ToWire(dissemination::Message message) const;
 
+  // Whether the request carries the admin token, if one is set.
+  bool IsAllowed(const http_server::Request& request) const;
   http_server::Response OnAdmin(const http_server::Request& request);
   std::string Dump();
 
--- a/packages/daemon/settings/setting_table.cc
+++ b/packages/daemon/settings/setting_table.cc
@@ -38,6 +38,10 @@
                 .type = SettingType::kAddress,
                 .needed_by = NeededBy::kBoth,
                 .help = "where operators reach dump, metrics and submission"},
+    SettingSpec{.name = "admin-token",
+                .help = "what operators must send to the admin address as a "
+                        "bearer token; needed when that is not loopback",
+                .secret = true},
     SettingSpec{.name = "platform-url",
                 .type = SettingType::kUrl,
                 .needed_by = NeededBy::kBoth,
--- a/packages/daemon/settings/settings.cc
+++ b/packages/daemon/settings/settings.cc
@@ -82,6 +82,10 @@
          port <= kMaxPort;
 }
 
+bool IsLoopback(std::string_view address) {
+  return address.starts_with("127.") || address.starts_with("[::1]:");
+}
+
 std::vector<std::string> SplitList(const std::string& text) {
   return absl::StrSplit(text, ',', absl::SkipEmpty());
 }
@@ -157,6 +161,13 @@
     findings.push_back(
         {"--engine-url", "an endpoint needs this or --service-url"});
   }
+  const Value& admin = values.at("admin-address");
+  if (!admin.text.empty() && !IsLoopback(admin.text) &&
+      values.at("admin-token").text.empty()) {
+    findings.push_back({admin.place,
+                        "must be loopback unless "
+                        "WAGTAILSHORE_ADMIN_TOKEN is set"});
+  }
   return findings;
 }
 
@@ -181,6 +192,7 @@
       .traffic_address = values.at("traffic-address").text,
       .peer_address = values.at("peer-address").text,
       .admin_address = values.at("admin-address").text,
+      .admin_token = values.at("admin-token").text,
       .platform_url = values.at("platform-url").text,
       .engine_url = values.at("engine-url").text,
       .service_url = values.at("service-url").text,
--- a/packages/daemon/settings/settings.h
+++ b/packages/daemon/settings/settings.h
@@ -24,6 +24,8 @@
   std::string traffic_address;
   std::string peer_address;
   std::string admin_address;
+  // Empty when the admin address takes requests without one.
+  std::string admin_token;
   std::string platform_url;
   std::string engine_url;
   std::string service_url;
--- a/tests/bench/rollout_topic.cc
+++ b/tests/bench/rollout_topic.cc
@@ -29,6 +29,11 @@
 constexpr int kSubmits = 6;
 
 Size SizeCalled(const std::string& name) {
+  if (name == "part") {
+    return {.failure_domains = 4,
+            .entries_per_domain = 20,
+            .endpoints_per_domain = 70};
+  }
   if (name == "target") {
     return {.failure_domains = 20,
             .entries_per_domain = 20,
