--- a/packages/daemon/entry/entry_core.h
+++ b/packages/daemon/entry/entry_core.h
@@ -1,15 +1,19 @@
 #ifndef DAEMON_ENTRY_ENTRY_CORE_H_
 #define DAEMON_ENTRY_ENTRY_CORE_H_
 
+#include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <variant>
 
 #include "common/time.h"
+#include "coordination/retry_budget/retry_budget.h"
 #include "coordination/rollout/manifest_holder.h"
 #include "daemon/node/node.h"
+#include "state/limits/token_bucket.h"
+#include "state/manifest/customer_index.h"
+#include "state/metrics/metrics.h"
 #include "state/refusal/refusal.h"
 #include "state/routing/router.h"
 
@@ -21,6 +25,12 @@
       : router(std::move(options)) {}
 
   routing::Router router;
+  // By customer.
+  std::map<std::string, limits::TokenBucket> buckets;
+  retry_budget::RetryBudget retries{{}};
+  // Of the manifest in force.
+  manifest::CustomerIndex customers;
+  metrics::Metrics metrics;
   uint64_t next_request = 1;
 };
 
@@ -62,18 +72,36 @@
 };
 
 // How an attempt went, for the router.
-enum class AttemptResult { kServed, kRefused, kFailed };
+enum class AttemptResult {
+  kServed,
+  kRefused,
+  kFailed,
+  // Refused for want of a free slot.
+  kBusy,
+  // Ended early for a reason that is not the endpoint's.
+  kAbandoned,
+};
 
 // What traffic threads ask of the control thread.
 class EntryControl {
  public:
   EntryControl(node::Node& node, EntryCore& core) : node_(node), core_(core) {}
 
-  // `prefer` is taken if it may get work at all.
+  // The endpoint for an attempt, which counts as in flight there until
+  // Report().
   std::optional<Picked> Pick(const Admitted& admitted,
-                             const std::string& target,
-                             const std::set<std::string>& avoid);
-  void Report(const std::string& endpoint, AttemptResult result);
+                             const routing::PickRequest& request);
+  // Whether the budget allows another attempt, which it then counts.
+  bool TryTakeRetry();
+  // Another attempt goes to the same endpoint.
+  void Resume(const std::string& endpoint);
+  void Report(const std::string& endpoint,
+              AttemptResult result,
+              routing::AttemptTimes times = {});
+  // For the metrics.
+  void RecordAnswer(const metrics::AnswerTimes& times);
+  void RecordComplete();
+  void RecordRefused(refusal::Code code);
 
   node::Node& node() { return node_; }
 
--- a/tests/bench/rollout_topic.cc
+++ b/tests/bench/rollout_topic.cc
@@ -29,6 +29,13 @@
 constexpr int kSubmits = 6;
 
 Size SizeCalled(const std::string& name) {
+  // Many small failure domains, for what each costs a relay.
+  if (name == "narrow") {
+    return {.failure_domains = 20,
+            .entries_per_domain = 3,
+            .endpoints_per_domain = 3};
+  }
+  // A few failure domains of the target's size.
   if (name == "part") {
     return {.failure_domains = 4,
             .entries_per_domain = 20,
