--- a/tests/bench/rollout_topic.cc
+++ b/tests/bench/rollout_topic.cc
@@ -15,7 +15,6 @@
 namespace wagtailshore::bench {
 namespace {
 
-using test_support::Process;
 using test_support::RolloutWorld;
 
 struct Size {
@@ -82,7 +81,7 @@
 
 void PrintBytes(std::ostream& out,
                 const std::string& who,
-                std::vector<double> bytes_per_second) {
+                const std::vector<double>& bytes_per_second) {
   out << "  " << who << ": bytes a second p50 "
       << Quantile(bytes_per_second, 0.5) << ", max "
       << Quantile(bytes_per_second, 1.0) << "\n";
@@ -170,6 +169,7 @@
   std::mt19937_64 random(seed);
   std::uniform_real_distribution<double> phase(0, kPollSeconds);
   std::vector<double> seconds;
+  seconds.reserve(static_cast<size_t>(processes) * kSubmits);
   for (int i = 0; i < processes * kSubmits; ++i) {
     // The row, then the body.
     seconds.push_back(phase(random) + 2 * kReadSeconds);
--- a/tests/support/rollout_world.cc
+++ b/tests/support/rollout_world.cc
@@ -348,11 +348,12 @@
   return submit;
 }
 
-void RolloutWorld::RunSubmit(Process& process,
-                             std::shared_ptr<rollout::Submission> submission,
-                             std::shared_ptr<Submit> submit,
-                             const rollout::SubmissionAction& action) {
-  const auto go_on = [=, this, &process](rollout::SubmissionAction next,
+void RolloutWorld::RunSubmit(
+    Process& process,
+    const std::shared_ptr<rollout::Submission>& submission,
+    const std::shared_ptr<Submit>& submit,
+    const rollout::SubmissionAction& action) {
+  const auto go_on = [=, this, &process](const rollout::SubmissionAction& next,
                                          common::Duration delay) {
     AfterFor(process, delay, [=, this, &process] {
       RunSubmit(process, submission, submit, next);
--- a/tests/support/rollout_world.h
+++ b/tests/support/rollout_world.h
@@ -148,8 +148,8 @@
   void ReadPlatform(Process& process);
   void FinishRead(Process& process, uint64_t version);
   void RunSubmit(Process& process,
-                 std::shared_ptr<rollout::Submission> submission,
-                 std::shared_ptr<Submit> submit,
+                 const std::shared_ptr<rollout::Submission>& submission,
+                 const std::shared_ptr<Submit>& submit,
                  const rollout::SubmissionAction& action);
   table::WriteOutcome Write(const table::WriteRow& write);
 
