Cli: read a file that is there whatever the compiler cache does

Cause: with the compiler cache's base folder __FILE__ is relative, so three cases of commands_test found no file.

--- a/tests/unit/cli/commands_test.cc
+++ b/tests/unit/cli/commands_test.cc
@@ -14,6 +14,9 @@
 namespace {
 
 const std::string kReykjanes = EXAMPLES_DIR "/reykjanes.json";
+// A file that is there and is not JSON. The compiler cache makes __FILE__
+// relative to another folder.
+const std::string kNotAManifest = EXAMPLES_DIR "/../README.md";
 const std::string kFiera = EXAMPLES_DIR "/fiera-padana.json";
 
 struct Result {
@@ -59,9 +62,12 @@
         Case{"Unknown", {"fly"}, ExitCode::kUsage, "\"fly\""},
         Case{"CheckHelp", {"check", "--help"}, ExitCode::kDone, ""},
         Case{"CheckGood", {"check", kReykjanes}, ExitCode::kDone, "no finding"},
-        Case{"CheckBad", {"check", __FILE__}, ExitCode::kRefused, "not JSON"},
+        Case{"CheckBad",
+             {"check", kNotAManifest},
+             ExitCode::kRefused,
+             "not JSON"},
         Case{"CheckJson",
-             {"check", __FILE__, "--output=json"},
+             {"check", kNotAManifest, "--output=json"},
              ExitCode::kRefused,
              "\"findings\""},
         Case{"CheckNoFile", {"check", "/nowhere"}, ExitCode::kUsage, "nowhere"},
@@ -101,7 +107,7 @@
              "removed services/certificate-desk"},
         Case{"PlanAgainstNothing", {"plan", kFiera}, ExitCode::kUsage, "admin"},
         Case{"PlanBad",
-             {"plan", __FILE__, "--against=" + kFiera},
+             {"plan", kNotAManifest, "--against=" + kFiera},
              ExitCode::kRefused,
              "not JSON"}),
     [](const auto& info) { return info.param.name; });
