Tests: let an endpoint die and another go silent under one stream

Cause: real_two_failures let two endpoints break under one stream and expected the whole answer. The old expectation contradicted the bound of two endpoints per content; the new scenario asks as much of resuming (two resumes at least, one after a break and one after silence) and does not depend on the choice. The quarantined case stays exact in real_all_endpoints_gone.

--- a/tests/e2e/process_world.h
+++ b/tests/e2e/process_world.h
@@ -30,7 +30,7 @@
 //   expect runs badge=B count=N              at the service
 //   expect exited PROCESS code=C
 //   expect version entry=E is=V
-//   expect logged PROCESS event=WS-N count=N
+//   expect logged PROCESS event=WS-N count=N|at_least=N
 //   expect starts ENGINE count=N             generations begun there
 class ProcessWorld final : public scenario::World {
  public:
