--- a/tests/docs/doc_pages_test.cc
+++ b/tests/docs/doc_pages_test.cc
@@ -3,8 +3,12 @@
 #include <gtest/gtest.h>
 
 #include <fstream>
+#include <nlohmann/json.hpp>
 #include <sstream>
 
+#include "protocol/manifest_codec/manifest_codec.h"
+#include "state/refusal/refusal.h"
+
 namespace wagtailshore::doc_pages {
 namespace {
 
@@ -23,5 +27,40 @@
   EXPECT_EQ(FileText("EVENTS.md"), EventsPage());
 }
 
+bool Mentions(const std::string& page, std::string_view name) {
+  return page.find("`" + std::string(name) + "`") != std::string::npos;
+}
+
+TEST(DocPagesTest, ApiPageNamesEveryRefusal) {
+  const std::string page = FileText("API.md");
+  for (const auto& code : refusal::kCodeNames) {
+    EXPECT_TRUE(Mentions(page, code.name)) << code.name;
+  }
+}
+
+TEST(DocPagesTest, ManifestPageNamesEveryFieldAndPhase) {
+  const std::string page = FileText("MANIFEST.md");
+  for (const auto& phase : manifest::kWindDownPhaseNames) {
+    EXPECT_TRUE(Mentions(page, phase.name)) << phase.name;
+  }
+  manifest::Manifest manifest{.end_date = "2029-12-31"};
+  manifest.groups.emplace_back();
+  manifest.services.emplace_back();
+  manifest.customers.emplace_back();
+  manifest.endpoints.emplace_back();
+  manifest.endpoints.push_back({.duty = manifest::ServiceReplica{}});
+  const auto fields =
+      nlohmann::json::parse(manifest_codec::Format(manifest)).flatten();
+  for (const auto& [place, value] : fields.items()) {
+    std::istringstream names(place);
+    std::string name;
+    while (std::getline(names, name, '/')) {
+      const bool index =
+          name.find_first_not_of("0123456789") == std::string::npos;
+      EXPECT_TRUE(index || Mentions(page, name)) << name;
+    }
+  }
+}
+
 }  // namespace
 }  // namespace wagtailshore::doc_pages
