Entry: put what traffic threads ask for into a module of its own

Now entry_core is the control state, admitted a request's, entry_control what traffic threads ask of the control thread.

--- a/packages/daemon/entry/call_run.h
+++ b/packages/daemon/entry/call_run.h
@@ -5,7 +5,8 @@
 #include <variant>
 
 #include "coordination/claims/entry_claim.h"
-#include "daemon/entry/entry_core.h"
+#include "daemon/entry/admitted.h"
+#include "daemon/entry/entry_control.h"
 #include "protocol/http_api/http_api.h"
 #include "protocol/messages/messages.h"
 
--- a/packages/daemon/entry/caller_server.h
+++ b/packages/daemon/entry/caller_server.h
@@ -5,7 +5,9 @@
 #include <string>
 #include <variant>
 
+#include "daemon/entry/admitted.h"
 #include "daemon/entry/call_run.h"
+#include "daemon/entry/entry_control.h"
 #include "daemon/entry/entry_core.h"
 #include "protocol/http_api/http_api.h"
 #include "transport/http_server/http_server.h"
--- a/packages/daemon/entry/entry_core.h
+++ b/packages/daemon/entry/entry_core.h
@@ -2,20 +2,14 @@
 #define DAEMON_ENTRY_ENTRY_CORE_H_
 
 #include <map>
-#include <memory>
-#include <optional>
 #include <string>
-#include <variant>
+#include <utility>
 
-#include "common/time.h"
 #include "coordination/quarantine/quarantine.h"
 #include "coordination/retry_budget/retry_budget.h"
-#include "coordination/rollout/manifest_holder.h"
-#include "daemon/node/node.h"
 #include "state/limits/token_bucket.h"
 #include "state/manifest/customer_index.h"
 #include "state/metrics/metrics.h"
-#include "state/refusal/refusal.h"
 #include "state/routing/router.h"
 
 namespace wagtailshore::entry {
@@ -36,111 +30,6 @@
   uint64_t next_request = 1;
 };
 
-// Counts one request as in flight for as long as it lives.
-class InFlight {
- public:
-  // The gate's TryBegin() has succeeded.
-  explicit InFlight(node::Node& node) : node_(&node) {}
-  InFlight(InFlight&& other) noexcept
-      : node_(std::exchange(other.node_, nullptr)) {}
-  InFlight& operator=(InFlight&&) = delete;
-  ~InFlight() {
-    if (node_ != nullptr) {
-      node_->control().Post([node = node_] { node->gate().End(); });
-    }
-  }
-
- private:
-  node::Node* node_;
-};
-
-// A request that passed admission.
-struct Admitted {
-  // Unique over all entries and their restarts.
-  std::string request;
-  std::string customer;
-  std::string priority;
-  common::Time deadline;
-  // The manifest that this request is served under.
-  std::shared_ptr<const rollout::VersionedManifest> manifest;
-  InFlight in_flight;
-};
-
-// An endpoint chosen for an attempt.
-struct Picked {
-  std::string name;
-  // "IP:port"
-  std::string traffic_address;
-};
-
-// An endpoint chosen under the quarantine's rules.
-struct PickedRun {
-  Picked endpoint;
-  // The attempt's number with the quarantine.
-  uint64_t attempt = 0;
-};
-
-// No endpoint can take the attempt.
-struct NoneFree {};
-
-using ContentPick = std::
-    variant<PickedRun, NoneFree, quarantine::MustWait, quarantine::Refused>;
-
-// How an attempt with a content ended.
-enum class ContentEnd { kAnswered, kCrashed, kOther };
-
-// How an attempt went, for the router.
-enum class AttemptResult {
-  kServed,
-  kRefused,
-  kFailed,
-  // Refused for want of a free slot.
-  kBusy,
-  // Ended early for a reason that is not the endpoint's.
-  kAbandoned,
-};
-
-// What traffic threads ask of the control thread.
-class EntryControl {
- public:
-  EntryControl(node::Node& node, EntryCore& core) : node_(node), core_(core) {}
-
-  // The endpoint for an attempt, which counts as in flight there until
-  // Report().
-  std::optional<Picked> Pick(const Admitted& admitted,
-                             const routing::PickRequest& request);
-  // Whether the budget allows another attempt, which it then counts.
-  bool TryTakeRetry();
-  // As Pick(), for a content that may crash endpoints. `prefer` is taken if
-  // the rules allow it. EndContent() must follow a PickedRun.
-  ContentPick PickForContent(const Admitted& admitted,
-                             routing::PickRequest request,
-                             const std::string& digest,
-                             const std::optional<std::string>& prefer);
-  void EndContent(uint64_t attempt, const std::string& digest, ContentEnd end);
-  void Report(const std::string& endpoint,
-              AttemptResult result,
-              routing::AttemptTimes times = {});
-  // For the metrics.
-  void RecordAnswer(const metrics::AnswerTimes& times);
-  void RecordComplete();
-  void RecordRefused(refusal::Code code);
-
-  node::Node& node() { return node_; }
-
- private:
-  // Where the manifests that may name the endpoint say that it is.
-  std::optional<Picked> Locate(const Admitted& admitted,
-                               const std::string& name);
-  // On the control thread; without the endpoint's address.
-  ContentPick PickOnControl(routing::PickRequest& request,
-                            const std::string& digest,
-                            std::optional<std::string> endpoint);
-
-  node::Node& node_;
-  EntryCore& core_;
-};
-
 }  // namespace wagtailshore::entry
 
 #endif  // DAEMON_ENTRY_ENTRY_CORE_H_
--- a/packages/daemon/entry/generate_run.h
+++ b/packages/daemon/entry/generate_run.h
@@ -7,7 +7,8 @@
 #include <variant>
 
 #include "coordination/exchange/exchange.h"
-#include "daemon/entry/entry_core.h"
+#include "daemon/entry/admitted.h"
+#include "daemon/entry/entry_control.h"
 #include "protocol/http_api/http_api.h"
 #include "protocol/messages/messages.h"
 #include "transport/http_client/http_client.h"
