--- a/packages/protocol/manifest_codec/manifest_codec.cc
+++ b/packages/protocol/manifest_codec/manifest_codec.cc
@@ -31,53 +31,26 @@
   }
 
   void Optional(const char* field, std::string& value) {
-    const Json* json = Find(field);
-    if (json == nullptr) {
-      return;
-    }
-    if (!json->is_string()) {
-      Report(field, "must be a string");
-      return;
-    }
-    value = json->get<std::string>();
+    ReadIf(field, value, "must be a string",
+           [](const Json& json) { return json.is_string(); });
   }
 
   void Optional(const char* field, int& value) {
-    const Json* json = Find(field);
-    if (json == nullptr) {
-      return;
-    }
-    constexpr int64_t kMax = std::numeric_limits<int>::max();
-    if (!json->is_number_integer() || json->get<double>() > kMax ||
-        json->get<double>() < -kMax) {
-      Report(field, "must be a whole number");
-      return;
-    }
-    value = json->get<int>();
+    ReadIf(field, value, "must be a whole number", [](const Json& json) {
+      constexpr double kMax = std::numeric_limits<int>::max();
+      return json.is_number_integer() && json.get<double>() <= kMax &&
+             json.get<double>() >= -kMax;
+    });
   }
 
   void Optional(const char* field, double& value) {
-    const Json* json = Find(field);
-    if (json == nullptr) {
-      return;
-    }
-    if (!json->is_number()) {
-      Report(field, "must be a number");
-      return;
-    }
-    value = json->get<double>();
+    ReadIf(field, value, "must be a number",
+           [](const Json& json) { return json.is_number(); });
   }
 
   void Optional(const char* field, bool& value) {
-    const Json* json = Find(field);
-    if (json == nullptr) {
-      return;
-    }
-    if (!json->is_boolean()) {
-      Report(field, "must be true or false");
-      return;
-    }
-    value = json->get<bool>();
+    ReadIf(field, value, "must be true or false",
+           [](const Json& json) { return json.is_boolean(); });
   }
 
   template <typename Enum, size_t N>
@@ -150,6 +123,24 @@
   }
 
  private:
+  // Reads the field if it is there and `fits`; reports `expected` if it does
+  // not.
+  template <typename Value, typename Fits>
+  void ReadIf(const char* field,
+              Value& value,
+              const char* expected,
+              Fits fits) {
+    const Json* json = Find(field);
+    if (json == nullptr) {
+      return;
+    }
+    if (!fits(*json)) {
+      Report(field, expected);
+      return;
+    }
+    value = json->get<Value>();
+  }
+
   const Json* Find(const char* field) {
     known_.insert(field);
     if (!object_.is_object()) {
