--- a/cmake/Module.cmake
+++ b/cmake/Module.cmake
@@ -3,7 +3,8 @@
 # Declares one module: the folder packages/LAYER/MODULE becomes the static
 # library ws_LAYER_MODULE. A module may depend only on modules of its own layer
 # or of a lower one; the configure step fails otherwise.
-set(WS_LAYERS common state coordination protocol transport daemon cli)
+set(WS_LAYERS common state coordination protocol transport platform daemon
+    cli)
 
 function(ws_layer_of TARGET RESULT)
   string(REGEX REPLACE "^ws_([a-z]+)_.*$" "\\1" LAYER "${TARGET}")
--- /dev/null
+++ b/packages/daemon/gateway/gateway.cc
@@ -0,0 +1,255 @@
+#include "daemon/gateway/gateway.h"
+
+#include <set>
+#include <utility>
+
+#include "common/event_log.h"
+#include "common/strings.h"
+
+namespace wagtailshore::gateway {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+
+// The balancer asks every second and stops sending new connections after two
+// refusals; half a second more for the last ones under way.
+constexpr common::Duration kBalancerNotice = common::milliseconds(2500);
+// The process leaves this long before it would be killed.
+constexpr common::Duration kStopMargin = common::milliseconds(300);
+constexpr common::Duration kIdleCheckPeriod = common::milliseconds(50);
+// Without word of the store for this long, other gateways serve callers
+// better. Requests with keys are refused a little later.
+constexpr common::Duration kReadyAge = common::milliseconds(4000);
+// An unreachable endpoint is noticed within about a tenth of the latency that
+// callers expect.
+constexpr common::Duration kConnectTimeout = common::milliseconds(250);
+// A price in waiting time for crossing failure domains; a few round trips.
+constexpr double kOtherDomainPenaltyMs = 5;
+
+routing::RouterOptions RouterOptionsOf(
+    const serving::HostedSettings& settings) {
+  return {.failure_domain = settings.failure_domain,
+          .seed = std::random_device{}(),
+          // All endpoints are compared: there are few, and reports are fresh.
+          .choices = 1024,
+          // All failure domains serve together, the own one first.
+          .spill_above_ms = -1,
+          .spill_below_ms = -1,
+          .other_domain_penalty_ms = kOtherDomainPenaltyMs};
+}
+
+}  // namespace
+
+class Gateway::SideServer final : public http_channel::RequestHandler {
+ public:
+  explicit SideServer(Gateway& gateway) : gateway_(gateway) {}
+
+  absl::Status Listen(const std::string& address) {
+    auto listener = stream_socket::Listener::Open(
+        gateway_.loop_, address, [this](int descriptor) {
+          auto channel = std::make_unique<http_channel::CallerChannel>(
+              gateway_.loop_, descriptor, *this,
+              http_channel::CallerChannelOptions{});
+          channels_.emplace(channel.get(), std::move(channel));
+        });
+    if (!listener.ok()) {
+      return listener.status();
+    }
+    listeners_.push_back(*std::move(listener));
+    return absl::OkStatus();
+  }
+
+  void OnRequest(http_channel::CallerChannel& channel,
+                 const http1::RequestHead& head,
+                 std::string) override {
+    if (platform::IsReadinessProbe(head)) {
+      channel.Respond(gateway_.IsReady() ? kOk : kUnavailable, {}, {});
+    } else if (head.target == "/metrics") {
+      channel.Respond(kOk, {}, gateway_.Metrics());
+    } else {
+      channel.Respond(kNotFound, {}, {});
+    }
+  }
+  void OnCallerGone(http_channel::CallerChannel&) override {}
+  void OnChannelClosed(http_channel::CallerChannel& channel) override {
+    gateway_.loop_.Post([this, gone = &channel] { channels_.erase(gone); });
+  }
+
+ private:
+  Gateway& gateway_;
+  std::vector<std::unique_ptr<stream_socket::Listener>> listeners_;
+  std::map<http_channel::CallerChannel*,
+           std::unique_ptr<http_channel::CallerChannel>>
+      channels_;
+};
+
+Gateway::Gateway(event_loop::EventLoop& loop, serving::HostedSettings settings)
+    : loop_(loop),
+      settings_(std::move(settings)),
+      endpoint_pool_(loop, {.connect_timeout = kConnectTimeout}),
+      store_pool_(loop, {.connect_timeout = kConnectTimeout}),
+      store_caller_(loop, store_pool_),
+      freshness_({.revocation_bound = settings_.revocation_bound}),
+      fleet_({}),
+      router_(RouterOptionsOf(settings_)),
+      store_(loop,
+             store_caller_,
+             {.store_address = settings_.store_address},
+             freshness_,
+             fleet_,
+             [this](const fleet::FleetChange& change) { OnFleet(change); }),
+      core_{.loop = loop_,
+            .settings = settings_,
+            .pool = endpoint_pool_,
+            .router = router_,
+            .fleet = fleet_,
+            .freshness = freshness_,
+            .store = store_,
+            .metrics = metrics_,
+            .random = std::minstd_rand(std::random_device{}())},
+      side_server_(std::make_unique<SideServer>(*this)) {}
+
+Gateway::~Gateway() = default;
+
+absl::Status Gateway::Start(const std::string& metrics_address) {
+  for (const std::string& address :
+       {settings_.ready_address, metrics_address}) {
+    if (address.empty()) {
+      continue;
+    }
+    const absl::Status listening = side_server_->Listen(address);
+    if (!listening.ok()) {
+      return listening;
+    }
+  }
+  auto listener = stream_socket::Listener::Open(
+      loop_, settings_.caller_address,
+      [this](int descriptor) { Accept(descriptor); });
+  if (!listener.ok()) {
+    return listener.status();
+  }
+  listener_ = *std::move(listener);
+  store_.Start();
+  return absl::OkStatus();
+}
+
+void Gateway::Accept(int descriptor) {
+  http_channel::CallerChannelOptions options;
+  if (const auto& routes = store_.routes(); routes != nullptr) {
+    const serving::CallerLimits& limits = routes->configuration().limits;
+    options = {.max_header_bytes = limits.max_header_bytes,
+               .max_body_bytes = limits.max_body_bytes,
+               .header_timeout = limits.header_timeout,
+               .idle_timeout = limits.idle_timeout};
+  }
+  auto channel = std::make_unique<http_channel::CallerChannel>(
+      loop_, descriptor, *this, options);
+  channels_.emplace(channel.get(), std::move(channel));
+}
+
+void Gateway::OnRequest(http_channel::CallerChannel& channel,
+                        const http1::RequestHead& head,
+                        std::string body) {
+  if (closing_) {
+    channel.CloseWhenIdle();
+  }
+  auto run = std::make_unique<ProxiedRun>(
+      core_, channel, platform::DecodeCallerRequest(head, std::move(body)),
+      [this, &channel] { EndRun(channel); });
+  ProxiedRun& started = *run;
+  runs_[&channel] = std::move(run);
+  started.Start();
+}
+
+void Gateway::EndRun(http_channel::CallerChannel& channel) {
+  const auto found = runs_.find(&channel);
+  if (found == runs_.end()) {
+    return;
+  }
+  // The run is calling; it must outlive the call.
+  loop_.Post(
+      [ended = std::shared_ptr<ProxiedRun>(std::move(found->second))] {});
+  runs_.erase(found);
+}
+
+void Gateway::OnCallerGone(http_channel::CallerChannel& channel) {
+  const auto found = runs_.find(&channel);
+  if (found != runs_.end()) {
+    found->second->OnCallerGone();
+  }
+}
+
+void Gateway::OnChannelClosed(http_channel::CallerChannel& channel) {
+  loop_.Post([this, gone = &channel] { channels_.erase(gone); });
+}
+
+void Gateway::OnFleet(const fleet::FleetChange& change) {
+  std::set<std::string> known;
+  for (const auto& [id, endpoint] : fleet_.endpoints()) {
+    known.insert(id);
+    router_.Upsert(id, endpoint.failure_domain, endpoint.service);
+  }
+  router_.KeepOnly(known);
+  for (const std::string& id : change.started) {
+    router_.OnRestarted(id);
+    const fleet::EndpointRecord* endpoint = fleet_.Find(id);
+    common::LogEvent(
+        common::EventId::kEndpointListed,
+        common::StrCat("endpoint=", id, " address=", endpoint->address,
+                       " service=", endpoint->service));
+  }
+  for (const std::string& id : change.draining) {
+    router_.OnLeaving(id);
+    common::LogEvent(common::EventId::kEndpointLeaving,
+                     common::StrCat("endpoint=", id, " why=draining"));
+  }
+  for (const std::string& id : change.gone) {
+    common::LogEvent(common::EventId::kEndpointLeaving,
+                     common::StrCat("endpoint=", id, " why=unlisted"));
+  }
+}
+
+bool Gateway::IsReady() const {
+  const auto age = freshness_.Age(loop_.Now());
+  return !draining_ && store_.routes() != nullptr && fleet_.known() &&
+         age.has_value() && *age < kReadyAge;
+}
+
+std::string Gateway::Metrics() {
+  metrics_.SetGauge("wagtailshore_gateway_store_calls",
+                    static_cast<double>(store_.calls()));
+  metrics_.SetGauge("wagtailshore_gateway_endpoint_connections_opened",
+                    static_cast<double>(endpoint_pool_.opened()));
+  metrics_.SetGauge("wagtailshore_gateway_requests_in_flight",
+                    static_cast<double>(runs_.size()));
+  metrics_.SetGauge("wagtailshore_gateway_caller_connections",
+                    static_cast<double>(channels_.size()));
+  return metrics_.Format();
+}
+
+void Gateway::Drain() {
+  if (draining_) {
+    return;
+  }
+  draining_ = true;
+  const common::Time latest = loop_.Now() + settings_.stop_grace - kStopMargin;
+  loop_.RunAfter(kBalancerNotice, [this, latest] {
+    closing_ = true;
+    for (auto& [key, channel] : channels_) {
+      channel->CloseWhenIdle();
+    }
+    StopWhenIdle(latest);
+  });
+}
+
+void Gateway::StopWhenIdle(common::Time latest) {
+  if ((runs_.empty() && channels_.empty()) || loop_.Now() >= latest) {
+    loop_.Stop();
+    return;
+  }
+  loop_.RunAfter(kIdleCheckPeriod, [this, latest] { StopWhenIdle(latest); });
+}
+
+}  // namespace wagtailshore::gateway
--- /dev/null
+++ b/packages/daemon/gateway/gateway_core.h
@@ -0,0 +1,38 @@
+#ifndef DAEMON_GATEWAY_GATEWAY_CORE_H_
+#define DAEMON_GATEWAY_GATEWAY_CORE_H_
+
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+
+#include "coordination/freshness/freshness.h"
+#include "coordination/retry_window/retry_window.h"
+#include "daemon/gateway/store_watch.h"
+#include "state/fleet/fleet.h"
+#include "state/metrics/gateway_metrics.h"
+#include "state/routing/router.h"
+#include "state/serving/hosted_settings.h"
+#include "transport/event_loop/event_loop.h"
+#include "transport/http_channel/endpoint_pool.h"
+
+namespace wagtailshore::gateway {
+
+// What all requests of a gateway share. Used on the loop's thread only.
+struct GatewayCore {
+  event_loop::EventLoop& loop;
+  const serving::HostedSettings& settings;
+  http_channel::EndpointPool& pool;
+  routing::Router& router;
+  fleet::Fleet& fleet;
+  const freshness::Freshness& freshness;
+  const StoreWatch& store;
+  metrics::GatewayMetrics& metrics;
+  // By service.
+  std::map<std::string, retry_window::RetryWindow> retry_windows;
+  std::minstd_rand random;
+};
+
+}  // namespace wagtailshore::gateway
+
+#endif  // DAEMON_GATEWAY_GATEWAY_CORE_H_
--- /dev/null
+++ b/packages/daemon/gateway/proxied_run.cc
@@ -0,0 +1,444 @@
+#include "daemon/gateway/proxied_run.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "common/event_log.h"
+#include "common/strings.h"
+
+namespace wagtailshore::gateway {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kMultipleChoices = 300;
+constexpr int kBadRequest = 400;
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
+constexpr int kRequestTimeout = 408;
+constexpr int kMisdirected = 421;
+constexpr int kTooManyRequests = 429;
+constexpr int kInternalError = 500;
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+
+// The final answer leaves this long before the caller stops waiting, about a
+// round trip to it.
+constexpr common::Duration kAnswerMargin = common::milliseconds(10);
+// When callers may come back, on average. After a refusal by full endpoints a
+// slot is free within about one short answer; without word of the store or the
+// fleet another gateway is the better one.
+constexpr common::Duration kRetryWhenFull = common::milliseconds(300);
+constexpr common::Duration kRetryWhenUninformed = common::milliseconds(100);
+// Endpoints that may turn out to be unreachable before a request is given up.
+constexpr int kMaxConnectFailures = 3;
+// An answer that is passed on whole is at most this large.
+constexpr size_t kMaxAnswerBytes = 16 << 20;
+// A caller that does not read its stream is cut off beyond this.
+constexpr size_t kMaxUnsentBytes = 1 << 20;
+
+bool IsSuccess(int status) {
+  return status >= kOk && status < kMultipleChoices;
+}
+
+// Whether callers take the status for a promise that the request did not run.
+bool PromisesNotRun(int status) {
+  return status == kRequestTimeout || status == kMisdirected ||
+         status == kTooManyRequests || status == kUnavailable;
+}
+
+}  // namespace
+
+ProxiedRun::ProxiedRun(GatewayCore& core,
+                       http_channel::CallerChannel& channel,
+                       proxied::CallerRequest request,
+                       std::function<void()> on_end)
+    : core_(core),
+      channel_(channel),
+      request_(std::move(request)),
+      on_end_(std::move(on_end)),
+      arrived_(core.loop.Now()) {}
+
+ProxiedRun::~ProxiedRun() {
+  core_.loop.Cancel(deadline_timer_);
+}
+
+void ProxiedRun::Start() {
+  if (!Authorize()) {
+    return;
+  }
+  deadline_ = arrived_ + route_->timeout;
+  if (request_.time_left.has_value()) {
+    deadline_ = std::min(deadline_, arrived_ + *request_.time_left);
+  }
+  deadline_timer_ = core_.loop.RunAt(deadline_ - kAnswerMargin, [this] {
+    deadline_timer_ = event_loop::kNoTimer;
+    OnDeadline();
+  });
+  std::vector<double> weights;
+  for (const serving::WeightedService& service : route_->services) {
+    weights.push_back(std::max(service.weight, 0.0));
+  }
+  std::discrete_distribution<size_t> pick(weights.begin(), weights.end());
+  service_ = route_->services[pick(core_.random)].service;
+  core_.retry_windows
+      .try_emplace(service_,
+                   retry_window::RetryWindow(
+                       {.window = core_.settings.retry_window,
+                        .ratio = core_.settings.retry_ratio * 0.75,
+                        .reserve = core_.settings.retry_allowance / 25}))
+      .first->second.OnRequest(arrived_);
+  Dispatch();
+}
+
+bool ProxiedRun::Authorize() {
+  routes_ = core_.store.routes();
+  if (routes_ == nullptr) {
+    Refuse("no_configuration", kRetryWhenUninformed);
+    return false;
+  }
+  const bool current = core_.freshness.MayTrustKeys(arrived_);
+  route_ = routes_->FindRoute(request_.host, request_.target);
+  if (route_ == nullptr) {
+    if (current) {
+      AnswerItself(kNotFound, "no_route", std::nullopt);
+    } else {
+      Refuse("configuration_too_old", kRetryWhenUninformed);
+    }
+    return false;
+  }
+  if (!routes_->NeedsKey(*route_)) {
+    return true;
+  }
+  if (!current) {
+    Refuse("configuration_too_old", kRetryWhenUninformed);
+    return false;
+  }
+  const serving::Customer* customer =
+      request_.key.has_value() ? routes_->FindCustomer(*request_.key) : nullptr;
+  if (customer == nullptr) {
+    AnswerItself(kUnauthorized, "unknown_key", std::nullopt);
+    return false;
+  }
+  customer_ = customer->name;
+  return true;
+}
+
+void ProxiedRun::Dispatch() {
+  const auto picked =
+      core_.router.Pick({.target = service_, .avoid = tried_}, now());
+  if (!picked.has_value()) {
+    GiveUp("no_endpoint");
+    return;
+  }
+  const fleet::EndpointRecord* endpoint = core_.fleet.FindUsable(*picked);
+  if (endpoint == nullptr) {
+    core_.router.OnAbandoned(*picked, now());
+    GiveUp("no_endpoint");
+    return;
+  }
+  SendTo(*endpoint);
+}
+
+void ProxiedRun::SendTo(const fleet::EndpointRecord& endpoint) {
+  endpoint_id_ = endpoint.id;
+  tried_.insert(endpoint.id);
+  attempt_began_ = now();
+  attempt_first_.reset();
+  answer_.reset();
+  buffered_.clear();
+  splitter_.Reset();
+  streaming_ = false;
+  proxied::Forwarding forwarding{.endpoint_id = endpoint.id,
+                                 .customer = customer_,
+                                 .time_left = deadline_ - attempt_began_,
+                                 .resume_after = last_event_};
+  ++attempts_;
+  exchange_ = &core_.pool.Acquire(
+      common::StrCat(endpoint.id, "@", endpoint.started_at_ms),
+      endpoint.address);
+  exchange_->Send(platform::EncodeForwarded(request_, forwarding), *this,
+                  request_.method == "HEAD");
+}
+
+http_channel::Ownership ProxiedRun::OnHead(const http1::ResponseHead& head) {
+  proxied::EndpointAnswer answer = platform::DecodeEndpointAnswer(head);
+  if (answer.attempt_id.has_value() &&
+      *answer.attempt_id != request_.attempt_id) {
+    return http_channel::Ownership::kForeign;
+  }
+  exchange_->SetIdleLimit(answer.keep_alive);
+  if (answer.load.has_value()) {
+    core_.router.OnReport(endpoint_id_,
+                          {.queued = answer.load->queued,
+                           .running = answer.load->running,
+                           .slots = answer.load->slots},
+                          now());
+  }
+  streaming_ = route_->kind == serving::RequestKind::kStream &&
+               IsSuccess(answer.status) && answer.sealed && !answer.encoded;
+  if (!answer.not_run) {
+    fate_ = Fate::kMayHaveRun;
+  }
+  answer_ = std::move(answer);
+  return http_channel::Ownership::kOurs;
+}
+
+void ProxiedRun::OnBody(std::string_view data) {
+  if (streaming_) {
+    PassEvents(data);
+    return;
+  }
+  if (buffered_.size() + data.size() > kMaxAnswerBytes) {
+    exchange_->Abandon();
+    EndAttempt("answer_too_large");
+    GiveUp("answer_too_large");
+    return;
+  }
+  buffered_ += data;
+}
+
+void ProxiedRun::PassEvents(std::string_view data) {
+  for (event_stream::Event& event : splitter_.Feed(data)) {
+    if (!attempt_first_.has_value()) {
+      attempt_first_ = now() - attempt_began_;
+    }
+    if (event.id.has_value() && last_event_.has_value()) {
+      if (*event.id <= *last_event_) {
+        continue;
+      }
+      if (*event.id != *last_event_ + 1) {
+        exchange_->Abandon();
+        RetryOrGiveUp("event_missing");
+        return;
+      }
+    }
+    if (!stream_begun_) {
+      stream_begun_ = true;
+      core_.metrics.OnFirstEvent(now() - arrived_);
+      channel_.BeginStream(answer_->status, answer_->headers);
+    }
+    if (event.id.has_value()) {
+      last_event_ = event.id;
+    }
+    channel_.WriteStream(event.text);
+  }
+  if (channel_.unsent() > kMaxUnsentBytes) {
+    exchange_->Abandon();
+    EndAttempt("caller_not_reading");
+    channel_.Break();
+    End("caller_not_reading");
+  }
+}
+
+void ProxiedRun::OnComplete() {
+  if (streaming_) {
+    OnStreamEnd();
+  } else {
+    OnBufferedAnswer();
+  }
+}
+
+void ProxiedRun::OnStreamEnd() {
+  if (splitter_.has_partial()) {
+    RetryOrGiveUp("event_cut");
+    return;
+  }
+  if (!stream_begun_) {
+    channel_.BeginStream(answer_->status, answer_->headers);
+  }
+  channel_.EndStream();
+  EndAttempt("complete");
+  End("complete");
+}
+
+void ProxiedRun::OnBufferedAnswer() {
+  const proxied::EndpointAnswer& answer = *answer_;
+  if (answer.not_run && answer.status != kBadRequest) {
+    OnRefusedByEndpoint();
+    return;
+  }
+  if (answer.encoded || (IsSuccess(answer.status) && !answer.sealed)) {
+    RetryOrGiveUp("answer_spoilt");
+    return;
+  }
+  const bool failed = answer.status >= kInternalError;
+  if (failed && serving::MayRepeat(*route_) && MayTryAgain()) {
+    EndAttempt(common::StrCat("status_", answer.status));
+    Dispatch();
+    return;
+  }
+  // A promise that the endpoint did not make must not be passed on as one.
+  if (PromisesNotRun(answer.status) && !answer.not_run) {
+    EndAttempt(common::StrCat("status_", answer.status));
+    GiveUp("status_without_promise");
+    return;
+  }
+  if (stream_begun_) {
+    EndAttempt(common::StrCat("status_", answer.status));
+    GiveUp("stream_not_resumed");
+    return;
+  }
+  const std::string outcome = common::StrCat("status_", answer.status);
+  channel_.Respond(answer.status, answer.headers, buffered_);
+  EndAttempt(IsSuccess(answer.status) ? "complete" : outcome);
+  End(IsSuccess(answer.status) ? "complete" : outcome);
+}
+
+void ProxiedRun::OnRefusedByEndpoint() {
+  const bool misdirected = answer_->status == kMisdirected;
+  EndAttempt(misdirected ? "misdirected" : "busy");
+  if (MayTryAgain()) {
+    Dispatch();
+    return;
+  }
+  GiveUp(misdirected ? "misdirected" : "endpoints_full");
+}
+
+void ProxiedRun::OnFailed(const http_channel::ExchangeFailure& failure) {
+  if (failure.nothing_sent) {
+    EndAttempt("unreachable");
+    --attempts_;
+    if (++connect_failures_ < kMaxConnectFailures) {
+      Dispatch();
+    } else {
+      GiveUp("endpoints_unreachable");
+    }
+    return;
+  }
+  fate_ = Fate::kMayHaveRun;
+  RetryOrGiveUp(failure.detail);
+}
+
+void ProxiedRun::RetryOrGiveUp(std::string_view cause) {
+  fate_ = Fate::kMayHaveRun;
+  EndAttempt(cause);
+  if (serving::MayRepeat(*route_) && MayTryAgain()) {
+    if (stream_begun_) {
+      common::LogEvent(
+          common::EventId::kStreamResumed,
+          common::StrCat("request=", request_.attempt_id,
+                         " after_event=", last_event_.value_or(0)));
+    }
+    Dispatch();
+    return;
+  }
+  GiveUp(cause);
+}
+
+bool ProxiedRun::MayTryAgain() {
+  return attempts_ < route_->max_attempts &&
+         now() + kAnswerMargin < deadline_ &&
+         core_.retry_windows.at(service_).TryTake(now());
+}
+
+void ProxiedRun::GiveUp(std::string_view cause) {
+  if (stream_begun_) {
+    channel_.Break();
+    End(cause);
+    return;
+  }
+  if (fate_ == Fate::kNotRun) {
+    Refuse(cause, kRetryWhenFull);
+  } else {
+    AnswerItself(kBadGateway, cause, std::nullopt);
+  }
+}
+
+void ProxiedRun::OnDeadline() {
+  const bool was_sent = exchange_ != nullptr;
+  if (was_sent) {
+    exchange_->Abandon();
+    EndAttempt("deadline");
+  }
+  if (stream_begun_) {
+    channel_.Break();
+    End("deadline");
+  } else if (was_sent || fate_ == Fate::kMayHaveRun) {
+    AnswerItself(kGatewayTimeout, "deadline", std::nullopt);
+  } else {
+    Refuse("deadline", kRetryWhenFull);
+  }
+}
+
+void ProxiedRun::OnCallerGone() {
+  if (ended_) {
+    return;
+  }
+  if (exchange_ != nullptr) {
+    exchange_->Abandon();
+    EndAttempt("caller_gone");
+  }
+  End("caller_gone");
+}
+
+void ProxiedRun::EndAttempt(std::string_view result) {
+  if (exchange_ == nullptr) {
+    return;
+  }
+  exchange_ = nullptr;
+  const common::Time ended = now();
+  common::StrAppend(&history_, history_.empty() ? "" : ",", endpoint_id_, ":",
+                    result);
+  core_.metrics.OnAttempt(endpoint_id_, result);
+  if (result == "complete") {
+    const common::Duration total = ended - attempt_began_;
+    core_.router.OnSuccess(
+        endpoint_id_,
+        {.first_token = attempt_first_.value_or(total), .total = total}, ended);
+  } else if (result == "busy") {
+    core_.router.OnBusy(endpoint_id_, ended);
+  } else if (result == "caller_gone" || result == "deadline" ||
+             result == "caller_not_reading" || result == "status_404" ||
+             result == "status_400") {
+    core_.router.OnAbandoned(endpoint_id_, ended);
+  } else {
+    core_.router.OnFailure(endpoint_id_, ended);
+  }
+}
+
+void ProxiedRun::Refuse(std::string_view cause, common::Duration retry_after) {
+  AnswerItself(kUnavailable, cause, Jittered(retry_after));
+}
+
+common::Duration ProxiedRun::Jittered(common::Duration mean) {
+  // Spread over half to one and a half times the mean, so that callers refused
+  // together do not come back together.
+  std::uniform_real_distribution<double> factor(0.5, 1.5);
+  return std::chrono::duration_cast<common::Duration>(mean *
+                                                      factor(core_.random));
+}
+
+void ProxiedRun::AnswerItself(int status,
+                              std::string_view cause,
+                              std::optional<common::Duration> retry_after) {
+  channel_.Respond(status, platform::OwnAnswerHeaders(request_, retry_after),
+                   {});
+  End(cause);
+}
+
+void ProxiedRun::End(std::string_view outcome) {
+  if (ended_) {
+    return;
+  }
+  ended_ = true;
+  core_.loop.Cancel(deadline_timer_);
+  deadline_timer_ = event_loop::kNoTimer;
+  const common::Duration took = now() - arrived_;
+  core_.metrics.OnAnswer(took);
+  core_.metrics.OnRequest(route_ == nullptr ? "none" : route_->name, outcome);
+  const auto age = core_.freshness.Age(arrived_);
+  common::LogEvent(
+      common::EventId::kRequestEnded,
+      common::StrCat(
+          "request=", request_.attempt_id,
+          " route=", route_ == nullptr ? "none" : route_->name,
+          " customer=", customer_.value_or("none"), " outcome=", outcome,
+          " took_ms=", common::ToMilliseconds(took),
+          " attempts=", history_.empty() ? "none" : history_, " configuration=",
+          routes_ == nullptr ? 0 : routes_->version(), " configuration_age_ms=",
+          age.has_value() ? common::ToMilliseconds(*age) : -1));
+  on_end_();
+}
+
+}  // namespace wagtailshore::gateway
--- /dev/null
+++ b/packages/daemon/gateway/store_watch.cc
@@ -0,0 +1,181 @@
+#include "daemon/gateway/store_watch.h"
+
+#include <utility>
+
+#include "common/event_log.h"
+#include "common/strings.h"
+
+namespace wagtailshore::gateway {
+
+StoreWatch::StoreWatch(event_loop::EventLoop& loop,
+                       http_channel::HttpCaller& caller,
+                       StoreWatchOptions options,
+                       freshness::Freshness& freshness,
+                       fleet::Fleet& fleet,
+                       OnFleet on_fleet)
+    : loop_(loop),
+      caller_(caller),
+      options_(std::move(options)),
+      freshness_(freshness),
+      fleet_(fleet),
+      on_fleet_(std::move(on_fleet)),
+      random_(std::random_device{}()) {}
+
+void StoreWatch::Start() {
+  ReadConfiguration();
+  ReadEndpoints({});
+}
+
+void StoreWatch::Call(const http_channel::Call& call,
+                      common::Duration timeout,
+                      std::function<void(http_channel::CallResult)> done) {
+  ++calls_;
+  caller_.Start(options_.store_address, call, timeout, std::move(done));
+}
+
+void StoreWatch::ReadConfiguration() {
+  const common::Time asked_at = loop_.Now();
+  Call(platform::ReadConfigurationCall(), options_.call_timeout,
+       [this, asked_at](const http_channel::CallResult& result) {
+         OnConfigurationAnswer(asked_at, result);
+       });
+}
+
+void StoreWatch::AwaitConfiguration() {
+  const common::Time asked_at = loop_.Now();
+  Call(platform::AwaitConfigurationCall(revision_, options_.configuration_wait),
+       options_.configuration_wait + options_.call_timeout,
+       [this, asked_at](const http_channel::CallResult& result) {
+         OnConfigurationAnswer(asked_at, result);
+       });
+}
+
+void StoreWatch::OnConfigurationAnswer(common::Time asked_at,
+                                       const http_channel::CallResult& result) {
+  const auto rows = result.ok()
+                        ? platform::DecodeRows(*result)
+                        : absl::StatusOr<platform::Rows>(result.status());
+  if (!rows.ok()) {
+    Note(rows.status());
+    const bool history_gone = absl::IsFailedPrecondition(rows.status());
+    loop_.RunAfter(history_gone ? common::Duration::zero() : RetryDelay(),
+                   [this, history_gone] {
+                     if (history_gone || routes_ == nullptr) {
+                       ReadConfiguration();
+                     } else {
+                       AwaitConfiguration();
+                     }
+                   });
+    return;
+  }
+  Note(absl::OkStatus());
+  Adopt(*rows);
+  if (routes_ == nullptr) {
+    loop_.RunAfter(RetryDelay(), [this] { ReadConfiguration(); });
+    return;
+  }
+  revision_ = rows->revision;
+  freshness_.OnConfirmed(asked_at);
+  AwaitConfiguration();
+}
+
+void StoreWatch::Adopt(const platform::Rows& rows) {
+  const platform::Row* row = platform::FindConfiguration(rows);
+  if (row == nullptr) {
+    return;
+  }
+  auto configuration = platform::DecodeConfiguration(row->value);
+  if (!configuration.ok()) {
+    common::LogEvent(common::EventId::kManifestRefused,
+                     common::StrCat("revision=", row->revision, " finding=",
+                                    configuration.status().message()));
+    return;
+  }
+  // Versions only rise; an older one is a late answer.
+  if (routes_ != nullptr && configuration->version <= routes_->version()) {
+    return;
+  }
+  routes_ =
+      std::make_shared<const serving::RouteTable>(*std::move(configuration));
+  common::LogEvent(
+      common::EventId::kManifestInForce,
+      common::StrCat("version=", routes_->version(),
+                     " routes=", routes_->configuration().routes.size(),
+                     " customers=", routes_->configuration().customers.size()));
+}
+
+void StoreWatch::ReadEndpoints(const std::string& start_key) {
+  const common::Time asked_at = loop_.Now();
+  if (start_key.empty()) {
+    records_.clear();
+    unreadable_entries_ = 0;
+    list_asked_at_ = asked_at;
+  }
+  Call(platform::ReadEndpointsCall(start_key), options_.call_timeout,
+       [this, asked_at](const http_channel::CallResult& result) {
+         OnEndpointsAnswer(asked_at, result);
+       });
+}
+
+void StoreWatch::OnEndpointsAnswer(common::Time asked_at,
+                                   const http_channel::CallResult& result) {
+  const auto rows = result.ok()
+                        ? platform::DecodeRows(*result)
+                        : absl::StatusOr<platform::Rows>(result.status());
+  if (!rows.ok()) {
+    Note(rows.status());
+    fleet_.OnListUnavailable(asked_at);
+    loop_.RunAfter(RetryDelay(), [this] { ReadEndpoints({}); });
+    return;
+  }
+  Note(absl::OkStatus());
+  for (const platform::Row& row : rows->rows) {
+    auto record = platform::DecodeEndpoint(row);
+    if (record.ok()) {
+      records_.push_back(*std::move(record));
+    } else {
+      ++unreadable_entries_;
+    }
+  }
+  if (rows->has_more && !rows->rows.empty()) {
+    // The smallest key after the last one.
+    ReadEndpoints(rows->rows.back().key + '\0');
+    return;
+  }
+  FinishEndpoints(list_asked_at_);
+}
+
+void StoreWatch::FinishEndpoints(common::Time asked_at) {
+  const fleet::FleetChange change = fleet_.OnList(records_, asked_at);
+  if (!change.empty()) {
+    on_fleet_(change);
+  }
+  const common::Time next = asked_at + options_.endpoints_period;
+  loop_.RunAt(std::max(next, loop_.Now()), [this] { ReadEndpoints({}); });
+}
+
+void StoreWatch::Note(const absl::Status& status) {
+  if (status.ok() || absl::IsFailedPrecondition(status)) {
+    if (!available_) {
+      available_ = true;
+      if (ever_available_) {
+        common::LogEvent(common::EventId::kPlatformBack, "");
+      }
+      ever_available_ = true;
+    }
+    return;
+  }
+  if (available_) {
+    available_ = false;
+    common::LogEvent(common::EventId::kPlatformUnavailable,
+                     common::StrCat("error=", status.message()));
+  }
+}
+
+common::Duration StoreWatch::RetryDelay() {
+  std::uniform_int_distribution<common::Duration::rep> delay(
+      options_.retry_min.count(), options_.retry_max.count());
+  return common::Duration(delay(random_));
+}
+
+}  // namespace wagtailshore::gateway
--- a/packages/daemon/main.cc
+++ b/packages/daemon/main.cc
@@ -11,8 +11,12 @@
 #include "common/strings.h"
 #include "daemon/endpoint/endpoint.h"
 #include "daemon/entry/entry.h"
+#include "daemon/gateway/gateway.h"
 #include "daemon/settings/settings.h"
+#include "platform/settings.h"
+#include "transport/event_loop/event_loop.h"
 #include "transport/http_client/http_client.h"
+#include "transport/log_output/log_output.h"
 
 namespace wagtailshore {
 namespace {
@@ -54,6 +58,44 @@
   std::_Exit(kExitDone);
 }
 
+// Runs a role on the hosting platform, on one event loop.
+int RunHosted(const settings::Settings& settings) {
+  const platform::SettingsResult hosted =
+      platform::ReadSettings(platform::SettingsPath());
+  if (const auto* findings = std::get_if<common::Findings>(&hosted)) {
+    std::cerr << common::FormatFindings(*findings);
+    return kExitUsage;
+  }
+  signal(SIGPIPE, SIG_IGN);
+  event_loop::EventLoop loop;
+  log_output::LogOutput log(loop, {});
+  gateway::Gateway gateway(loop, std::get<serving::HostedSettings>(hosted));
+  const absl::Status started = gateway.Start(settings.metrics_address);
+  if (!started.ok()) {
+    std::cerr << "wagtailshored: " << started.message() << "\n";
+    return kExitRefused;
+  }
+  const auto& own = std::get<serving::HostedSettings>(hosted);
+  common::LogEvent(common::EventId::kProcessStarted,
+                   common::StrCat("name=", own.name,
+                                  " failure_domain=", own.failure_domain));
+  for (const int stop_signal : {SIGTERM, SIGINT}) {
+    loop.OnSignal(stop_signal, [&gateway, stop_signal] {
+      common::LogEvent(common::EventId::kProcessDraining,
+                       common::StrCat("signal=", stop_signal));
+      gateway.Drain();
+    });
+  }
+  loop.OnSignal(SIGHUP, [] {
+    common::LogEvent(common::EventId::kSettingsReloaded, "signal=1");
+  });
+  loop.Run();
+  common::LogEvent(common::EventId::kProcessStopped, "");
+  log.Flush();
+  // Everything in flight has ended; taking the objects down adds nothing.
+  std::_Exit(kExitDone);
+}
+
 int Main(int argc, char** argv) {
   google::InitGoogleLogging(argv[0]);
   FLAGS_logtostderr = true;
@@ -68,6 +110,9 @@
     return kExitUsage;
   }
   const auto& settings = std::get<settings::Settings>(result);
+  if (settings::IsHosted(settings.role)) {
+    return RunHosted(settings);
+  }
   const sigset_t stop_signals = BlockStopSignals();
   signal(SIGPIPE, SIG_IGN);
   http_client::InitializeLibrary();
--- a/packages/daemon/settings/setting_table.cc
+++ b/packages/daemon/settings/setting_table.cc
@@ -14,7 +14,8 @@
                 .type = SettingType::kRole,
                 .needed_by = NeededBy::kBoth,
                 .help = "entry serves callers; endpoint sits beside one engine "
-                        "or service"},
+                        "or service; gateway and companion are the same two on "
+                        "a hosting platform and read its settings file"},
     SettingSpec{.name = "name",
                 .needed_by = NeededBy::kBoth,
                 .help = "name of this instance; an endpoint's stands in the "
@@ -42,6 +43,9 @@
                 .help = "what operators must send to the admin address as a "
                         "bearer token; needed when that is not loopback",
                 .secret = true},
+    SettingSpec{.name = "metrics-address",
+                .type = SettingType::kAddress,
+                .help = "where a gateway or companion serves its metrics"},
     SettingSpec{.name = "platform-url",
                 .type = SettingType::kUrl,
                 .needed_by = NeededBy::kBoth,
--- a/packages/daemon/settings/setting_table.h
+++ b/packages/daemon/settings/setting_table.h
@@ -19,7 +19,7 @@
   // "http://IP:port"
   kUrl,
   kNumber,
-  // "entry" or "endpoint"
+  // One of kRoleNames.
   kRole,
 };
 
@@ -32,7 +32,8 @@
     {SettingType::kRole, "role"},
 }};
 
-// Which roles need a setting; the others ignore it.
+// Which roles need a setting; the others ignore it. kBoth does not include the
+// hosted roles.
 enum class NeededBy { kNone, kBoth, kEntry, kEndpoint };
 
 // One setting of the daemon. The help page, the check and docs/SETTINGS.md all
--- a/packages/daemon/settings/settings.cc
+++ b/packages/daemon/settings/settings.cc
@@ -118,9 +118,9 @@
                                    " to ", spec.max, " ", spec.unit);
     }
     case SettingType::kRole:
-      return text == "entry" || text == "endpoint"
+      return common::ValueOf(kRoleNames, text).has_value()
                  ? ""
-                 : "must be entry or endpoint";
+                 : "must be entry, endpoint, gateway or companion";
   }
   return "";
 }
@@ -129,12 +129,14 @@
   switch (spec.needed_by) {
     case NeededBy::kNone:
       return false;
-    case NeededBy::kBoth:
-      return true;
+    case NeededBy::kBoth: {
+      const auto known = common::ValueOf(kRoleNames, role);
+      return !known.has_value() || !IsHosted(*known);
+    }
     case NeededBy::kEntry:
-      return role == "entry";
+      return role == common::NameOf(kRoleNames, Role::kEntry);
     case NeededBy::kEndpoint:
-      return role == "endpoint";
+      return role == common::NameOf(kRoleNames, Role::kEndpoint);
   }
   return false;
 }
@@ -184,8 +186,8 @@
 
 Settings Build(const Values& values) {
   return {
-      .role =
-          values.at("role").text == "entry" ? Role::kEntry : Role::kEndpoint,
+      .role = common::ValueOf(kRoleNames, values.at("role").text)
+                  .value_or(Role::kEntry),
       .name = values.at("name").text,
       .failure_domain = values.at("failure-domain").text,
       .caller_address = values.at("caller-address").text,
@@ -193,6 +195,7 @@
       .peer_address = values.at("peer-address").text,
       .admin_address = values.at("admin-address").text,
       .admin_token = values.at("admin-token").text,
+      .metrics_address = values.at("metrics-address").text,
       .platform_url = values.at("platform-url").text,
       .engine_url = values.at("engine-url").text,
       .service_url = values.at("service-url").text,
--- a/packages/daemon/settings/settings.h
+++ b/packages/daemon/settings/settings.h
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "common/enum_names.h"
 #include "common/finding.h"
 #include "common/time.h"
 
@@ -14,7 +15,20 @@
 // goes before its variable.
 namespace wagtailshore::settings {
 
-enum class Role { kEntry, kEndpoint };
+// kGateway and kCompanion are the roles of a hosted deployment; they read what
+// the platform tells them from its settings file instead of from flags.
+enum class Role { kEntry, kEndpoint, kGateway, kCompanion };
+
+inline constexpr common::EnumNames<Role, 4> kRoleNames = {{
+    {Role::kEntry, "entry"},
+    {Role::kEndpoint, "endpoint"},
+    {Role::kGateway, "gateway"},
+    {Role::kCompanion, "companion"},
+}};
+
+constexpr bool IsHosted(Role role) {
+  return role == Role::kGateway || role == Role::kCompanion;
+}
 
 struct Settings {
   Role role = Role::kEntry;
@@ -26,6 +40,8 @@
   std::string admin_address;
   // Empty when the admin address takes requests without one.
   std::string admin_token;
+  // Where a hosted role serves its metrics.
+  std::string metrics_address;
   std::string platform_url;
   std::string engine_url;
   std::string service_url;
--- /dev/null
+++ b/packages/protocol/event_stream/event_stream.cc
@@ -0,0 +1,65 @@
+#include "protocol/event_stream/event_stream.h"
+
+#include <algorithm>
+
+#include "absl/strings/numbers.h"
+#include "common/strings.h"
+
+namespace wagtailshore::event_stream {
+namespace {
+
+// Where the event that begins `text` ends, or npos.
+size_t EventEnd(std::string_view text) {
+  constexpr std::string_view kShort = "\n\n";
+  constexpr std::string_view kLong = "\r\n\r\n";
+  const size_t short_end = text.find(kShort);
+  const size_t long_end = text.find(kLong);
+  size_t end = std::string_view::npos;
+  if (short_end != std::string_view::npos) {
+    end = short_end + kShort.size();
+  }
+  if (long_end != std::string_view::npos) {
+    end = std::min(end, long_end + kLong.size());
+  }
+  return end;
+}
+
+std::optional<uint64_t> IdOf(std::string_view text) {
+  constexpr std::string_view kField = "id:";
+  while (!text.empty()) {
+    const size_t end = text.find('\n');
+    const std::string_view line = text.substr(0, end);
+    if (line.starts_with(kField)) {
+      uint64_t id = 0;
+      // Blanks around the number are skipped.
+      return absl::SimpleAtoi(common::AsAbsl(line.substr(kField.size())), &id)
+                 ? std::optional<uint64_t>(id)
+                 : std::nullopt;
+    }
+    text = end == std::string_view::npos ? std::string_view()
+                                         : text.substr(end + 1);
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::vector<Event> Splitter::Feed(std::string_view data) {
+  buffer_ += data;
+  std::vector<Event> events;
+  size_t start = 0;
+  while (start < buffer_.size()) {
+    const std::string_view rest = std::string_view(buffer_).substr(start);
+    const size_t end = EventEnd(rest);
+    if (end == std::string_view::npos) {
+      break;
+    }
+    const std::string_view text = rest.substr(0, end);
+    events.push_back({.text = std::string(text), .id = IdOf(text)});
+    start += end;
+  }
+  buffer_.erase(0, start);
+  return events;
+}
+
+}  // namespace wagtailshore::event_stream
--- /dev/null
+++ b/packages/protocol/http1/headers.h
@@ -0,0 +1,47 @@
+#ifndef PROTOCOL_HTTP1_HEADERS_H_
+#define PROTOCOL_HTTP1_HEADERS_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace wagtailshore::http1 {
+
+struct Header {
+  std::string name;
+  std::string value;
+
+  bool operator==(const Header&) const = default;
+};
+
+// Header fields in the order of the message. Names compare without regard to
+// case.
+class Headers {
+ public:
+  void Add(std::string_view name, std::string_view value);
+  // Replaces all fields of that name by one.
+  void Set(std::string_view name, std::string_view value);
+  void Remove(std::string_view name);
+
+  // The value of the first field of that name, or null.
+  const std::string* Find(std::string_view name) const;
+  size_t Count(std::string_view name) const;
+  // Whether the comma-separated list `name` holds `token`.
+  bool HasToken(std::string_view name, std::string_view token) const;
+
+  // Removes the fields that concern only one connection, those that the
+  // Connection field names included.
+  void RemoveHopByHop();
+
+  const std::vector<Header>& all() const { return fields_; }
+
+ private:
+  std::vector<Header> fields_;
+};
+
+// Whether the two texts are equal but for the case of ASCII letters.
+bool EqualsIgnoreCase(std::string_view left, std::string_view right);
+
+}  // namespace wagtailshore::http1
+
+#endif  // PROTOCOL_HTTP1_HEADERS_H_
--- /dev/null
+++ b/packages/state/fleet/fleet.h
@@ -0,0 +1,84 @@
+#ifndef STATE_FLEET_FLEET_H_
+#define STATE_FLEET_FLEET_H_
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "common/time.h"
+
+// The endpoints that a gateway may send work to.
+namespace wagtailshore::fleet {
+
+// What an endpoint says of itself in the platform's list.
+struct EndpointRecord {
+  // Unique among processes that run at the same time.
+  std::string id;
+  std::string service;
+  // "IP:port"
+  std::string address;
+  std::string failure_domain;
+  int slots = 0;
+  bool draining = false;
+  // Tells a restarted process of the same id from the one before; 0 if unknown.
+  int64_t started_at_ms = 0;
+
+  bool operator==(const EndpointRecord&) const = default;
+};
+
+struct FleetOptions {
+  // An entry that lapsed while the list was unavailable is back this long after
+  // the list is, if its endpoint lives. Source: the platform's contract, "about
+  // two seconds", and one reading interval.
+  common::Duration relisting_time = common::milliseconds(2800);
+};
+
+// What changed with one reading of the list.
+struct FleetChange {
+  // New, or started anew.
+  std::vector<std::string> started;
+  std::vector<std::string> draining;
+  std::vector<std::string> gone;
+
+  bool empty() const {
+    return started.empty() && draining.empty() && gone.empty();
+  }
+};
+
+// Believes the list while it can be read, and keeps what it knew while it
+// cannot. A draining endpoint never becomes usable again in the same lifetime.
+class Fleet {
+ public:
+  explicit Fleet(FleetOptions options) : options_(options) {}
+
+  // A reading of the list, asked for at `asked_at`.
+  FleetChange OnList(const std::vector<EndpointRecord>& records,
+                     common::Time asked_at);
+  // A reading failed.
+  void OnListUnavailable(common::Time now);
+
+  // Null for endpoints that must not get new work.
+  const EndpointRecord* FindUsable(const std::string& id) const;
+  const EndpointRecord* Find(const std::string& id) const;
+  const std::map<std::string, EndpointRecord>& endpoints() const {
+    return endpoints_;
+  }
+  // Whether the list was ever read.
+  bool known() const { return read_at_.has_value(); }
+  // When the last successful reading was asked for.
+  std::optional<common::Time> read_at() const { return read_at_; }
+
+ private:
+  FleetOptions options_;
+  std::map<std::string, EndpointRecord> endpoints_;
+  std::optional<common::Time> read_at_;
+  // The list has been readable again since then; unset while it is not.
+  std::optional<common::Time> back_since_;
+  bool was_unavailable_ = false;
+};
+
+}  // namespace wagtailshore::fleet
+
+#endif  // STATE_FLEET_FLEET_H_
--- /dev/null
+++ b/packages/transport/event_loop/event_loop.cc
@@ -0,0 +1,293 @@
+#include "transport/event_loop/event_loop.h"
+
+#include <ace/Dev_Poll_Reactor.h>
+#include <ace/Event_Handler.h>
+#include <ace/Reactor.h>
+#include <ace/Thread.h>
+#include <signal.h>
+#include <time.h>
+
+#include <algorithm>
+#include <map>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "common/invariant.h"
+
+namespace wagtailshore::event_loop {
+namespace {
+
+// Longest wait without a timer due; only bounds how late Stop() from a signal
+// handler is noticed.
+constexpr common::Duration kLongestWait = common::seconds(10);
+
+// The names of the overridden methods are the library's.
+class DescriptorHandler final : public ACE_Event_Handler {
+ public:
+  DescriptorHandler(int descriptor, Watcher* watcher)
+      : descriptor_(descriptor), watcher_(watcher) {}
+
+  ACE_HANDLE get_handle() const override { return descriptor_; }
+  int handle_input(ACE_HANDLE) override {
+    if (watcher_ != nullptr && interest_.readable) {
+      watcher_->OnReadable();
+    }
+    return 0;
+  }
+  int handle_output(ACE_HANDLE) override {
+    if (watcher_ != nullptr && interest_.writable) {
+      watcher_->OnWritable();
+    }
+    return 0;
+  }
+
+  int descriptor() const { return descriptor_; }
+  Interest interest() const { return interest_; }
+  void set_interest(Interest interest) { interest_ = interest; }
+  // After this the handler reports nothing.
+  void Detach() { watcher_ = nullptr; }
+
+ private:
+  int descriptor_;
+  Watcher* watcher_;
+  Interest interest_;
+};
+
+class SignalHandler final : public ACE_Event_Handler {
+ public:
+  explicit SignalHandler(std::function<void()> handler)
+      : handler_(std::move(handler)) {}
+
+  // Runs in signal context: only wakes the loop.
+  int handle_signal(int, siginfo_t*, ucontext_t*) override {
+    pending_ = 1;
+    return 0;
+  }
+  void RunIfPending() {
+    if (pending_ != 0) {
+      pending_ = 0;
+      handler_();
+    }
+  }
+
+ private:
+  volatile sig_atomic_t pending_ = 0;
+  std::function<void()> handler_;
+};
+
+ACE_Reactor_Mask MaskOf(Interest interest) {
+  ACE_Reactor_Mask mask = ACE_Event_Handler::NULL_MASK;
+  if (interest.readable) {
+    mask |= ACE_Event_Handler::READ_MASK;
+  }
+  if (interest.writable) {
+    mask |= ACE_Event_Handler::WRITE_MASK;
+  }
+  return mask;
+}
+
+}  // namespace
+
+class EventLoop::Impl {
+ public:
+  Impl()
+      // With room for as many descriptors as the process may open.
+      : reactor_(new ACE_Dev_Poll_Reactor, /*delete_implementation=*/true) {
+    reactor_.owner(ACE_Thread::self());
+  }
+
+  ~Impl() {
+    for (auto& [descriptor, handler] : handlers_) {
+      RemoveFromReactor(*handler);
+    }
+  }
+
+  static common::Time Now() {
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return common::Time(std::chrono::duration_cast<common::Duration>(
+        std::chrono::seconds(now.tv_sec) +
+        std::chrono::nanoseconds(now.tv_nsec)));
+  }
+
+  void Watch(int descriptor, Watcher* watcher, Interest interest) {
+    const auto found = handlers_.find(descriptor);
+    if (found == handlers_.end()) {
+      auto handler = std::make_unique<DescriptorHandler>(descriptor, watcher);
+      handler->set_interest(interest);
+      const int added =
+          reactor_.register_handler(handler.get(), MaskOf(interest));
+      WS_INVARIANT(added == 0) << "the reactor takes the descriptor";
+      handlers_.emplace(descriptor, std::move(handler));
+      return;
+    }
+    DescriptorHandler& handler = *found->second;
+    const Interest before = handler.interest();
+    if (before == interest) {
+      return;
+    }
+    handler.set_interest(interest);
+    const ACE_Reactor_Mask wanted = MaskOf(interest);
+    const ACE_Reactor_Mask dropped = MaskOf(before) & ~wanted;
+    const ACE_Reactor_Mask added = wanted & ~MaskOf(before);
+    if (dropped != 0) {
+      reactor_.cancel_wakeup(&handler, dropped);
+    }
+    if (added != 0) {
+      reactor_.schedule_wakeup(&handler, added);
+    }
+  }
+
+  void Unwatch(int descriptor) {
+    const auto found = handlers_.find(descriptor);
+    if (found == handlers_.end()) {
+      return;
+    }
+    RemoveFromReactor(*found->second);
+    found->second->Detach();
+    // The reactor may be calling the handler now.
+    retired_.push_back(std::move(found->second));
+    handlers_.erase(found);
+  }
+
+  TimerId RunAt(common::Time when, std::function<void()> task) {
+    const TimerId id = next_timer_++;
+    timers_.emplace(std::make_pair(when, id), std::move(task));
+    due_times_.emplace(id, when);
+    return id;
+  }
+
+  void Cancel(TimerId timer) {
+    const auto found = due_times_.find(timer);
+    if (found == due_times_.end()) {
+      return;
+    }
+    timers_.erase({found->second, timer});
+    due_times_.erase(found);
+  }
+
+  void Post(std::function<void()> task) { posted_.push_back(std::move(task)); }
+
+  void OnSignal(int signal, std::function<void()> handler) {
+    signal_handlers_.push_back(
+        std::make_unique<SignalHandler>(std::move(handler)));
+    const int added =
+        reactor_.register_handler(signal, signal_handlers_.back().get());
+    WS_INVARIANT(added != -1) << "the reactor takes the signal";
+  }
+
+  void Run() {
+    while (!stopped_) {
+      ACE_Time_Value wait = WaitTime();
+      reactor_.handle_events(wait);
+      for (size_t i = 0; i < signal_handlers_.size(); ++i) {
+        signal_handlers_[i]->RunIfPending();
+      }
+      RunDueTimers();
+      RunPosted();
+      retired_.clear();
+    }
+  }
+
+  void Stop() { stopped_ = true; }
+
+ private:
+  void RemoveFromReactor(DescriptorHandler& handler) {
+    reactor_.remove_handler(&handler, ACE_Event_Handler::ALL_EVENTS_MASK |
+                                          ACE_Event_Handler::DONT_CALL);
+  }
+
+  ACE_Time_Value WaitTime() const {
+    if (!posted_.empty()) {
+      return ACE_Time_Value::zero;
+    }
+    common::Duration wait = kLongestWait;
+    if (!timers_.empty()) {
+      wait = std::min(wait, timers_.begin()->first.first - Now());
+    }
+    wait = std::max(wait, common::Duration::zero());
+    // Rounded up: the kernel waits whole milliseconds, and a wait that ends
+    // early would spin.
+    return ACE_Time_Value(std::chrono::ceil<std::chrono::milliseconds>(wait));
+  }
+
+  void RunDueTimers() {
+    const common::Time now = Now();
+    while (!timers_.empty() && timers_.begin()->first.first <= now) {
+      const auto first = timers_.begin();
+      const std::function<void()> task = std::move(first->second);
+      due_times_.erase(first->first.second);
+      timers_.erase(first);
+      task();
+    }
+  }
+
+  void RunPosted() {
+    std::vector<std::function<void()>> tasks;
+    tasks.swap(posted_);
+    for (const auto& task : tasks) {
+      task();
+    }
+  }
+
+  ACE_Reactor reactor_;
+  std::unordered_map<int, std::unique_ptr<DescriptorHandler>> handlers_;
+  // Unregistered while the reactor may still be calling them.
+  std::vector<std::unique_ptr<DescriptorHandler>> retired_;
+  std::vector<std::unique_ptr<SignalHandler>> signal_handlers_;
+  std::map<std::pair<common::Time, TimerId>, std::function<void()>> timers_;
+  std::unordered_map<TimerId, common::Time> due_times_;
+  TimerId next_timer_ = 1;
+  std::vector<std::function<void()>> posted_;
+  bool stopped_ = false;
+};
+
+EventLoop::EventLoop() : impl_(std::make_unique<Impl>()) {}
+
+EventLoop::~EventLoop() = default;
+
+common::Time EventLoop::Now() const {
+  return Impl::Now();
+}
+
+void EventLoop::Watch(int descriptor, Watcher* watcher, Interest interest) {
+  impl_->Watch(descriptor, watcher, interest);
+}
+
+void EventLoop::Unwatch(int descriptor) {
+  impl_->Unwatch(descriptor);
+}
+
+TimerId EventLoop::RunAt(common::Time when, std::function<void()> task) {
+  return impl_->RunAt(when, std::move(task));
+}
+
+void EventLoop::Every(common::Duration period, std::function<void()> task) {
+  RunAfter(period, [this, period, task = std::move(task)] {
+    task();
+    Every(period, task);
+  });
+}
+
+void EventLoop::Cancel(TimerId timer) {
+  impl_->Cancel(timer);
+}
+
+void EventLoop::Post(std::function<void()> task) {
+  impl_->Post(std::move(task));
+}
+
+void EventLoop::OnSignal(int signal, std::function<void()> handler) {
+  impl_->OnSignal(signal, std::move(handler));
+}
+
+void EventLoop::Run() {
+  impl_->Run();
+}
+
+void EventLoop::Stop() {
+  impl_->Stop();
+}
+
+}  // namespace wagtailshore::event_loop
--- /dev/null
+++ b/packages/transport/http_channel/caller_channel.cc
@@ -0,0 +1,194 @@
+#include "transport/http_channel/caller_channel.h"
+
+#include <utility>
+
+#include "common/invariant.h"
+
+namespace wagtailshore::http_channel {
+namespace {
+
+constexpr int kRequestTimeout = 408;
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+
+http1::ReaderOptions ReaderOptionsOf(const CallerChannelOptions& options) {
+  return {.max_header_bytes = options.max_header_bytes,
+          .max_body_bytes = options.max_body_bytes};
+}
+
+}  // namespace
+
+CallerChannel::CallerChannel(event_loop::EventLoop& loop,
+                             int descriptor,
+                             RequestHandler& handler,
+                             const CallerChannelOptions& options)
+    : loop_(loop),
+      handler_(handler),
+      options_(options),
+      socket_(loop, descriptor, *this, {}),
+      reader_(ReaderOptionsOf(options)) {
+  ArmTimer();
+}
+
+CallerChannel::~CallerChannel() {
+  loop_.Cancel(timer_);
+}
+
+void CallerChannel::OnData() {
+  if (state_ == State::kReading) {
+    ReadRequest();
+  }
+}
+
+void CallerChannel::ReadRequest() {
+  // An answer given from within OnRequest() must not start a second read here.
+  if (in_read_) {
+    return;
+  }
+  in_read_ = true;
+  while (state_ == State::kReading && !socket_.input().empty()) {
+    if (!request_begun_) {
+      request_begun_ = true;
+      ArmTimer();
+    }
+    auto progress = reader_.Read(socket_.input());
+    if (!progress.ok()) {
+      Refuse(http1::ReadErrorOf(progress.status()));
+      break;
+    }
+    socket_.Consume(progress->consumed);
+    body_ += progress->body;
+    if (progress->head_complete && !progress->complete &&
+        reader_.head().headers.HasToken("Expect", "100-continue")) {
+      socket_.Write(kContinue);
+    }
+    if (!progress->complete) {
+      if (reader_.head_complete()) {
+        ArmTimer();
+      }
+      break;
+    }
+    const http1::RequestHead head = reader_.head();
+    keep_alive_ = head.keep_alive;
+    chunks_allowed_ = head.chunks_allowed;
+    head_request_ = head.method == "HEAD";
+    state_ = State::kAnswering;
+    request_begun_ = false;
+    loop_.Cancel(timer_);
+    timer_ = event_loop::kNoTimer;
+    handler_.OnRequest(*this, head, std::exchange(body_, {}));
+  }
+  in_read_ = false;
+}
+
+void CallerChannel::Refuse(http1::ReadError error) {
+  keep_alive_ = false;
+  state_ = State::kAnswering;
+  Respond(static_cast<int>(error), {}, {});
+}
+
+http1::Persistence CallerChannel::NextPersistence() {
+  if (close_requested_) {
+    keep_alive_ = false;
+  }
+  return keep_alive_ ? http1::Persistence::kKeepAlive
+                     : http1::Persistence::kClose;
+}
+
+void CallerChannel::Respond(int status,
+                            const http1::Headers& headers,
+                            std::string_view body) {
+  WS_INVARIANT(state_ == State::kAnswering) << "a request waits for an answer";
+  socket_.Write(http1::FormatResponse(status, headers,
+                                      head_request_ ? std::string_view() : body,
+                                      NextPersistence()));
+  FinishAnswer();
+}
+
+void CallerChannel::BeginStream(int status, const http1::Headers& headers) {
+  WS_INVARIANT(state_ == State::kAnswering) << "a request waits for an answer";
+  chunked_ = chunks_allowed_;
+  if (!chunked_) {
+    keep_alive_ = false;
+  }
+  socket_.Write(http1::FormatStreamHead(
+      status, headers,
+      chunked_ ? http1::BodyFraming::kChunked : http1::BodyFraming::kUntilClose,
+      NextPersistence()));
+}
+
+void CallerChannel::WriteStream(std::string_view data) {
+  if (data.empty()) {
+    return;
+  }
+  socket_.Write(chunked_ ? http1::FormatChunk(data) : std::string(data));
+}
+
+void CallerChannel::EndStream() {
+  if (chunked_) {
+    socket_.Write(http1::kLastChunk);
+  }
+  FinishAnswer();
+}
+
+void CallerChannel::FinishAnswer() {
+  if (!keep_alive_) {
+    state_ = State::kClosing;
+    socket_.CloseWhenFlushed();
+    return;
+  }
+  state_ = State::kReading;
+  reader_ = http1::RequestReader(ReaderOptionsOf(options_));
+  ArmTimer();
+  if (!socket_.input().empty() && !in_read_) {
+    loop_.Post([this] { OnData(); });
+  }
+}
+
+void CallerChannel::Break() {
+  state_ = State::kClosing;
+  socket_.Close(/*reset=*/true);
+  loop_.Cancel(timer_);
+  handler_.OnChannelClosed(*this);
+}
+
+void CallerChannel::CloseWhenIdle() {
+  close_requested_ = true;
+  if (state_ == State::kReading && !request_begun_) {
+    state_ = State::kClosing;
+    socket_.CloseWhenFlushed();
+  }
+}
+
+void CallerChannel::OnClosed(stream_socket::CloseReason) {
+  loop_.Cancel(timer_);
+  const bool was_answering = state_ == State::kAnswering;
+  state_ = State::kClosing;
+  if (was_answering) {
+    handler_.OnCallerGone(*this);
+  }
+  handler_.OnChannelClosed(*this);
+}
+
+void CallerChannel::ArmTimer() {
+  loop_.Cancel(timer_);
+  const bool reading_head = request_begun_ && !reader_.head_complete();
+  timer_ = loop_.RunAfter(
+      reading_head ? options_.header_timeout : options_.idle_timeout,
+      [this] { OnTimer(); });
+}
+
+void CallerChannel::OnTimer() {
+  timer_ = event_loop::kNoTimer;
+  if (state_ != State::kReading) {
+    return;
+  }
+  if (!request_begun_) {
+    CloseWhenIdle();
+    return;
+  }
+  keep_alive_ = false;
+  state_ = State::kAnswering;
+  Respond(kRequestTimeout, {}, {});
+}
+
+}  // namespace wagtailshore::http_channel
--- /dev/null
+++ b/packages/transport/http_channel/endpoint_pool.cc
@@ -0,0 +1,75 @@
+#include "transport/http_channel/endpoint_pool.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace wagtailshore::http_channel {
+
+EndpointChannel& EndpointPool::Acquire(const std::string& key,
+                                       const std::string& address) {
+  Channels& channels = channels_[key];
+  const common::Time now = loop_.Now();
+  std::vector<EndpointChannel*> expired;
+  EndpointChannel* found = nullptr;
+  // The latest used ones are at the end.
+  for (auto channel = channels.rbegin(); channel != channels.rend();
+       ++channel) {
+    if (!(*channel)->idle()) {
+      continue;
+    }
+    if (found == nullptr && (*channel)->IsFresh(now)) {
+      found = channel->get();
+    } else if (!(*channel)->IsFresh(now)) {
+      expired.push_back(channel->get());
+    }
+  }
+  for (EndpointChannel* channel : expired) {
+    channel->Abandon();
+  }
+  if (found != nullptr) {
+    return *found;
+  }
+  ++opened_;
+  channels.push_back(std::make_unique<EndpointChannel>(
+      loop_, address, options_,
+      [this, key](EndpointChannel& channel) { OnState(key, channel); }));
+  return *channels.back();
+}
+
+void EndpointPool::Forget(const std::string& key) {
+  const auto found = channels_.find(key);
+  if (found == channels_.end()) {
+    return;
+  }
+  std::vector<EndpointChannel*> idle;
+  for (const auto& channel : found->second) {
+    if (channel->idle()) {
+      idle.push_back(channel.get());
+    }
+  }
+  for (EndpointChannel* channel : idle) {
+    channel->Abandon();
+  }
+}
+
+void EndpointPool::OnState(const std::string& key, EndpointChannel& channel) {
+  if (!channel.open()) {
+    // The channel is calling; it must outlive the call.
+    loop_.Post([this, key, gone = &channel] { Remove(key, *gone); });
+  }
+}
+
+void EndpointPool::Remove(const std::string& key,
+                          const EndpointChannel& channel) {
+  const auto found = channels_.find(key);
+  if (found == channels_.end()) {
+    return;
+  }
+  std::erase_if(found->second,
+                [&](const auto& item) { return item.get() == &channel; });
+  if (found->second.empty()) {
+    channels_.erase(found);
+  }
+}
+
+}  // namespace wagtailshore::http_channel
--- /dev/null
+++ b/packages/transport/log_output/log_output.cc
@@ -0,0 +1,65 @@
+#include "transport/log_output/log_output.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include "common/strings.h"
+
+namespace wagtailshore::log_output {
+
+LogOutput::LogOutput(event_loop::EventLoop& loop, LogOutputOptions options)
+    : loop_(loop), options_(options) {
+  fcntl(STDOUT_FILENO, F_SETFL, fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
+  // All levels go here; the library's own files stay unused. It writes fatal
+  // ones to standard error besides.
+  FLAGS_logtostderr = false;
+  FLAGS_logtostdout = false;
+  FLAGS_alsologtostderr = false;
+  FLAGS_stderrthreshold = google::GLOG_FATAL;
+  for (int level = google::GLOG_INFO; level < google::NUM_SEVERITIES; ++level) {
+    google::base::SetLogger(level, this);
+  }
+  loop_.Every(options_.flush_period, [this] { Flush(); });
+}
+
+void LogOutput::Write(bool, time_t, const char* message, size_t length) {
+  if (!HasRoom(length)) {
+    ++dropped_;
+    ++dropped_unsaid_;
+    return;
+  }
+  if (dropped_unsaid_ > 0) {
+    common::StrAppend(&buffer_, "log lines dropped=", dropped_unsaid_, "\n");
+    dropped_unsaid_ = 0;
+  }
+  buffer_.append(message, length);
+}
+
+bool LogOutput::HasRoom(size_t bytes) {
+  const common::Time now = loop_.Now();
+  if (now - second_began_ >= common::seconds(1)) {
+    second_began_ = now;
+    lines_this_second_ = 0;
+  }
+  if (lines_this_second_ >= options_.max_lines_per_second ||
+      buffer_.size() + bytes > options_.max_buffer_bytes) {
+    return false;
+  }
+  ++lines_this_second_;
+  return true;
+}
+
+void LogOutput::Flush() {
+  size_t written = 0;
+  while (written < buffer_.size()) {
+    const ssize_t taken = write(STDOUT_FILENO, buffer_.data() + written,
+                                buffer_.size() - written);
+    if (taken <= 0) {
+      break;
+    }
+    written += static_cast<size_t>(taken);
+  }
+  buffer_.erase(0, written);
+}
+
+}  // namespace wagtailshore::log_output
--- /dev/null
+++ b/packages/transport/stream_socket/address.h
@@ -0,0 +1,16 @@
+#ifndef TRANSPORT_STREAM_SOCKET_ADDRESS_H_
+#define TRANSPORT_STREAM_SOCKET_ADDRESS_H_
+
+#include <netinet/in.h>
+
+#include <optional>
+#include <string>
+
+namespace wagtailshore::stream_socket {
+
+// The IPv4 socket address that "IP:port" names, or nothing when it names none.
+std::optional<sockaddr_in> ParseAddress(const std::string& text);
+
+}  // namespace wagtailshore::stream_socket
+
+#endif  // TRANSPORT_STREAM_SOCKET_ADDRESS_H_
--- /dev/null
+++ b/packages/transport/stream_socket/listener.h
@@ -0,0 +1,41 @@
+#ifndef TRANSPORT_STREAM_SOCKET_LISTENER_H_
+#define TRANSPORT_STREAM_SOCKET_LISTENER_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "absl/status/statusor.h"
+#include "transport/event_loop/event_loop.h"
+
+namespace wagtailshore::stream_socket {
+
+// Accepts TCP connections on one address.
+class Listener final : public event_loop::Watcher {
+ public:
+  // Called with each accepted, non-blocking descriptor, which it then owns.
+  using OnAccept = std::function<void(int descriptor)>;
+
+  // Fails when `address` is not "IP:port" or cannot be bound.
+  static absl::StatusOr<std::unique_ptr<Listener>> Open(
+      event_loop::EventLoop& loop,
+      const std::string& address,
+      OnAccept accept);
+  ~Listener() override;
+  Listener(const Listener&) = delete;
+  Listener& operator=(const Listener&) = delete;
+
+  void OnReadable() override;
+  void OnWritable() override {}
+
+ private:
+  Listener(event_loop::EventLoop& loop, int descriptor, OnAccept accept);
+
+  event_loop::EventLoop& loop_;
+  int descriptor_;
+  OnAccept accept_;
+};
+
+}  // namespace wagtailshore::stream_socket
+
+#endif  // TRANSPORT_STREAM_SOCKET_LISTENER_H_
--- /dev/null
+++ b/packages/transport/stream_socket/stream_socket.cc
@@ -0,0 +1,266 @@
+#include "transport/stream_socket/stream_socket.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+
+#include "transport/stream_socket/address.h"
+
+namespace wagtailshore::stream_socket {
+namespace {
+
+// Bytes read per system call; a streamed event and most answers fit.
+constexpr size_t kReadBytes = 16 * 1024;
+// Unconsumed room that is given back to the allocator once it is this large.
+constexpr size_t kKeptBufferBytes = 64 * 1024;
+// Keep-alive: seconds of silence before a probe, and between probes.
+constexpr int kProbeIdleSeconds = 2;
+constexpr int kProbeIntervalSeconds = 1;
+constexpr int kProbes = 2;
+// How long a peer may take to close after the last answer.
+constexpr common::Duration kLingerTimeout = common::seconds(1);
+
+void SetIntOption(int descriptor, int level, int name, int value) {
+  setsockopt(descriptor, level, name, &value, sizeof(value));
+}
+
+}  // namespace
+
+StreamSocket::StreamSocket(event_loop::EventLoop& loop,
+                           int descriptor,
+                           StreamHandler& handler,
+                           StreamOptions options)
+    : loop_(loop),
+      handler_(handler),
+      options_(options),
+      descriptor_(descriptor) {
+  SetOptions();
+  UpdateInterest();
+}
+
+StreamSocket::StreamSocket(event_loop::EventLoop& loop,
+                           const std::string& address,
+                           StreamHandler& handler,
+                           StreamOptions options)
+    : loop_(loop),
+      handler_(handler),
+      options_(options),
+      state_(State::kConnecting) {
+  const auto parsed = ParseAddress(address);
+  descriptor_ =
+      parsed.has_value()
+          ? socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)
+          : -1;
+  if (descriptor_ < 0) {
+    FailLater(CloseReason::kNotConnected);
+    return;
+  }
+  SetOptions();
+  const int result =
+      connect(descriptor_, reinterpret_cast<const sockaddr*>(&*parsed),
+              sizeof(*parsed));
+  if (result != 0 && errno != EINPROGRESS) {
+    FailLater(CloseReason::kNotConnected);
+    return;
+  }
+  connect_timer_ = loop_.RunAfter(options_.connect_timeout, [this] {
+    connect_timer_ = event_loop::kNoTimer;
+    Fail(CloseReason::kNotConnected);
+  });
+  UpdateInterest();
+}
+
+StreamSocket::~StreamSocket() {
+  Close();
+}
+
+void StreamSocket::SetOptions() {
+  SetIntOption(descriptor_, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetIntOption(
+      descriptor_, IPPROTO_TCP, TCP_USER_TIMEOUT,
+      static_cast<int>(common::ToMilliseconds(options_.silence_timeout)));
+  SetIntOption(descriptor_, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetIntOption(descriptor_, IPPROTO_TCP, TCP_KEEPIDLE, kProbeIdleSeconds);
+  SetIntOption(descriptor_, IPPROTO_TCP, TCP_KEEPINTVL, kProbeIntervalSeconds);
+  SetIntOption(descriptor_, IPPROTO_TCP, TCP_KEEPCNT, kProbes);
+}
+
+void StreamSocket::Consume(size_t bytes) {
+  input_start_ += bytes;
+  if (input_start_ == input_.size()) {
+    input_start_ = 0;
+    input_.clear();
+    if (input_.capacity() > kKeptBufferBytes) {
+      input_.shrink_to_fit();
+    }
+  }
+  if (state_ == State::kOpen) {
+    UpdateInterest();
+  }
+}
+
+bool StreamSocket::Write(std::string_view data) {
+  if (state_ == State::kClosed) {
+    return false;
+  }
+  output_.append(data);
+  if (state_ != State::kOpen) {
+    return true;
+  }
+  if (!Flush()) {
+    FailLater(CloseReason::kBroken);
+    return false;
+  }
+  UpdateInterest();
+  return true;
+}
+
+bool StreamSocket::Flush() {
+  while (output_start_ < output_.size()) {
+    const ssize_t sent = send(descriptor_, output_.data() + output_start_,
+                              output_.size() - output_start_, MSG_NOSIGNAL);
+    if (sent < 0) {
+      return errno == EAGAIN || errno == EINTR;
+    }
+    sent_any_ = true;
+    output_start_ += static_cast<size_t>(sent);
+  }
+  output_.clear();
+  output_start_ = 0;
+  if (output_.capacity() > kKeptBufferBytes) {
+    output_.shrink_to_fit();
+  }
+  return true;
+}
+
+void StreamSocket::UpdateInterest() {
+  if (state_ == State::kClosed) {
+    return;
+  }
+  if (state_ == State::kConnecting) {
+    loop_.Watch(descriptor_, this, {.writable = true});
+    return;
+  }
+  loop_.Watch(descriptor_, this,
+              {.readable = input().size() < options_.max_input &&
+                           failure_timer_ == event_loop::kNoTimer,
+               .writable = unsent() > 0});
+}
+
+void StreamSocket::Close(bool reset) {
+  loop_.Cancel(connect_timer_);
+  loop_.Cancel(failure_timer_);
+  loop_.Cancel(linger_timer_);
+  state_ = State::kClosed;
+  if (descriptor_ < 0) {
+    return;
+  }
+  if (reset) {
+    const linger at_once{.l_onoff = 1, .l_linger = 0};
+    setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+  }
+  loop_.Unwatch(descriptor_);
+  close(descriptor_);
+  descriptor_ = -1;
+}
+
+void StreamSocket::CloseWhenFlushed() {
+  close_when_flushed_ = true;
+  if (unsent() == 0 && state_ == State::kOpen) {
+    BeginLinger();
+  }
+}
+
+void StreamSocket::BeginLinger() {
+  if (lingering_) {
+    return;
+  }
+  lingering_ = true;
+  shutdown(descriptor_, SHUT_WR);
+  linger_timer_ = loop_.RunAfter(kLingerTimeout, [this] {
+    linger_timer_ = event_loop::kNoTimer;
+    Fail(CloseReason::kEndOfStream);
+  });
+}
+
+void StreamSocket::Fail(CloseReason reason) {
+  if (state_ == State::kClosed) {
+    return;
+  }
+  Close();
+  handler_.OnClosed(reason);
+}
+
+void StreamSocket::FailLater(CloseReason reason) {
+  if (failure_timer_ != event_loop::kNoTimer) {
+    return;
+  }
+  failure_timer_ = loop_.RunAfter(common::Duration::zero(), [this, reason] {
+    failure_timer_ = event_loop::kNoTimer;
+    Fail(reason);
+  });
+}
+
+void StreamSocket::OnReadable() {
+  std::array<char, kReadBytes> buffer;
+  const ssize_t received = recv(descriptor_, buffer.data(), buffer.size(), 0);
+  if (received < 0) {
+    if (errno != EAGAIN && errno != EINTR) {
+      Fail(CloseReason::kBroken);
+    }
+    return;
+  }
+  if (received == 0) {
+    Fail(CloseReason::kEndOfStream);
+    return;
+  }
+  if (lingering_) {
+    return;
+  }
+  if (input_start_ > 0) {
+    input_.erase(0, input_start_);
+    input_start_ = 0;
+  }
+  input_.append(buffer.data(), static_cast<size_t>(received));
+  UpdateInterest();
+  handler_.OnData();
+}
+
+void StreamSocket::OnWritable() {
+  if (state_ == State::kConnecting) {
+    int error = 0;
+    socklen_t length = sizeof(error);
+    getsockopt(descriptor_, SOL_SOCKET, SO_ERROR, &error, &length);
+    if (error != 0) {
+      Fail(CloseReason::kNotConnected);
+      return;
+    }
+    loop_.Cancel(connect_timer_);
+    connect_timer_ = event_loop::kNoTimer;
+    state_ = State::kOpen;
+    UpdateInterest();
+    handler_.OnConnected();
+    if (state_ != State::kOpen) {
+      return;
+    }
+  }
+  if (!Flush()) {
+    Fail(CloseReason::kBroken);
+    return;
+  }
+  UpdateInterest();
+  if (unsent() > 0) {
+    return;
+  }
+  if (close_when_flushed_) {
+    BeginLinger();
+    return;
+  }
+  handler_.OnFlushed();
+}
+
+}  // namespace wagtailshore::stream_socket
