--- a/packages/common/event_log.cc
+++ b/packages/common/event_log.cc
@@ -75,6 +75,23 @@
         "Check the platform; see the outage table in docs/OPERATIONS.md."},
     EventSpec{EventId::kPlatformBack, Severity::kInfo, "platform back",
               "The platform answers again.", "None."},
+    EventSpec{
+        EventId::kCoordinatorTaken, Severity::kInfo, "coordinator taken over",
+        "This companion now coordinates its group's expert maps.", "None."},
+    EventSpec{EventId::kCoordinatorNotTaken, Severity::kInfo,
+              "coordinator not taken over",
+              "A try to coordinate the group failed; see its reason.",
+              "None; another try follows."},
+    EventSpec{EventId::kCoordinatorSuperseded, Severity::kInfo,
+              "coordinator superseded",
+              "Another companion has a higher fencing number.", "None."},
+    EventSpec{EventId::kMapPlanned, Severity::kInfo, "expert map planned",
+              "A map that suits the demand better is being prepared.", "None."},
+    EventSpec{EventId::kMapSwitchPhase, Severity::kInfo,
+              "expert map switch phase",
+              "The switch of a group's expert map went a step on.",
+              "If a group stays in holding, arming or releasing, its ranks do "
+              "not answer orders: look at them."},
 };
 
 int ToLogLevel(Severity severity) {
--- a/packages/common/event_log.h
+++ b/packages/common/event_log.h
@@ -30,6 +30,11 @@
   kOutcomeNotRecorded = 1402,
   kPlatformUnavailable = 1501,
   kPlatformBack = 1502,
+  kCoordinatorTaken = 1601,
+  kCoordinatorNotTaken = 1602,
+  kCoordinatorSuperseded = 1603,
+  kMapPlanned = 1604,
+  kMapSwitchPhase = 1605,
 };
 
 enum class Severity { kInfo, kWarning, kError };
--- /dev/null
+++ b/packages/coordination/map_coordinator/map_coordinator.cc
@@ -0,0 +1,334 @@
+#include "coordination/map_coordinator/map_coordinator.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "common/invariant.h"
+
+namespace wagtailshore::map_coordinator {
+namespace {
+
+// Versions of one coordinator; a rank takes only higher ones than it has had.
+constexpr uint64_t kVersionsPerGeneration = 1'000'000;
+// How long a released group may take until its step is seen to begin; an idle
+// group begins none.
+constexpr common::Duration kReleaseSettleTime = common::milliseconds(1500);
+
+}  // namespace
+
+MapCoordinator::MapCoordinator(const MapCoordinatorOptions& options)
+    : options_(options),
+      ranks_(options.ranks),
+      next_version_(options.generation * kVersionsPerGeneration + 1) {}
+
+void MapCoordinator::OnReport(int rank,
+                              const RankReport& report,
+                              common::Time now) {
+  if (rank < 0 || rank >= options_.ranks || report.epoch < epoch_) {
+    return;
+  }
+  if (report.epoch > epoch_) {
+    Reset();
+    epoch_ = report.epoch;
+  }
+  ranks_[rank].report = report;
+  ranks_[rank].reported_at = now;
+}
+
+void MapCoordinator::Reset() {
+  for (Rank& rank : ranks_) {
+    rank = Rank{};
+  }
+  orders_.clear();
+  phase_ = Phase::kIdle;
+}
+
+void MapCoordinator::Enter(Phase phase, common::Time now) {
+  phase_ = phase;
+  phase_began_ = now;
+  for (Rank& rank : ranks_) {
+    rank.confirmed = false;
+    rank.accepted_at = common::Time{};
+    // A late outcome belongs to the phase before.
+    rank.in_flight.reset();
+  }
+  orders_.clear();
+}
+
+bool MapCoordinator::AllFresh(common::Time now) const {
+  return std::all_of(ranks_.begin(), ranks_.end(), [&](const Rank& rank) {
+    return rank.report.has_value() &&
+           now - rank.reported_at < options_.report_expiry;
+  });
+}
+
+uint64_t MapCoordinator::map_version() const {
+  return ranks_.front().report.has_value() ? ranks_.front().report->map_version
+                                           : 0;
+}
+
+bool MapCoordinator::CanSwitch(common::Time now) const {
+  if (fenced_ || phase_ != Phase::kIdle || !AllFresh(now)) {
+    return false;
+  }
+  return std::all_of(ranks_.begin(), ranks_.end(), [&](const Rank& rank) {
+    return rank.report->open && rank.report->map_version == map_version() &&
+           !rank.report->armed.has_value() &&
+           !rank.report->held_step.has_value();
+  });
+}
+
+void MapCoordinator::Switch(std::shared_ptr<const GroupMap> map,
+                            common::Time now) {
+  WS_INVARIANT(CanSwitch(now)) << "one switch at a time";
+  map_ = std::move(map);
+  version_ = next_version_++;
+  Enter(Phase::kPreparing, now);
+}
+
+uint64_t MapCoordinator::FurthestStep() const {
+  uint64_t furthest = 0;
+  for (const Rank& rank : ranks_) {
+    if (rank.report.has_value()) {
+      furthest = std::max(furthest, rank.report->step);
+    }
+  }
+  return furthest;
+}
+
+bool MapCoordinator::AllConfirmed() const {
+  return std::all_of(ranks_.begin(), ranks_.end(),
+                     [](const Rank& rank) { return rank.confirmed; });
+}
+
+void MapCoordinator::Give(int rank,
+                          OrderBody body,
+                          std::vector<RankOrder>& orders) {
+  const uint64_t id = next_order_++;
+  ranks_[rank].in_flight = id;
+  orders_[id] = rank;
+  orders.push_back({.id = id,
+                    .rank = rank,
+                    .epoch = epoch_,
+                    .generation = options_.generation,
+                    .body = std::move(body)});
+}
+
+std::vector<RankOrder> MapCoordinator::Tick(common::Time now) {
+  std::vector<RankOrder> orders;
+  if (fenced_) {
+    return orders;
+  }
+  if (phase_ == Phase::kIdle) {
+    Recover(now);
+  }
+  switch (phase_) {
+    case Phase::kIdle:
+      break;
+    case Phase::kPreparing:
+      TickPreparing(now, orders);
+      break;
+    case Phase::kHolding:
+      TickHolding(now, orders);
+      break;
+    case Phase::kArming:
+      TickArming(now, orders);
+      break;
+    case Phase::kDisarming:
+      TickDisarming(now, orders);
+      break;
+    case Phase::kReleasing:
+      TickReleasing(now, orders);
+      break;
+  }
+  return orders;
+}
+
+void MapCoordinator::Recover(common::Time now) {
+  if (!AllFresh(now)) {
+    return;
+  }
+  const auto holder = std::find_if(
+      ranks_.begin(), ranks_.end(),
+      [](const Rank& rank) { return rank.report->held_step.has_value(); });
+  if (holder == ranks_.end()) {
+    return;
+  }
+  hold_rank_ = static_cast<int>(holder - ranks_.begin());
+  step_ = *holder->report->held_step;
+  const auto armed = std::find_if(
+      ranks_.begin(), ranks_.end(),
+      [](const Rank& rank) { return rank.report->armed.has_value(); });
+  if (armed != ranks_.end()) {
+    version_ = armed->report->armed->version;
+    step_ = armed->report->armed->step;
+    Enter(Phase::kArming, now);
+    return;
+  }
+  // An order to arm may still be under way to any rank, but only if all had
+  // prepared the map: then the switch is completed.
+  const auto prepared = ranks_.front().report->prepared;
+  const bool all_prepared =
+      prepared.has_value() && *prepared != map_version() &&
+      std::all_of(ranks_.begin(), ranks_.end(), [&](const Rank& rank) {
+        return rank.report->prepared == prepared;
+      });
+  if (all_prepared) {
+    version_ = *prepared;
+    Enter(Phase::kArming, now);
+    return;
+  }
+  Enter(Phase::kReleasing, now);
+}
+
+void MapCoordinator::TickPreparing(common::Time now,
+                                   std::vector<RankOrder>& orders) {
+  if (now - phase_began_ > options_.prepare_timeout) {
+    // Nothing is armed or held yet; the copies do no harm.
+    Enter(Phase::kIdle, now);
+    return;
+  }
+  bool all = true;
+  for (int rank = 0; rank < options_.ranks; ++rank) {
+    Rank& state = ranks_[rank];
+    if (state.report.has_value() && state.report->prepared == version_) {
+      continue;
+    }
+    all = false;
+    const bool waits =
+        state.confirmed && now - state.accepted_at < options_.prepare_repeat;
+    if (!state.in_flight.has_value() && !waits) {
+      Give(rank, PrepareMap{.version = version_, .map = map_}, orders);
+    }
+  }
+  if (all && AllFresh(now)) {
+    step_ = FurthestStep() + options_.lead_steps;
+    hold_rank_ = 0;
+    Enter(Phase::kHolding, now);
+    TickHolding(now, orders);
+  }
+}
+
+void MapCoordinator::TickHolding(common::Time now,
+                                 std::vector<RankOrder>& orders) {
+  const Rank& holder = ranks_[hold_rank_];
+  if (holder.confirmed ||
+      (holder.report.has_value() && holder.report->held_step == step_)) {
+    Enter(Phase::kArming, now);
+    TickArming(now, orders);
+    return;
+  }
+  if (!holder.in_flight.has_value()) {
+    Give(hold_rank_, HoldStep{.step = step_}, orders);
+  }
+}
+
+void MapCoordinator::TickArming(common::Time now,
+                                std::vector<RankOrder>& orders) {
+  const ArmedMap wanted{.version = version_, .step = step_};
+  for (int rank = 0; rank < options_.ranks; ++rank) {
+    Rank& state = ranks_[rank];
+    if (state.report.has_value() && state.report->armed == wanted) {
+      state.confirmed = true;
+    }
+    if (!state.confirmed && !state.in_flight.has_value()) {
+      Give(rank, ArmMap{.version = version_, .step = step_}, orders);
+    }
+  }
+  if (AllConfirmed()) {
+    ++switches_;
+    Enter(Phase::kReleasing, now);
+    TickReleasing(now, orders);
+  }
+}
+
+void MapCoordinator::TickDisarming(common::Time now,
+                                   std::vector<RankOrder>& orders) {
+  for (int rank = 0; rank < options_.ranks; ++rank) {
+    Rank& state = ranks_[rank];
+    if (!state.confirmed && !state.in_flight.has_value()) {
+      Give(rank, DisarmMap{.version = version_}, orders);
+    }
+  }
+  if (AllConfirmed()) {
+    Enter(Phase::kReleasing, now);
+    TickReleasing(now, orders);
+  }
+}
+
+void MapCoordinator::TickReleasing(common::Time now,
+                                   std::vector<RankOrder>& orders) {
+  bool held = false;
+  for (int rank = 0; rank < options_.ranks; ++rank) {
+    Rank& state = ranks_[rank];
+    // A late order may have held the group again after the release.
+    const bool reported_held = state.report.has_value() &&
+                               state.reported_at > state.accepted_at &&
+                               state.report->held_step.has_value();
+    const bool must_release =
+        reported_held || (rank == hold_rank_ && !state.confirmed);
+    if (!must_release) {
+      continue;
+    }
+    held = true;
+    if (!state.in_flight.has_value()) {
+      const uint64_t step = reported_held ? *state.report->held_step : step_;
+      Give(rank, ReleaseStep{.step = step}, orders);
+    }
+  }
+  const bool begun = FurthestStep() >= step_;
+  if (!held && (begun || now - phase_began_ > kReleaseSettleTime)) {
+    Enter(Phase::kIdle, now);
+  }
+}
+
+void MapCoordinator::OnOutcome(uint64_t order_id,
+                               OrderOutcome outcome,
+                               common::Time now) {
+  const auto found = orders_.find(order_id);
+  if (found == orders_.end()) {
+    return;
+  }
+  Rank& rank = ranks_[found->second];
+  orders_.erase(found);
+  rank.in_flight.reset();
+  switch (outcome) {
+    case OrderOutcome::kAccepted:
+      rank.confirmed = true;
+      rank.accepted_at = now;
+      return;
+    case OrderOutcome::kFenced:
+      fenced_ = true;
+      return;
+    case OrderOutcome::kRefused:
+    case OrderOutcome::kUnknown:
+      return;
+    case OrderOutcome::kConflict:
+      break;
+  }
+  switch (phase_) {
+    case Phase::kIdle:
+      return;
+    case Phase::kPreparing:
+      Enter(Phase::kIdle, now);
+      return;
+    case Phase::kHolding:
+      // The step has begun.
+      step_ = FurthestStep() + options_.lead_steps;
+      return;
+    case Phase::kArming:
+      Enter(Phase::kDisarming, now);
+      return;
+    case Phase::kDisarming:
+      // Not armed, or in use already.
+      rank.confirmed = true;
+      return;
+    case Phase::kReleasing:
+      // Nothing is held there.
+      rank.confirmed = true;
+      rank.accepted_at = now;
+      return;
+  }
+}
+
+}  // namespace wagtailshore::map_coordinator
--- /dev/null
+++ b/packages/daemon/companion/companion.cc
@@ -0,0 +1,374 @@
+#include "daemon/companion/companion.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "common/event_log.h"
+#include "common/strings.h"
+
+namespace wagtailshore::companion {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+
+// The engine is on the same instance and answers within a few milliseconds.
+constexpr common::Duration kEngineTimeout = common::milliseconds(120);
+constexpr common::Duration kStoreTimeout = common::seconds(1);
+// Silence after which a coordinator is taken to be gone: several polls. Each
+// rank waits a little longer than the one before, so that one takes over.
+constexpr common::Duration kCoordinatorSilence = common::milliseconds(1200);
+constexpr common::Duration kSilencePerRank = common::milliseconds(150);
+constexpr common::Duration kWatchPeriod = common::milliseconds(100);
+// Time before another try after one that failed; each costs store calls.
+constexpr common::Duration kTakeOverPause = common::seconds(1);
+constexpr common::Duration kRegisterPause = common::milliseconds(700);
+
+}  // namespace
+
+Companion::Companion(event_loop::EventLoop& loop,
+                     serving::HostedSettings settings)
+    : loop_(loop),
+      settings_(std::move(settings)),
+      pool_(loop, {.connect_timeout = common::milliseconds(200)}),
+      caller_(loop, pool_),
+      heard_at_(loop.Now()),
+      random_(std::random_device{}()) {}
+
+Companion::~Companion() = default;
+
+std::string Companion::peer_address() const {
+  return common::StrCat(settings_.ip, ":", settings_.peer_port);
+}
+
+absl::Status Companion::Start() {
+  auto listener = stream_socket::Listener::Open(
+      loop_, peer_address(), [this](int descriptor) {
+        auto channel = std::make_unique<http_channel::CallerChannel>(
+            loop_, descriptor, *this, http_channel::CallerChannelOptions{});
+        channels_.emplace(channel.get(), std::move(channel));
+      });
+  if (!listener.ok()) {
+    return listener.status();
+  }
+  listener_ = *std::move(listener);
+  Register();
+  loop_.Every(kWatchPeriod, [this] { WatchCoordinator(); });
+  return absl::OkStatus();
+}
+
+void Companion::Register() {
+  const companion_messages::CompanionEntry entry{
+      .peer_address = peer_address(),
+      .engine_address = settings_.engine_address,
+      .service = settings_.engine_service};
+  const platform::Row row{.key = settings_.name,
+                          .value = companion_messages::EncodeEntry(entry)};
+  caller_.Start(settings_.store_address,
+                platform::PutRowCall(platform::OwnTable::kCompanions, row),
+                kStoreTimeout, [this](const http_channel::CallResult& result) {
+                  if (!platform::DecodeWrite(result).ok()) {
+                    loop_.RunAfter(kRegisterPause, [this] { Register(); });
+                  }
+                });
+}
+
+void Companion::OnRequest(http_channel::CallerChannel& channel,
+                          const http1::RequestHead& head,
+                          std::string body) {
+  if (head.target == kPollPath) {
+    OnPoll(channel, body);
+  } else if (head.target == kOrderPath) {
+    OnOrder(channel, body);
+  } else {
+    channel.Respond(kNotFound, {}, {});
+  }
+}
+
+uint64_t Companion::Pend(http_channel::CallerChannel& channel) {
+  const uint64_t id = next_pending_++;
+  pending_channels_[id] = &channel;
+  return id;
+}
+
+void Companion::Answer(uint64_t id, int status, std::string_view body) {
+  const auto found = pending_channels_.find(id);
+  if (found == pending_channels_.end()) {
+    return;
+  }
+  http_channel::CallerChannel* channel = found->second;
+  pending_channels_.erase(found);
+  channel->Respond(status, {}, body);
+}
+
+void Companion::OnCallerGone(http_channel::CallerChannel& channel) {
+  std::erase_if(pending_channels_,
+                [&](const auto& item) { return item.second == &channel; });
+}
+
+void Companion::OnChannelClosed(http_channel::CallerChannel& channel) {
+  loop_.Post([this, gone = &channel] { channels_.erase(gone); });
+}
+
+void Companion::ReadEngine(
+    const http_channel::Call& call,
+    std::function<void(const http_channel::CallResult&)> done) {
+  caller_.Start(settings_.engine_address, call, kEngineTimeout,
+                std::move(done));
+}
+
+void Companion::OnPoll(http_channel::CallerChannel& channel,
+                       const std::string& body) {
+  const auto poll = companion_messages::DecodePoll(body);
+  if (!poll.ok()) {
+    channel.Respond(kBadRequest, {}, poll.status().message().data());
+    return;
+  }
+  if (poll->generation < generation_) {
+    channel.Respond(kSupersededStatus, {}, {});
+    return;
+  }
+  generation_ = poll->generation;
+  heard_at_ = loop_.Now();
+  const uint64_t id = Pend(channel);
+  PendingPoll& pending = pending_polls_[id];
+  pending.readings_left =
+      1 + (poll->want_counts ? 1 : 0) + (poll->want_map ? 1 : 0);
+  ReadEngine(platform::ReadEngineCall(),
+             [this, id](const http_channel::CallResult& result) {
+               const auto state =
+                   result.ok()
+                       ? platform::DecodeEngineState(*result)
+                       : absl::StatusOr<platform::EngineState>(result.status());
+               if (state.ok()) {
+                 companion_messages::RankState& told =
+                     pending_polls_.at(id).state;
+                 told.group = state->group;
+                 told.rank = state->rank;
+                 told.ranks = state->ranks;
+                 told.report = state->report;
+                 rank_ = state->rank;
+               }
+               FinishReading(id, state.ok());
+             });
+  if (poll->want_counts) {
+    ReadEngine(platform::ReadCountsCall(),
+               [this, id](const http_channel::CallResult& result) {
+                 if (result.ok()) {
+                   auto counts = platform::DecodeCounts(*result);
+                   if (counts.ok()) {
+                     pending_polls_.at(id).state.counts = *std::move(counts);
+                   }
+                 }
+                 FinishReading(id, true);
+               });
+  }
+  if (poll->want_map) {
+    ReadEngine(platform::ReadExpertsCall(),
+               [this, id](const http_channel::CallResult& result) {
+                 if (result.ok()) {
+                   auto experts = platform::DecodeExperts(*result);
+                   if (experts.ok()) {
+                     pending_polls_.at(id).state.experts = *std::move(experts);
+                   }
+                 }
+                 FinishReading(id, true);
+               });
+  }
+}
+
+void Companion::FinishReading(uint64_t poll_id, bool ok) {
+  const auto found = pending_polls_.find(poll_id);
+  PendingPoll& poll = found->second;
+  poll.failed = poll.failed || !ok;
+  if (--poll.readings_left > 0) {
+    return;
+  }
+  const PendingPoll finished = std::move(poll);
+  pending_polls_.erase(found);
+  if (finished.failed) {
+    Answer(poll_id, kUnavailable, {});
+  } else {
+    Answer(poll_id, kOk, companion_messages::EncodeRankState(finished.state));
+  }
+}
+
+void Companion::OnOrder(http_channel::CallerChannel& channel,
+                        const std::string& body) {
+  const auto order = companion_messages::DecodeOrder(body);
+  if (!order.ok()) {
+    channel.Respond(kBadRequest, {}, {});
+    return;
+  }
+  const auto name_of = [](map_coordinator::OrderOutcome outcome) {
+    return common::NameOf(map_coordinator::kOrderOutcomeNames, outcome);
+  };
+  if (order->generation < generation_) {
+    channel.Respond(kOk, {}, name_of(map_coordinator::OrderOutcome::kFenced));
+    return;
+  }
+  generation_ = order->generation;
+  heard_at_ = loop_.Now();
+  const uint64_t id = Pend(channel);
+  ReadEngine(platform::EngineOrderCall(*order),
+             [this, id, name_of](const http_channel::CallResult& result) {
+               Answer(id, kOk, name_of(platform::DecodeOrderOutcome(result)));
+             });
+}
+
+void Companion::WatchCoordinator() {
+  if (coordinator_ != nullptr || taking_over_) {
+    return;
+  }
+  const common::Duration patience =
+      kCoordinatorSilence + kSilencePerRank * rank_;
+  if (loop_.Now() - heard_at_ >= patience) {
+    TakeOver();
+  }
+}
+
+void Companion::GiveUpTakeOver(std::string_view why) {
+  common::LogEvent(common::EventId::kCoordinatorNotTaken,
+                   common::StrCat("why=", why));
+  // Others get their turn first; the random part keeps them apart.
+  std::uniform_int_distribution<int> extra_ms(0, 400);
+  loop_.RunAfter(kTakeOverPause + common::milliseconds(extra_ms(random_)),
+                 [this] { taking_over_ = false; });
+}
+
+void Companion::TakeOver() {
+  taking_over_ = true;
+  ReadEngine(platform::ReadEngineCall(),
+             [this](const http_channel::CallResult& result) {
+               const auto state =
+                   result.ok()
+                       ? platform::DecodeEngineState(*result)
+                       : absl::StatusOr<platform::EngineState>(result.status());
+               if (!state.ok() || !state->report.open) {
+                 GiveUpTakeOver("engine_not_open");
+                 return;
+               }
+               OnOwnState(*state);
+             });
+}
+
+void Companion::OnOwnState(const platform::EngineState& state) {
+  const bool knew_rank = rank_ == state.rank;
+  rank_ = state.rank;
+  if (!knew_rank) {
+    // The wait depends on the rank; take this one's turn.
+    taking_over_ = false;
+    return;
+  }
+  caller_.Start(settings_.store_address, platform::ReadConfigurationCall(),
+                kStoreTimeout,
+                [this, state](const http_channel::CallResult& result) {
+                  OnConfiguration(state, result);
+                });
+}
+
+void Companion::OnConfiguration(const platform::EngineState& state,
+                                const http_channel::CallResult& result) {
+  const auto rows = result.ok()
+                        ? platform::DecodeRows(*result)
+                        : absl::StatusOr<platform::Rows>(result.status());
+  const platform::Row* row =
+      rows.ok() ? platform::FindConfiguration(*rows) : nullptr;
+  if (row == nullptr) {
+    GiveUpTakeOver("no_configuration");
+    return;
+  }
+  const auto configuration = platform::DecodeConfiguration(row->value);
+  if (!configuration.ok()) {
+    GiveUpTakeOver("configuration_unreadable");
+    return;
+  }
+  for (const serving::Service& service : configuration->services) {
+    if (service.name == settings_.engine_service &&
+        service.engine.has_value() && service.engine->layers > 0) {
+      ReadClaim(state, *service.engine);
+      return;
+    }
+  }
+  GiveUpTakeOver("no_experts_configured");
+}
+
+void Companion::ReadClaim(const platform::EngineState& state,
+                          const serving::EngineModel& engine) {
+  caller_.Start(
+      settings_.store_address,
+      platform::ReadTableCall(platform::OwnTable::kCoordinators), kStoreTimeout,
+      [this, state, engine](const http_channel::CallResult& result) {
+        const auto rows = result.ok()
+                              ? platform::DecodeRows(*result)
+                              : absl::StatusOr<platform::Rows>(result.status());
+        if (!rows.ok()) {
+          GiveUpTakeOver("store_unavailable");
+          return;
+        }
+        platform::Row claim{
+            .key = common::StrCat(settings_.engine_service, "/", state.group)};
+        uint64_t generation = generation_;
+        for (const platform::Row& row : rows->rows) {
+          if (row.key != claim.key) {
+            continue;
+          }
+          claim.revision = row.revision;
+          const auto entry = companion_messages::DecodeCoordinator(row.value);
+          if (entry.ok()) {
+            generation = std::max(generation, entry->generation);
+          }
+        }
+        Claim(state, engine, claim, generation + 1);
+      });
+}
+
+void Companion::Claim(const platform::EngineState& state,
+                      const serving::EngineModel& engine,
+                      const platform::Row& row,
+                      uint64_t generation) {
+  platform::Row claim = row;
+  claim.value = companion_messages::EncodeCoordinator(
+      {.generation = generation, .peer_address = peer_address()});
+  caller_.Start(
+      settings_.store_address,
+      platform::ReplaceRowCall(platform::OwnTable::kCoordinators, claim),
+      kStoreTimeout,
+      [this, state, engine,
+       generation](const http_channel::CallResult& result) {
+        // A write without an answer may have won, but may come late too; the
+        // number is then simply not used.
+        if (!platform::DecodeWrite(result).ok() || generation <= generation_) {
+          GiveUpTakeOver("claim_lost");
+          return;
+        }
+        Coordinate(state, engine, generation);
+      });
+}
+
+void Companion::Coordinate(const platform::EngineState& state,
+                           const serving::EngineModel& engine,
+                           uint64_t generation) {
+  generation_ = generation;
+  taking_over_ = false;
+  common::LogEvent(common::EventId::kCoordinatorTaken,
+                   common::StrCat("group=", state.group, " generation=",
+                                  generation, " rank=", state.rank));
+  coordinator_ = std::make_unique<GroupCoordinator>(
+      loop_, caller_, caller_,
+      GroupCoordinatorOptions{.group = state.group,
+                              .ranks = state.ranks,
+                              .generation = generation,
+                              .engine = engine,
+                              .store_address = settings_.store_address,
+                              .service = settings_.engine_service},
+      [this] {
+        common::LogEvent(common::EventId::kCoordinatorSuperseded, "");
+        coordinator_.reset();
+        heard_at_ = loop_.Now();
+      });
+}
+
+}  // namespace wagtailshore::companion
--- /dev/null
+++ b/packages/daemon/companion/companion.h
@@ -0,0 +1,98 @@
+#ifndef DAEMON_COMPANION_COMPANION_H_
+#define DAEMON_COMPANION_COMPANION_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+
+#include "absl/status/status.h"
+#include "daemon/companion/group_coordinator.h"
+#include "platform/engine.h"
+#include "platform/store.h"
+#include "state/serving/hosted_settings.h"
+#include "transport/http_channel/caller_channel.h"
+#include "transport/http_channel/endpoint_pool.h"
+#include "transport/stream_socket/listener.h"
+
+namespace wagtailshore::companion {
+
+// The process beside a model engine of a hosted deployment. Reads its engine
+// and passes orders on for whoever coordinates the group, and coordinates the
+// group itself when nobody does.
+class Companion final : public http_channel::RequestHandler {
+ public:
+  Companion(event_loop::EventLoop& loop, serving::HostedSettings settings);
+  ~Companion() override;
+
+  // Opens the address for other companions; fails when it cannot be bound.
+  absl::Status Start();
+  // Leaves at once: the next companion takes the group over.
+  void Drain() { loop_.Stop(); }
+
+  void OnRequest(http_channel::CallerChannel& channel,
+                 const http1::RequestHead& head,
+                 std::string body) override;
+  void OnCallerGone(http_channel::CallerChannel& channel) override;
+  void OnChannelClosed(http_channel::CallerChannel& channel) override;
+
+ private:
+  // A poll whose readings of the engine are under way.
+  struct PendingPoll {
+    companion_messages::RankState state;
+    int readings_left = 0;
+    bool failed = false;
+  };
+
+  void OnPoll(http_channel::CallerChannel& channel, const std::string& body);
+  void OnOrder(http_channel::CallerChannel& channel, const std::string& body);
+  void FinishReading(uint64_t poll_id, bool ok);
+  void ReadEngine(const http_channel::Call& call,
+                  std::function<void(const http_channel::CallResult&)> done);
+  void Answer(uint64_t id, int status, std::string_view body);
+  uint64_t Pend(http_channel::CallerChannel& channel);
+
+  void Register();
+  void WatchCoordinator();
+  // Steps of becoming the coordinator: own engine, configuration, claim.
+  void TakeOver();
+  void OnOwnState(const platform::EngineState& state);
+  void OnConfiguration(const platform::EngineState& state,
+                       const http_channel::CallResult& result);
+  void ReadClaim(const platform::EngineState& state,
+                 const serving::EngineModel& engine);
+  void Claim(const platform::EngineState& state,
+             const serving::EngineModel& engine,
+             const platform::Row& row,
+             uint64_t generation);
+  void Coordinate(const platform::EngineState& state,
+                  const serving::EngineModel& engine,
+                  uint64_t generation);
+  void GiveUpTakeOver(std::string_view why);
+  std::string peer_address() const;
+
+  event_loop::EventLoop& loop_;
+  serving::HostedSettings settings_;
+  http_channel::EndpointPool pool_;
+  http_channel::HttpCaller caller_;
+  std::unique_ptr<stream_socket::Listener> listener_;
+  std::map<http_channel::CallerChannel*,
+           std::unique_ptr<http_channel::CallerChannel>>
+      channels_;
+  // Channels that wait for an answer, by its number.
+  std::map<uint64_t, http_channel::CallerChannel*> pending_channels_;
+  std::map<uint64_t, PendingPoll> pending_polls_;
+  uint64_t next_pending_ = 1;
+  // Highest fencing number met.
+  uint64_t generation_ = 0;
+  int rank_ = 0;
+  common::Time heard_at_{};
+  bool taking_over_ = false;
+  std::unique_ptr<GroupCoordinator> coordinator_;
+  std::minstd_rand random_;
+};
+
+}  // namespace wagtailshore::companion
+
+#endif  // DAEMON_COMPANION_COMPANION_H_
--- /dev/null
+++ b/packages/daemon/companion/group_coordinator.cc
@@ -0,0 +1,345 @@
+#include "daemon/companion/group_coordinator.h"
+
+#include <utility>
+
+#include "common/event_log.h"
+#include "common/strings.h"
+#include "platform/engine.h"
+#include "platform/store.h"
+#include "state/expert_demand/rebalance.h"
+
+namespace wagtailshore::companion {
+namespace {
+
+// How often due work is looked for.
+constexpr common::Duration kTickPeriod = common::milliseconds(25);
+// Choices that must be known before a map is judged by them: enough for the
+// shares of the heaviest experts to stand out from chance.
+constexpr double kLeastChoicesPerExpert = 40;
+
+using map_coordinator::OrderOutcome;
+using map_coordinator::RankOrder;
+
+}  // namespace
+
+GroupCoordinator::GroupCoordinator(event_loop::EventLoop& loop,
+                                   http_channel::HttpCaller& peers,
+                                   http_channel::HttpCaller& store,
+                                   GroupCoordinatorOptions options,
+                                   std::function<void()> on_superseded)
+    : loop_(loop),
+      peer_caller_(peers),
+      store_caller_(store),
+      options_(std::move(options)),
+      on_superseded_(std::move(on_superseded)),
+      decisions_({.ranks = options_.ranks, .generation = options_.generation}),
+      demand_({.layers = options_.engine.layers,
+               .experts = options_.engine.experts}) {
+  ReadDirectory();
+  Tick();
+}
+
+GroupCoordinator::~GroupCoordinator() {
+  *alive_ = false;
+  loop_.Cancel(timer_);
+}
+
+std::function<void(http_channel::CallResult)> GroupCoordinator::Guarded(
+    std::function<void(const http_channel::CallResult&)> done) {
+  return [alive = alive_,
+          done = std::move(done)](const http_channel::CallResult& result) {
+    if (*alive) {
+      done(result);
+    }
+  };
+}
+
+void GroupCoordinator::ReadDirectory() {
+  next_directory_ = loop_.Now() + options_.directory_period;
+  store_caller_.Start(options_.store_address,
+                      platform::ReadTableCall(platform::OwnTable::kCompanions),
+                      common::seconds(1),
+                      Guarded([this](const http_channel::CallResult& result) {
+                        OnDirectory(result);
+                      }));
+}
+
+void GroupCoordinator::OnDirectory(const http_channel::CallResult& result) {
+  const auto rows = result.ok()
+                        ? platform::DecodeRows(*result)
+                        : absl::StatusOr<platform::Rows>(result.status());
+  if (!rows.ok()) {
+    common::LogEvent(
+        common::EventId::kPlatformUnavailable,
+        common::StrCat("reading=companions error=", rows.status().message()));
+    return;
+  }
+  for (const platform::Row& row : rows->rows) {
+    const auto entry = companion_messages::DecodeEntry(row.value);
+    if (entry.ok() && entry->service == options_.service) {
+      peers_[entry->peer_address].entry = *entry;
+    }
+  }
+}
+
+void GroupCoordinator::Tick() {
+  if (stopped_) {
+    return;
+  }
+  timer_ = loop_.RunAfter(kTickPeriod, [this] { Tick(); });
+  const common::Time now = loop_.Now();
+  if (std::ssize(reports_) < options_.ranks && now >= next_directory_) {
+    ReadDirectory();
+  }
+  if (now >= next_poll_) {
+    const bool quiet = decisions_.phase() == map_coordinator::Phase::kIdle;
+    next_poll_ =
+        now + (quiet ? options_.poll_period : options_.switch_poll_period);
+    PollAll();
+  }
+  PlanIfDue();
+  GiveOrders();
+}
+
+void GroupCoordinator::PollAll() {
+  for (auto& [address, peer] : peers_) {
+    if (!peer.poll_in_flight) {
+      Poll(peer);
+    }
+  }
+}
+
+bool GroupCoordinator::WantsMap(const Peer& peer) const {
+  const auto report = reports_.find(peer.rank);
+  const auto known = experts_.find(peer.rank);
+  return report == reports_.end() || known == experts_.end() ||
+         known->second.epoch != report->second.epoch ||
+         known->second.version != report->second.map_version;
+}
+
+void GroupCoordinator::Poll(Peer& peer) {
+  peer.poll_in_flight = true;
+  const companion_messages::Poll poll{.generation = options_.generation,
+                                      .want_counts = !decisions_.urgent(),
+                                      .want_map = WantsMap(peer)};
+  const std::string address = peer.entry.peer_address;
+  peer_caller_.Start(
+      address,
+      {.method = "POST",
+       .target = std::string(kPollPath),
+       .body = companion_messages::EncodePoll(poll)},
+      options_.poll_timeout,
+      Guarded([this, address](const http_channel::CallResult& result) {
+        OnPolled(address, result);
+      }));
+}
+
+void GroupCoordinator::OnPolled(const std::string& address,
+                                const http_channel::CallResult& result) {
+  Peer& peer = peers_[address];
+  peer.poll_in_flight = false;
+  if (result.ok() && result->status == kSupersededStatus) {
+    Stop();
+    return;
+  }
+  constexpr int kOk = 200;
+  if (!result.ok()) {
+    peer.unreachable = true;
+    if (decisions_.urgent() && peer.rank >= 0) {
+      ReadEngineDirectly(peer);
+    }
+    return;
+  }
+  peer.unreachable = false;
+  if (result->status != kOk) {
+    return;
+  }
+  const auto state = companion_messages::DecodeRankState(result->body);
+  if (state.ok()) {
+    OnState(peer, *state);
+  }
+}
+
+void GroupCoordinator::ReadEngineDirectly(Peer& peer) {
+  peer.poll_in_flight = true;
+  const std::string address = peer.entry.peer_address;
+  peer_caller_.Start(
+      peer.entry.engine_address, platform::ReadEngineCall(),
+      options_.poll_timeout,
+      Guarded([this, address](const http_channel::CallResult& result) {
+        Peer& answered = peers_[address];
+        answered.poll_in_flight = false;
+        if (!result.ok()) {
+          return;
+        }
+        const auto state = platform::DecodeEngineState(*result);
+        if (state.ok()) {
+          OnState(answered, {.group = state->group,
+                             .rank = state->rank,
+                             .ranks = state->ranks,
+                             .report = state->report});
+        }
+      }));
+}
+
+void GroupCoordinator::OnState(Peer& peer,
+                               const companion_messages::RankState& state) {
+  if (state.group != options_.group || state.ranks != options_.ranks) {
+    return;
+  }
+  peer.rank = state.rank;
+  const common::Time now = loop_.Now();
+  reports_[state.rank] = state.report;
+  decisions_.OnReport(state.rank, state.report, now);
+  if (state.counts.has_value()) {
+    demand_.OnCounts(state.rank, state.report.epoch, *state.counts, now);
+  }
+  if (state.experts.has_value()) {
+    experts_[state.rank] = {.epoch = state.report.epoch,
+                            .version = state.report.map_version,
+                            .layers = *state.experts};
+  }
+  if (decisions_.phase() != map_coordinator::Phase::kIdle) {
+    GiveOrders();
+  }
+}
+
+std::optional<std::vector<placement::ExpertMap>> GroupCoordinator::CurrentMaps()
+    const {
+  const size_t layers = static_cast<size_t>(options_.engine.layers);
+  std::vector<placement::ExpertMap> maps(layers);
+  for (int rank = 0; rank < options_.ranks; ++rank) {
+    const auto known = experts_.find(rank);
+    if (known == experts_.end() || known->second.epoch != decisions_.epoch() ||
+        known->second.version != decisions_.map_version() ||
+        known->second.layers.size() != layers) {
+      return std::nullopt;
+    }
+    for (size_t layer = 0; layer < layers; ++layer) {
+      maps[layer].ranks.push_back(known->second.layers[layer]);
+    }
+  }
+  return maps;
+}
+
+void GroupCoordinator::PlanIfDue() {
+  const common::Time now = loop_.Now();
+  if (now < next_plan_ || !decisions_.CanSwitch(now)) {
+    return;
+  }
+  next_plan_ = now + options_.plan_period;
+  const double least_choices =
+      kLeastChoicesPerExpert * options_.engine.experts * options_.engine.layers;
+  const auto current = CurrentMaps();
+  if (!current.has_value() || demand_.total() < least_choices) {
+    return;
+  }
+  slowest_ = expert_demand::MeanSlowest(*current, demand_.loads());
+  const auto plan = expert_demand::PlanRebalance(
+      *current, demand_.loads(),
+      {.slots_per_rank = options_.engine.expert_slots,
+       .max_new_per_rank = options_.engine.spare_slots});
+  if (!plan.has_value()) {
+    return;
+  }
+  auto map = std::make_shared<map_coordinator::GroupMap>();
+  for (const placement::ExpertMap& layer : plan->maps) {
+    map->push_back(layer.ranks);
+  }
+  common::LogEvent(common::EventId::kMapPlanned,
+                   common::StrCat("group=", options_.group,
+                                  " from_map=", decisions_.map_version(),
+                                  " moves=", plan->moves,
+                                  " slowest_before=", plan->slowest_before,
+                                  " slowest_after=", plan->slowest_after,
+                                  " choices=", demand_.total()));
+  decisions_.Switch(std::move(map), now);
+}
+
+void GroupCoordinator::GiveOrders() {
+  const auto before = decisions_.phase();
+  for (const RankOrder& order : decisions_.Tick(loop_.Now())) {
+    Relay(order);
+  }
+  if (decisions_.phase() != before) {
+    common::LogEvent(
+        common::EventId::kMapSwitchPhase,
+        common::StrCat(
+            "group=", options_.group, " epoch=", decisions_.epoch(), " from=",
+            common::NameOf(map_coordinator::kPhaseNames, before), " to=",
+            common::NameOf(map_coordinator::kPhaseNames, decisions_.phase()),
+            " map=", decisions_.map_version()));
+  }
+}
+
+GroupCoordinator::Peer* GroupCoordinator::PeerOf(int rank) {
+  for (auto& [address, peer] : peers_) {
+    if (peer.rank == rank) {
+      return &peer;
+    }
+  }
+  return nullptr;
+}
+
+void GroupCoordinator::Relay(const RankOrder& order) {
+  Peer* peer = PeerOf(order.rank);
+  if (peer == nullptr) {
+    OnOutcome(order.id, OrderOutcome::kRefused);
+    return;
+  }
+  if (peer->unreachable) {
+    peer_caller_.Start(
+        peer->entry.engine_address, platform::EngineOrderCall(order),
+        options_.order_timeout,
+        Guarded([this, id = order.id](const http_channel::CallResult& result) {
+          OnOutcome(id, platform::DecodeOrderOutcome(result));
+        }));
+    return;
+  }
+  const std::string address = peer->entry.peer_address;
+  peer_caller_.Start(
+      address,
+      {.method = "POST",
+       .target = std::string(kOrderPath),
+       .body = companion_messages::EncodeOrder(order)},
+      options_.order_timeout,
+      Guarded([this, address,
+               id = order.id](const http_channel::CallResult& result) {
+        OrderOutcome outcome = OrderOutcome::kUnknown;
+        if (!result.ok()) {
+          peers_[address].unreachable = true;
+        } else {
+          // The companion answers with the outcome's name.
+          outcome =
+              common::ValueOf(map_coordinator::kOrderOutcomeNames, result->body)
+                  .value_or(OrderOutcome::kUnknown);
+        }
+        OnOutcome(id, outcome);
+      }));
+}
+
+void GroupCoordinator::OnOutcome(uint64_t order_id, OrderOutcome outcome) {
+  decisions_.OnOutcome(order_id, outcome, loop_.Now());
+  if (decisions_.fenced()) {
+    Stop();
+    return;
+  }
+  if (decisions_.urgent()) {
+    GiveOrders();
+  }
+}
+
+void GroupCoordinator::Stop() {
+  if (stopped_) {
+    return;
+  }
+  stopped_ = true;
+  loop_.Cancel(timer_);
+  loop_.Post([alive = alive_, this] {
+    if (*alive) {
+      on_superseded_();
+    }
+  });
+}
+
+}  // namespace wagtailshore::companion
--- /dev/null
+++ b/packages/daemon/companion/group_coordinator.h
@@ -0,0 +1,124 @@
+#ifndef DAEMON_COMPANION_GROUP_COORDINATOR_H_
+#define DAEMON_COMPANION_GROUP_COORDINATOR_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "coordination/map_coordinator/map_coordinator.h"
+#include "protocol/companion_messages/companion_messages.h"
+#include "state/expert_demand/expert_demand.h"
+#include "state/placement/expert_map.h"
+#include "state/serving/configuration.h"
+#include "transport/event_loop/event_loop.h"
+#include "transport/http_channel/http_call.h"
+
+namespace wagtailshore::companion {
+
+// The paths that companions answer each other on.
+inline constexpr std::string_view kPollPath = "/rank";
+inline constexpr std::string_view kOrderPath = "/order";
+inline constexpr int kSupersededStatus = 409;
+
+struct GroupCoordinatorOptions {
+  std::string group;
+  int ranks = 1;
+  // Won from the store; higher than that of any coordinator before.
+  uint64_t generation = 1;
+  // How the group's engines place experts.
+  serving::EngineModel engine;
+  std::string store_address;
+  std::string service;
+  // Time between polls in quiet, and while a switch is under way.
+  common::Duration poll_period = common::milliseconds(200);
+  common::Duration switch_poll_period = common::milliseconds(50);
+  common::Duration poll_timeout = common::milliseconds(400);
+  common::Duration order_timeout = common::milliseconds(150);
+  // Time between two looks for a better map.
+  common::Duration plan_period = common::milliseconds(250);
+  // Time between readings of the companions' table while some are missing.
+  common::Duration directory_period = common::seconds(3);
+};
+
+// Carries out what MapCoordinator decides for one group, through the companions
+// beside its ranks, and looks for better maps.
+class GroupCoordinator {
+ public:
+  // `on_superseded` is called once, when a later coordinator exists.
+  GroupCoordinator(event_loop::EventLoop& loop,
+                   http_channel::HttpCaller& peers,
+                   http_channel::HttpCaller& store,
+                   GroupCoordinatorOptions options,
+                   std::function<void()> on_superseded);
+  ~GroupCoordinator();
+  GroupCoordinator(const GroupCoordinator&) = delete;
+  GroupCoordinator& operator=(const GroupCoordinator&) = delete;
+
+  const map_coordinator::MapCoordinator& decisions() const {
+    return decisions_;
+  }
+  // The slowest rank's expert load over the mean, as last looked at.
+  double slowest() const { return slowest_; }
+
+ private:
+  struct Peer {
+    companion_messages::CompanionEntry entry;
+    bool poll_in_flight = false;
+    // The last relay to this companion failed: orders go to its engine.
+    bool unreachable = false;
+    int rank = -1;
+  };
+  // The experts of one rank, by layer, and the map they are of.
+  struct RankExperts {
+    uint64_t epoch = 0;
+    uint64_t version = 0;
+    std::vector<std::vector<int>> layers;
+  };
+
+  void ReadDirectory();
+  void OnDirectory(const http_channel::CallResult& result);
+  void Tick();
+  void PollAll();
+  void Poll(Peer& peer);
+  void OnPolled(const std::string& address,
+                const http_channel::CallResult& result);
+  void ReadEngineDirectly(Peer& peer);
+  void OnState(Peer& peer, const companion_messages::RankState& state);
+  void GiveOrders();
+  void Relay(const map_coordinator::RankOrder& order);
+  void OnOutcome(uint64_t order_id, map_coordinator::OrderOutcome outcome);
+  void PlanIfDue();
+  std::optional<std::vector<placement::ExpertMap>> CurrentMaps() const;
+  bool WantsMap(const Peer& peer) const;
+  Peer* PeerOf(int rank);
+  void Stop();
+  // Wraps a callback so that it does nothing once this object is gone.
+  std::function<void(http_channel::CallResult)> Guarded(
+      std::function<void(const http_channel::CallResult&)> done);
+
+  event_loop::EventLoop& loop_;
+  http_channel::HttpCaller& peer_caller_;
+  http_channel::HttpCaller& store_caller_;
+  GroupCoordinatorOptions options_;
+  std::function<void()> on_superseded_;
+  map_coordinator::MapCoordinator decisions_;
+  expert_demand::ExpertDemand demand_;
+  // By peer address.
+  std::map<std::string, Peer> peers_;
+  std::map<int, RankExperts> experts_;
+  std::map<int, map_coordinator::RankReport> reports_;
+  common::Time next_poll_{};
+  common::Time next_plan_{};
+  common::Time next_directory_{};
+  event_loop::TimerId timer_ = event_loop::kNoTimer;
+  double slowest_ = 1;
+  bool stopped_ = false;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace wagtailshore::companion
+
+#endif  // DAEMON_COMPANION_GROUP_COORDINATOR_H_
--- a/packages/daemon/gateway/gateway.cc
+++ b/packages/daemon/gateway/gateway.cc
@@ -19,6 +19,9 @@
 // The process leaves this long before it would be killed.
 constexpr common::Duration kStopMargin = common::milliseconds(300);
 constexpr common::Duration kIdleCheckPeriod = common::milliseconds(50);
+// A caller that this process turns away while it stops finds another one as
+// soon as it asks.
+constexpr common::Duration kRetryElsewhere = common::milliseconds(50);
 // Without word of the store for this long, other gateways serve callers
 // better. Requests with keys are refused a little later.
 constexpr common::Duration kReadyAge = common::milliseconds(4000);
@@ -154,6 +157,11 @@
                         std::string body) {
   if (closing_) {
     channel.CloseWhenIdle();
+    const proxied::CallerRequest request =
+        platform::DecodeCallerRequest(head, std::move(body));
+    channel.Respond(kUnavailable,
+                    platform::OwnAnswerHeaders(request, kRetryElsewhere), {});
+    return;
   }
   auto run = std::make_unique<ProxiedRun>(
       core_, channel, platform::DecodeCallerRequest(head, std::move(body)),
@@ -237,6 +245,9 @@
   const common::Time latest = loop_.Now() + settings_.stop_grace - kStopMargin;
   loop_.RunAfter(kBalancerNotice, [this, latest] {
     closing_ = true;
+    // Connections that were not accepted are reset, which tells their callers
+    // that nothing was read.
+    listener_.reset();
     for (auto& [key, channel] : channels_) {
       channel->CloseWhenIdle();
     }
--- a/packages/daemon/gateway/store_watch.cc
+++ b/packages/daemon/gateway/store_watch.cc
@@ -75,7 +75,10 @@
     return;
   }
   revision_ = rows->revision;
-  freshness_.OnConfirmed(asked_at);
+  // With changes still to come the configuration may not be the latest.
+  if (!rows->has_more) {
+    freshness_.OnConfirmed(asked_at);
+  }
   AwaitConfiguration();
 }
 
--- a/packages/daemon/main.cc
+++ b/packages/daemon/main.cc
@@ -9,6 +9,7 @@
 
 #include "common/event_log.h"
 #include "common/strings.h"
+#include "daemon/companion/companion.h"
 #include "daemon/endpoint/endpoint.h"
 #include "daemon/entry/entry.h"
 #include "daemon/gateway/gateway.h"
@@ -58,32 +59,25 @@
   std::_Exit(kExitDone);
 }
 
-// Runs a role on the hosting platform, on one event loop.
-int RunHosted(const settings::Settings& settings) {
-  const platform::SettingsResult hosted =
-      platform::ReadSettings(platform::SettingsPath());
-  if (const auto* findings = std::get_if<common::Findings>(&hosted)) {
-    std::cerr << common::FormatFindings(*findings);
-    return kExitUsage;
-  }
-  signal(SIGPIPE, SIG_IGN);
-  event_loop::EventLoop loop;
-  log_output::LogOutput log(loop, {});
-  gateway::Gateway gateway(loop, std::get<serving::HostedSettings>(hosted));
-  const absl::Status started = gateway.Start(settings.metrics_address);
+// Runs a hosted role that has started, until a stop signal.
+template <typename HostedRole>
+int Serve(event_loop::EventLoop& loop,
+          log_output::LogOutput& log,
+          const serving::HostedSettings& settings,
+          HostedRole& role,
+          const absl::Status& started) {
   if (!started.ok()) {
     std::cerr << "wagtailshored: " << started.message() << "\n";
     return kExitRefused;
   }
-  const auto& own = std::get<serving::HostedSettings>(hosted);
   common::LogEvent(common::EventId::kProcessStarted,
-                   common::StrCat("name=", own.name,
-                                  " failure_domain=", own.failure_domain));
+                   common::StrCat("name=", settings.name,
+                                  " failure_domain=", settings.failure_domain));
   for (const int stop_signal : {SIGTERM, SIGINT}) {
-    loop.OnSignal(stop_signal, [&gateway, stop_signal] {
+    loop.OnSignal(stop_signal, [&role, stop_signal] {
       common::LogEvent(common::EventId::kProcessDraining,
                        common::StrCat("signal=", stop_signal));
-      gateway.Drain();
+      role.Drain();
     });
   }
   loop.OnSignal(SIGHUP, [] {
@@ -96,6 +90,26 @@
   std::_Exit(kExitDone);
 }
 
+// Runs a role on the hosting platform, on one event loop.
+int RunHosted(const settings::Settings& settings) {
+  const platform::SettingsResult hosted =
+      platform::ReadSettings(platform::SettingsPath());
+  if (const auto* findings = std::get_if<common::Findings>(&hosted)) {
+    std::cerr << common::FormatFindings(*findings);
+    return kExitUsage;
+  }
+  signal(SIGPIPE, SIG_IGN);
+  event_loop::EventLoop loop;
+  log_output::LogOutput log(loop, {});
+  const auto& own = std::get<serving::HostedSettings>(hosted);
+  if (settings.role == settings::Role::kCompanion) {
+    companion::Companion role(loop, own);
+    return Serve(loop, log, own, role, role.Start());
+  }
+  gateway::Gateway role(loop, own);
+  return Serve(loop, log, own, role, role.Start(settings.metrics_address));
+}
+
 int Main(int argc, char** argv) {
   google::InitGoogleLogging(argv[0]);
   FLAGS_logtostderr = true;
--- /dev/null
+++ b/packages/protocol/companion_messages/companion_messages.cc
@@ -0,0 +1,242 @@
+#include "protocol/companion_messages/companion_messages.h"
+
+#include <nlohmann/json.hpp>
+#include <variant>
+
+#include "common/enum_names.h"
+#include "common/strings.h"
+
+namespace wagtailshore::companion_messages {
+namespace {
+
+using map_coordinator::ArmedMap;
+using map_coordinator::ArmMap;
+using map_coordinator::DisarmMap;
+using map_coordinator::GroupMap;
+using map_coordinator::HoldStep;
+using map_coordinator::OrderBody;
+using map_coordinator::PrepareMap;
+using map_coordinator::RankOrder;
+using map_coordinator::RankReport;
+using map_coordinator::ReleaseStep;
+using nlohmann::json;
+
+enum class OrderKind { kPrepare, kArm, kDisarm, kHold, kRelease };
+
+constexpr common::EnumNames<OrderKind, 5> kOrderKindNames = {{
+    {OrderKind::kPrepare, "prepare"},
+    {OrderKind::kArm, "arm"},
+    {OrderKind::kDisarm, "disarm"},
+    {OrderKind::kHold, "hold"},
+    {OrderKind::kRelease, "release"},
+}};
+
+std::string Pack(const json& value) {
+  std::string out;
+  json::to_msgpack(value, nlohmann::detail::output_adapter<char>(out));
+  return out;
+}
+
+// Runs `read` on the decoded object; what it throws for a missing or mistyped
+// field becomes an error.
+template <typename Read>
+auto Unpack(std::string_view text, Read read)
+    -> absl::StatusOr<decltype(read(json()))> {
+  const json value = json::from_msgpack(text.begin(), text.end(),
+                                        /*strict=*/true,
+                                        /*allow_exceptions=*/false);
+  if (!value.is_object()) {
+    return absl::InvalidArgumentError("not a MessagePack map");
+  }
+  try {
+    return read(value);
+  } catch (const json::exception& error) {
+    return absl::InvalidArgumentError(error.what());
+  }
+}
+
+json ToJson(const RankReport& report) {
+  json value = {{"epoch", report.epoch},
+                {"open", report.open},
+                {"step", report.step},
+                {"map", report.map_version}};
+  if (report.prepared.has_value()) {
+    value["prepared"] = *report.prepared;
+  }
+  if (report.armed.has_value()) {
+    value["armed_map"] = report.armed->version;
+    value["armed_step"] = report.armed->step;
+  }
+  if (report.held_step.has_value()) {
+    value["held"] = *report.held_step;
+  }
+  return value;
+}
+
+RankReport ReportOf(const json& value) {
+  RankReport report{.epoch = value.at("epoch").get<uint64_t>(),
+                    .open = value.at("open").get<bool>(),
+                    .step = value.at("step").get<uint64_t>(),
+                    .map_version = value.at("map").get<uint64_t>()};
+  if (value.contains("prepared")) {
+    report.prepared = value.at("prepared").get<uint64_t>();
+  }
+  if (value.contains("armed_map")) {
+    report.armed = ArmedMap{.version = value.at("armed_map").get<uint64_t>(),
+                            .step = value.at("armed_step").get<uint64_t>()};
+  }
+  if (value.contains("held")) {
+    report.held_step = value.at("held").get<uint64_t>();
+  }
+  return report;
+}
+
+struct BodyWriter {
+  json operator()(const PrepareMap& order) const {
+    return Value(OrderKind::kPrepare,
+                 {{"version", order.version}, {"map", *order.map}});
+  }
+  json operator()(const ArmMap& order) const {
+    return Value(OrderKind::kArm,
+                 {{"version", order.version}, {"step", order.step}});
+  }
+  json operator()(const DisarmMap& order) const {
+    return Value(OrderKind::kDisarm, {{"version", order.version}});
+  }
+  json operator()(const HoldStep& order) const {
+    return Value(OrderKind::kHold, {{"step", order.step}});
+  }
+  json operator()(const ReleaseStep& order) const {
+    return Value(OrderKind::kRelease, {{"step", order.step}});
+  }
+
+  static json Value(OrderKind kind, json fields) {
+    fields["kind"] = std::string(common::NameOf(kOrderKindNames, kind));
+    return fields;
+  }
+};
+
+std::optional<OrderBody> BodyOf(const json& value) {
+  const auto kind =
+      common::ValueOf(kOrderKindNames, value.at("kind").get<std::string>());
+  if (!kind.has_value()) {
+    return std::nullopt;
+  }
+  switch (*kind) {
+    case OrderKind::kPrepare:
+      return PrepareMap{.version = value.at("version").get<uint64_t>(),
+                        .map = std::make_shared<const GroupMap>(
+                            value.at("map").get<GroupMap>())};
+    case OrderKind::kArm:
+      return ArmMap{.version = value.at("version").get<uint64_t>(),
+                    .step = value.at("step").get<uint64_t>()};
+    case OrderKind::kDisarm:
+      return DisarmMap{.version = value.at("version").get<uint64_t>()};
+    case OrderKind::kHold:
+      return HoldStep{.step = value.at("step").get<uint64_t>()};
+    case OrderKind::kRelease:
+      return ReleaseStep{.step = value.at("step").get<uint64_t>()};
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::string EncodePoll(const Poll& poll) {
+  return Pack({{"generation", poll.generation},
+               {"counts", poll.want_counts},
+               {"map", poll.want_map}});
+}
+
+absl::StatusOr<Poll> DecodePoll(std::string_view text) {
+  return Unpack(text, [](const json& value) {
+    return Poll{.generation = value.at("generation").get<uint64_t>(),
+                .want_counts = value.at("counts").get<bool>(),
+                .want_map = value.at("map").get<bool>()};
+  });
+}
+
+std::string EncodeRankState(const RankState& state) {
+  json value = {{"group", state.group},
+                {"rank", state.rank},
+                {"ranks", state.ranks},
+                {"report", ToJson(state.report)}};
+  if (state.counts.has_value()) {
+    value["counts"] = *state.counts;
+  }
+  if (state.experts.has_value()) {
+    value["experts"] = *state.experts;
+  }
+  return Pack(value);
+}
+
+absl::StatusOr<RankState> DecodeRankState(std::string_view text) {
+  return Unpack(text, [](const json& value) {
+    RankState state{.group = value.at("group").get<std::string>(),
+                    .rank = value.at("rank").get<int>(),
+                    .ranks = value.at("ranks").get<int>(),
+                    .report = ReportOf(value.at("report"))};
+    if (value.contains("counts")) {
+      state.counts = value.at("counts").get<std::vector<uint64_t>>();
+    }
+    if (value.contains("experts")) {
+      state.experts = value.at("experts").get<std::vector<std::vector<int>>>();
+    }
+    return state;
+  });
+}
+
+std::string EncodeOrder(const RankOrder& order) {
+  json value = std::visit(BodyWriter{}, order.body);
+  value["id"] = order.id;
+  value["rank"] = order.rank;
+  value["epoch"] = order.epoch;
+  value["generation"] = order.generation;
+  return Pack(value);
+}
+
+absl::StatusOr<RankOrder> DecodeOrder(std::string_view text) {
+  auto body = Unpack(text, [](const json& value) { return BodyOf(value); });
+  if (!body.ok()) {
+    return body.status();
+  }
+  if (!body->has_value()) {
+    return absl::InvalidArgumentError("unknown order");
+  }
+  return Unpack(text, [&](const json& value) {
+    return RankOrder{.id = value.at("id").get<uint64_t>(),
+                     .rank = value.at("rank").get<int>(),
+                     .epoch = value.at("epoch").get<uint64_t>(),
+                     .generation = value.at("generation").get<uint64_t>(),
+                     .body = **body};
+  });
+}
+
+std::string EncodeEntry(const CompanionEntry& entry) {
+  return Pack({{"peer", entry.peer_address},
+               {"engine", entry.engine_address},
+               {"service", entry.service}});
+}
+
+absl::StatusOr<CompanionEntry> DecodeEntry(std::string_view text) {
+  return Unpack(text, [](const json& value) {
+    return CompanionEntry{
+        .peer_address = value.at("peer").get<std::string>(),
+        .engine_address = value.at("engine").get<std::string>(),
+        .service = value.at("service").get<std::string>()};
+  });
+}
+
+std::string EncodeCoordinator(const CoordinatorEntry& entry) {
+  return Pack({{"generation", entry.generation}, {"peer", entry.peer_address}});
+}
+
+absl::StatusOr<CoordinatorEntry> DecodeCoordinator(std::string_view text) {
+  return Unpack(text, [](const json& value) {
+    return CoordinatorEntry{
+        .generation = value.at("generation").get<uint64_t>(),
+        .peer_address = value.at("peer").get<std::string>()};
+  });
+}
+
+}  // namespace wagtailshore::companion_messages
--- /dev/null
+++ b/packages/protocol/companion_messages/companion_messages.h
@@ -0,0 +1,73 @@
+#ifndef PROTOCOL_COMPANION_MESSAGES_COMPANION_MESSAGES_H_
+#define PROTOCOL_COMPANION_MESSAGES_COMPANION_MESSAGES_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "coordination/map_coordinator/rank_orders.h"
+
+// What the companions of one lock-step group tell each other: MessagePack over
+// HTTP, all from the coordinator to a companion and back.
+namespace wagtailshore::companion_messages {
+
+// Asks a companion for what its engine says.
+struct Poll {
+  // Fencing number of the coordinator that asks.
+  uint64_t generation = 0;
+  bool want_counts = false;
+  bool want_map = false;
+};
+
+// What an engine says, read by the companion beside it.
+struct RankState {
+  std::string group;
+  int rank = 0;
+  int ranks = 0;
+  map_coordinator::RankReport report;
+  // Choices of each expert since the rank started, by layer and then expert.
+  std::optional<std::vector<uint64_t>> counts;
+  // This rank's experts by layer, of the map in use.
+  std::optional<std::vector<std::vector<int>>> experts;
+};
+
+// A companion's answer to a coordinator that a later one has replaced.
+struct Superseded {
+  uint64_t generation = 0;
+};
+
+std::string EncodePoll(const Poll& poll);
+absl::StatusOr<Poll> DecodePoll(std::string_view text);
+
+std::string EncodeRankState(const RankState& state);
+absl::StatusOr<RankState> DecodeRankState(std::string_view text);
+
+std::string EncodeOrder(const map_coordinator::RankOrder& order);
+absl::StatusOr<map_coordinator::RankOrder> DecodeOrder(std::string_view text);
+
+// What a companion keeps in the store for the others to find it.
+struct CompanionEntry {
+  // "IP:port" of the companion and of its engine.
+  std::string peer_address;
+  std::string engine_address;
+  std::string service;
+};
+
+std::string EncodeEntry(const CompanionEntry& entry);
+absl::StatusOr<CompanionEntry> DecodeEntry(std::string_view text);
+
+// Who coordinates a group.
+struct CoordinatorEntry {
+  uint64_t generation = 0;
+  std::string peer_address;
+};
+
+std::string EncodeCoordinator(const CoordinatorEntry& entry);
+absl::StatusOr<CoordinatorEntry> DecodeCoordinator(std::string_view text);
+
+}  // namespace wagtailshore::companion_messages
+
+#endif  // PROTOCOL_COMPANION_MESSAGES_COMPANION_MESSAGES_H_
--- a/packages/state/placement/improver.cc
+++ b/packages/state/placement/improver.cc
@@ -25,12 +25,20 @@
 }  // namespace
 
 Improver::Improver(const ExpertMap& map, const Scenarios& scenarios)
+    : Improver(map, scenarios, NewExpertLimit{.origin = map}) {}
+
+Improver::Improver(const ExpertMap& map,
+                   const Scenarios& scenarios,
+                   const NewExpertLimit& limit)
     : map_(map),
       counts_(ReplicaCounts(map, scenarios.front().size())),
       unblocked_(counts_.size()),
       loads_of_ranks_(map.ranks.size()),
       held_(map.ranks.size() * counts_.size()),
-      holders_(counts_.size()) {
+      holders_(counts_.size()),
+      max_new_(limit.max_new),
+      held_before_(held_.size()),
+      new_counts_(map.ranks.size()) {
   for (const Loads& loads : scenarios) {
     loads_.push_back(Scaled(loads, map_.ranks.size()));
   }
@@ -43,6 +51,14 @@
       holders_[expert].push_back(static_cast<int>(rank));
     }
   }
+  for (size_t rank = 0; rank < limit.origin.ranks.size(); ++rank) {
+    for (int expert : limit.origin.ranks[rank]) {
+      held_before_[rank * counts_.size() + expert] = true;
+    }
+  }
+  for (size_t i = 0; i < held_.size(); ++i) {
+    new_counts_[i / counts_.size()] += held_[i] && !held_before_[i] ? 1 : 0;
+  }
   for (int expert = 0; expert < std::ssize(counts_); ++expert) {
     AddShares(expert, 1);
   }
@@ -72,7 +88,8 @@
       continue;
     }
     for (int slot = 0; slot < std::ssize(map_.ranks[rank]); ++slot) {
-      if (!MayDrop(map_.ranks[rank][slot])) {
+      if (!MayDrop(map_.ranks[rank][slot]) ||
+          NewAfter(rank, map_.ranks[rank][slot], expert) > max_new_) {
         continue;
       }
       const double limit =
@@ -133,12 +150,28 @@
   partners_.resize(static_cast<size_t>(count));
 }
 
+int Improver::NewAfter(int rank, int out, int in) const {
+  const size_t row = static_cast<size_t>(rank) * counts_.size();
+  return new_counts_[rank] + (held_before_[row + in] ? 0 : 1) -
+         (held_before_[row + out] ? 0 : 1);
+}
+
+bool Improver::IsWithinLimit(const Change& change) const {
+  const int out = map_.ranks[change.rank][change.slot];
+  if (NewAfter(change.rank, out, change.expert) > max_new_) {
+    return false;
+  }
+  return change.swap_rank < 0 ||
+         NewAfter(change.swap_rank, change.expert, out) <= max_new_;
+}
+
 void Improver::Offer(const Change& change, std::optional<Change>& best) const {
   const double gain = (peak_ - change.peak) / change.moves;
   if (gain <= peak_ * kLeastGain) {
     return;
   }
-  if (!best || gain > (peak_ - best->peak) / best->moves) {
+  if ((!best || gain > (peak_ - best->peak) / best->moves) &&
+      IsWithinLimit(change)) {
     best = change;
   }
 }
@@ -264,6 +297,7 @@
 
 void Improver::Put(int rank, int slot, int expert) {
   int& held = map_.ranks[rank][slot];
+  new_counts_[rank] = NewAfter(rank, held, expert);
   const size_t row = static_cast<size_t>(rank) * counts_.size();
   AddShares(held, -1);
   AddShares(expert, -1);
--- a/packages/state/placement/improver.h
+++ b/packages/state/placement/improver.h
@@ -1,6 +1,7 @@
 #ifndef STATE_PLACEMENT_IMPROVER_H_
 #define STATE_PLACEMENT_IMPROVER_H_
 
+#include <limits>
 #include <optional>
 #include <vector>
 
@@ -9,12 +10,23 @@
 
 namespace wagtailshore::placement {
 
+// Bounds the experts that a rank holds in the improved map and did not hold in
+// `origin`.
+struct NewExpertLimit {
+  ExpertMap origin;
+  int max_new = std::numeric_limits<int>::max();
+};
+
 // Improves a map step by step: each step relieves the slowest rank of the worst
 // scenario by the change that relieves it most for each expert moved. Only the
 // least loaded ranks are looked at as its partners.
 class Improver {
  public:
   Improver(const ExpertMap& map, const Scenarios& scenarios);
+  // Keeps within the limit, which `map` must.
+  Improver(const ExpertMap& map,
+           const Scenarios& scenarios,
+           const NewExpertLimit& limit);
 
   // Makes the best change and returns the experts that it moves; 0 when none
   // helps.
@@ -65,6 +77,11 @@
   bool MayDrop(int expert) const {
     return counts_[expert] > 1 && !unblocked_[expert];
   }
+  // What the rank's number of new experts changes by when it takes `in` for
+  // `out`.
+  int NewAfter(int rank, int out, int in) const;
+  // Whether the change keeps within `max_new`.
+  bool IsWithinLimit(const Change& change) const;
   int Slowest() const;
   // The expert with the highest share on the rank, over all scenarios.
   int Heaviest(int rank) const;
@@ -100,6 +117,11 @@
   // Whether a rank holds an expert, by rank and then expert.
   std::vector<bool> held_;
   std::vector<std::vector<int>> holders_;
+  int max_new_;
+  // As `held_`, in the limit's origin.
+  std::vector<bool> held_before_;
+  // Experts of each rank that it did not hold then.
+  std::vector<int> new_counts_;
 };
 
 }  // namespace wagtailshore::placement
