Gateway: send nothing to replaced endpoints, refuse for longer when a group stalls

Cause: after all instances lost power, entries of the endpoints' lives before were still listed, and 150 requests in four seconds were answered 421.

--- a/packages/daemon/gateway/proxied_run.cc
+++ b/packages/daemon/gateway/proxied_run.cc
@@ -29,6 +29,9 @@
 // slot is free within about one short answer; without word of the store or the
 // fleet another gateway is the better one.
 constexpr common::Duration kRetryWhenFull = common::milliseconds(300);
+// A group that lost a rank is back some seconds later at best: its connections
+// time out, then it forms anew.
+constexpr common::Duration kRetryWhenGroupStalled = common::milliseconds(2300);
 constexpr common::Duration kRetryWhenUninformed = common::milliseconds(100);
 // Endpoints that may turn out to be unreachable before a request is given up.
 constexpr int kMaxConnectFailures = 3;
@@ -125,19 +128,17 @@
 }
 
 void ProxiedRun::Dispatch() {
-  const auto picked =
-      core_.router.Pick({.target = service_, .avoid = tried_}, now());
-  if (!picked.has_value()) {
-    GiveUp("no_endpoint");
-    return;
-  }
-  const fleet::EndpointRecord* endpoint = core_.fleet.FindUsable(*picked);
-  if (endpoint == nullptr) {
+  while (const auto picked = core_.router.Pick(
+             {.target = service_, .avoid = tried_}, now())) {
+    const fleet::EndpointRecord* endpoint = core_.fleet.FindUsable(*picked);
+    if (endpoint != nullptr) {
+      SendTo(*endpoint);
+      return;
+    }
     core_.router.OnAbandoned(*picked, now());
-    GiveUp("no_endpoint");
-    return;
+    core_.router.OnLeaving(*picked);
   }
-  SendTo(*endpoint);
+  GiveUp("no_endpoint", kRetryWhenFull);
 }
 
 void ProxiedRun::SendTo(const fleet::EndpointRecord& endpoint) {
@@ -192,7 +193,7 @@
   if (buffered_.size() + data.size() > kMaxAnswerBytes) {
     exchange_->Abandon();
     EndAttempt("answer_too_large");
-    GiveUp("answer_too_large");
+    GiveUp("answer_too_large", kRetryWhenFull);
     return;
   }
   buffered_ += data;
@@ -263,7 +264,9 @@
     return;
   }
   const bool failed = answer.status >= kInternalError;
-  if (failed && serving::MayRepeat(*route_) && MayTryAgain()) {
+  if (failed && !stream_begun_ && serving::MayRepeat(*route_) &&
+      core_.router.CanPick({.target = service_, .avoid = tried_}) &&
+      MayTryAgain()) {
     EndAttempt(common::StrCat("status_", answer.status));
     Dispatch();
     return;
@@ -271,12 +274,12 @@
   // A promise that the endpoint did not make must not be passed on as one.
   if (PromisesNotRun(answer.status) && !answer.not_run) {
     EndAttempt(common::StrCat("status_", answer.status));
-    GiveUp("status_without_promise");
+    GiveUp("status_without_promise", kRetryWhenFull);
     return;
   }
   if (stream_begun_) {
     EndAttempt(common::StrCat("status_", answer.status));
-    GiveUp("stream_not_resumed");
+    GiveUp("stream_not_resumed", kRetryWhenFull);
     return;
   }
   const std::string outcome = common::StrCat("status_", answer.status);
@@ -287,12 +290,23 @@
 
 void ProxiedRun::OnRefusedByEndpoint() {
   const bool misdirected = answer_->status == kMisdirected;
+  // A refusal that names another endpoint comes from a group that cannot step
+  // without it; the group's other ranks would refuse too.
+  const bool group_stalled = !answer_->culprit_address.empty() && !misdirected;
+  if (misdirected) {
+    core_.fleet.OnMisdirected(endpoint_id_);
+    core_.router.OnLeaving(endpoint_id_);
+  }
   EndAttempt(misdirected ? "misdirected" : "busy");
+  if (group_stalled) {
+    GiveUp("group_stalled", kRetryWhenGroupStalled);
+    return;
+  }
   if (MayTryAgain()) {
     Dispatch();
     return;
   }
-  GiveUp(misdirected ? "misdirected" : "endpoints_full");
+  GiveUp(misdirected ? "misdirected" : "endpoints_full", kRetryWhenFull);
 }
 
 void ProxiedRun::OnFailed(const http_channel::ExchangeFailure& failure) {
@@ -302,7 +316,7 @@
     if (++connect_failures_ < kMaxConnectFailures) {
       Dispatch();
     } else {
-      GiveUp("endpoints_unreachable");
+      GiveUp("endpoints_unreachable", kRetryWhenFull);
     }
     return;
   }
@@ -323,7 +337,7 @@
     Dispatch();
     return;
   }
-  GiveUp(cause);
+  GiveUp(cause, kRetryWhenFull);
 }
 
 bool ProxiedRun::MayTryAgain() {
@@ -332,14 +346,14 @@
          core_.retry_windows.at(service_).TryTake(now());
 }
 
-void ProxiedRun::GiveUp(std::string_view cause) {
+void ProxiedRun::GiveUp(std::string_view cause, common::Duration retry_after) {
   if (stream_begun_) {
     channel_.Break();
     End(cause);
     return;
   }
   if (fate_ == Fate::kNotRun) {
-    Refuse(cause, kRetryWhenFull);
+    Refuse(cause, retry_after);
   } else {
     AnswerItself(kBadGateway, cause, std::nullopt);
   }
@@ -388,9 +402,10 @@
         {.first_token = attempt_first_.value_or(total), .total = total}, ended);
   } else if (result == "busy") {
     core_.router.OnBusy(endpoint_id_, ended);
+  } else if (result.starts_with("status_")) {
+    core_.router.OnErrorAnswer(endpoint_id_, ended);
   } else if (result == "caller_gone" || result == "deadline" ||
-             result == "caller_not_reading" || result == "status_404" ||
-             result == "status_400") {
+             result == "caller_not_reading" || result == "misdirected") {
     core_.router.OnAbandoned(endpoint_id_, ended);
   } else {
     core_.router.OnFailure(endpoint_id_, ended);
--- a/packages/daemon/gateway/proxied_run.h
+++ b/packages/daemon/gateway/proxied_run.h
@@ -56,7 +56,9 @@
   // Ends the attempt in progress, then tries again or gives up.
   void RetryOrGiveUp(std::string_view cause);
   bool MayTryAgain();
-  void GiveUp(std::string_view cause);
+  // Ends the request without an endpoint's answer. `retry_after` goes to the
+  // caller if the request did not run.
+  void GiveUp(std::string_view cause, common::Duration retry_after);
   void OnDeadline();
 
   void OnBufferedAnswer();
--- a/packages/state/fleet/fleet.cc
+++ b/packages/state/fleet/fleet.cc
@@ -18,6 +18,7 @@
     if (found == endpoints_.end() ||
         found->second.started_at_ms != record.started_at_ms) {
       endpoints_[record.id] = record;
+      replaced_.erase(record.id);
       change.started.push_back(record.id);
       if (record.draining) {
         change.draining.push_back(record.id);
@@ -34,6 +35,7 @@
   const bool lapses_possible =
       was_unavailable_ && asked_at - *back_since_ < options_.relisting_time;
   if (lapses_possible) {
+    FindReplaced();
     return change;
   }
   was_unavailable_ = false;
@@ -42,11 +44,35 @@
       return false;
     }
     change.gone.push_back(item.first);
+    replaced_.erase(item.first);
     return true;
   });
+  FindReplaced();
   return change;
 }
 
+void Fleet::FindReplaced() {
+  std::map<std::string, const EndpointRecord*> latest;
+  for (const auto& [id, record] : endpoints_) {
+    const EndpointRecord*& at_address = latest[record.address];
+    if (at_address == nullptr) {
+      at_address = &record;
+      continue;
+    }
+    const bool later = record.started_at_ms > at_address->started_at_ms;
+    replaced_.insert(later ? at_address->id : record.id);
+    if (later) {
+      at_address = &record;
+    }
+  }
+}
+
+void Fleet::OnMisdirected(const std::string& id) {
+  if (endpoints_.contains(id)) {
+    replaced_.insert(id);
+  }
+}
+
 void Fleet::OnListUnavailable(common::Time) {
   was_unavailable_ = true;
   back_since_.reset();
@@ -59,7 +85,9 @@
 
 const EndpointRecord* Fleet::FindUsable(const std::string& id) const {
   const EndpointRecord* record = Find(id);
-  return record == nullptr || record->draining ? nullptr : record;
+  const bool usable =
+      record != nullptr && !record->draining && !replaced_.contains(id);
+  return usable ? record : nullptr;
 }
 
 }  // namespace wagtailshore::fleet
--- a/packages/state/fleet/fleet.h
+++ b/packages/state/fleet/fleet.h
@@ -56,10 +56,14 @@
   // A reading of the list, asked for at `asked_at`.
   FleetChange OnList(const std::vector<EndpointRecord>& records,
                      common::Time asked_at);
+  // The endpoint at that address is not, or not any more, the one listed as
+  // `id`: it gets no new work in this lifetime.
+  void OnMisdirected(const std::string& id);
   // A reading failed.
   void OnListUnavailable(common::Time now);
 
-  // Null for endpoints that must not get new work.
+  // Null for endpoints that must not get new work: draining ones, and those
+  // whose address has passed to a later process.
   const EndpointRecord* FindUsable(const std::string& id) const;
   const EndpointRecord* Find(const std::string& id) const;
   const std::map<std::string, EndpointRecord>& endpoints() const {
@@ -71,8 +75,12 @@
   std::optional<common::Time> read_at() const { return read_at_; }
 
  private:
+  void FindReplaced();
+
   FleetOptions options_;
   std::map<std::string, EndpointRecord> endpoints_;
+  // Endpoints whose address answers, or is listed, for a later process.
+  std::set<std::string> replaced_;
   std::optional<common::Time> read_at_;
   // The list has been readable again since then; unset while it is not.
   std::optional<common::Time> back_since_;
--- a/packages/state/routing/router.cc
+++ b/packages/state/routing/router.cc
@@ -28,6 +28,10 @@
   value = value == 0 ? sample : value + kSmoothing * (sample - value);
 }
 
+void SmoothShare(double& share, double sample) {
+  share += kSmoothing * (sample - share);
+}
+
 }  // namespace
 
 Router::Router(RouterOptions options)
@@ -149,6 +153,8 @@
   Smooth(candidate->first_token_ms, ToMs(times.first_token));
   Smooth(candidate->duration_ms, ToMs(times.total));
   candidate->measured_at = now;
+  SmoothShare(candidate->error_share, 0);
+  SmoothShare(pools_[candidate->target].error_share, 0);
   Smooth(pools_[candidate->target].first_token_ms, ToMs(times.first_token));
 }
 
@@ -185,6 +191,16 @@
   }
 }
 
+void Router::OnErrorAnswer(const std::string& endpoint, common::Time now) {
+  Candidate* candidate = Find(endpoint);
+  if (candidate == nullptr) {
+    return;
+  }
+  candidate->own.End(now);
+  SmoothShare(candidate->error_share, 1);
+  SmoothShare(pools_[candidate->target].error_share, 1);
+}
+
 void Router::OnAbandoned(const std::string& endpoint, common::Time now) {
   Candidate* candidate = Find(endpoint);
   if (candidate != nullptr) {
@@ -224,9 +240,27 @@
     wait += excess *
             std::exp2(-ToMs(now - candidate.measured_at) / kSlowHalfLifeMs);
   }
+  const double excess_errors =
+      candidate.error_share - kSlowFactor * pool.error_share;
+  if (excess_errors > 0) {
+    wait += excess_errors * options_.error_penalty_ms;
+  }
   return wait;
 }
 
+bool Router::CanPick(const PickRequest& request) const {
+  const auto found = pools_.find(request.target);
+  if (found == pools_.end()) {
+    return false;
+  }
+  const auto usable = [&](const Candidate* candidate) {
+    return !candidate->leaving && !request.avoid.contains(candidate->name);
+  };
+  const Pool& pool = found->second;
+  return std::any_of(pool.own.begin(), pool.own.end(), usable) ||
+         std::any_of(pool.other.begin(), pool.other.end(), usable);
+}
+
 bool Router::IsUsable(const Candidate& candidate,
                       const PickRequest& request,
                       common::Time now,
--- a/packages/state/routing/router.h
+++ b/packages/state/routing/router.h
@@ -47,6 +47,8 @@
   // Smoothed times of this entry's attempts, in milliseconds; 0 until known.
   double first_token_ms = 0;
   double duration_ms = 0;
+  // Smoothed share of answers that were errors.
+  double error_share = 0;
   common::Time measured_at{};
   bool leaving = false;
   // After a failure, the endpoint gets no new work before this time.
@@ -75,6 +77,9 @@
   // predicted wait went above the first and not yet below the second.
   double spill_above_ms = 400;
   double spill_below_ms = 200;
+  // Wait that an endpoint is taken to have when all of its answers are errors
+  // and none of the others'.
+  double error_penalty_ms = 1000;
   // What an endpoint in another failure domain has to be better by.
   double other_domain_penalty_ms = 20;
   size_t max_prefixes = 4096;
@@ -125,6 +130,8 @@
   // The endpoint for an attempt, or nothing when there is none. The attempt
   // counts as in flight until one of the three calls below.
   std::optional<std::string> Pick(const PickRequest& request, common::Time now);
+  // Whether Pick() would find an endpoint.
+  bool CanPick(const PickRequest& request) const;
   // Whether an attempt may go to this endpoint without a pick.
   bool MayTake(const std::string& endpoint,
                const std::set<std::string>& avoid) const;
@@ -139,6 +146,10 @@
   // The endpoint had no free slot and refused the attempt as not run. That is
   // no failure, but fresher word than the last report.
   void OnBusy(const std::string& endpoint, common::Time now);
+  // The endpoint answered with an error of its own. Some requests fail wherever
+  // they run, so only endpoints that fail far more often than the others of
+  // their target get less work.
+  void OnErrorAnswer(const std::string& endpoint, common::Time now);
   // The attempt was given up for a reason that is not the endpoint's.
   void OnAbandoned(const std::string& endpoint, common::Time now);
 
@@ -156,6 +167,7 @@
     std::vector<Candidate*> own;
     std::vector<Candidate*> other;
     double first_token_ms = 0;
+    double error_share = 0;
     // Smoothed wait of the picks in the own failure domain.
     double own_wait_ms = 0;
     bool spilling = false;
--- a/packages/transport/http_channel/caller_channel.cc
+++ b/packages/transport/http_channel/caller_channel.cc
@@ -106,6 +106,7 @@
 
 void CallerChannel::BeginStream(int status, const http1::Headers& headers) {
   WS_INVARIANT(state_ == State::kAnswering) << "a request waits for an answer";
+  state_ = State::kStreaming;
   chunked_ = chunks_allowed_;
   if (!chunked_) {
     keep_alive_ = false;
@@ -117,6 +118,7 @@
 }
 
 void CallerChannel::WriteStream(std::string_view data) {
+  WS_INVARIANT(state_ == State::kStreaming) << "a streamed answer has begun";
   if (data.empty()) {
     return;
   }
@@ -124,6 +126,7 @@
 }
 
 void CallerChannel::EndStream() {
+  WS_INVARIANT(state_ == State::kStreaming) << "a streamed answer has begun";
   if (chunked_) {
     socket_.Write(http1::kLastChunk);
   }
@@ -161,7 +164,7 @@
 
 void CallerChannel::OnClosed(stream_socket::CloseReason) {
   loop_.Cancel(timer_);
-  const bool was_answering = state_ == State::kAnswering;
+  const bool was_answering = busy();
   state_ = State::kClosing;
   if (was_answering) {
     handler_.OnCallerGone(*this);
--- a/packages/transport/http_channel/caller_channel.h
+++ b/packages/transport/http_channel/caller_channel.h
@@ -63,7 +63,9 @@
   // nothing of a request has been read.
   void CloseWhenIdle();
   // Whether a request waits for its answer.
-  bool busy() const { return state_ == State::kAnswering; }
+  bool busy() const {
+    return state_ == State::kAnswering || state_ == State::kStreaming;
+  }
   // Bytes of the answer that the caller has not taken yet.
   size_t unsent() const { return socket_.unsent(); }
   // Bytes of the request that is being read.
@@ -73,7 +75,7 @@
   void OnClosed(stream_socket::CloseReason reason) override;
 
  private:
-  enum class State { kReading, kAnswering, kClosing };
+  enum class State { kReading, kAnswering, kStreaming, kClosing };
 
   http1::Persistence NextPersistence();
   void ReadRequest();
