Expert demand: follow shifts with fewer, faster moves

Cause: each shift was answered by about three switches, one before the demand was known and one for a gain of a few parts in a hundred, and copying three experts a rank and layer took 1.2 s, during which steps passed 120 ms.

--- a/packages/coordination/map_coordinator/map_coordinator.h
+++ b/packages/coordination/map_coordinator/map_coordinator.h
@@ -18,7 +18,7 @@
   uint64_t generation = 1;
   // Steps between the last one begun and the switch: the hold and all arms
   // usually pass within one step.
-  uint64_t lead_steps = 3;
+  uint64_t lead_steps = 2;
   // Copying may take this long; an attempt that takes longer is given up.
   common::Duration prepare_timeout = common::seconds(6);
   // A rank that accepted a map and does not report it is told again.
--- a/packages/daemon/companion/group_coordinator.h
+++ b/packages/daemon/companion/group_coordinator.h
@@ -33,12 +33,12 @@
   std::string store_address;
   std::string service;
   // Time between polls in quiet, and while a switch is under way.
-  common::Duration poll_period = common::milliseconds(200);
+  common::Duration poll_period = common::milliseconds(120);
   common::Duration switch_poll_period = common::milliseconds(50);
   common::Duration poll_timeout = common::milliseconds(400);
   common::Duration order_timeout = common::milliseconds(150);
   // Time between two looks for a better map.
-  common::Duration plan_period = common::milliseconds(250);
+  common::Duration plan_period = common::milliseconds(120);
   // Time between readings of the companions' table while some are missing.
   common::Duration directory_period = common::seconds(3);
 };
--- a/packages/state/expert_demand/expert_demand.h
+++ b/packages/state/expert_demand/expert_demand.h
@@ -16,7 +16,7 @@
   int experts = 1;
   // Age at which a choice counts half. Source: demand shifts every few seconds
   // on the heaviest days, and a map should follow within about one.
-  common::Duration half_life = common::milliseconds(500);
+  common::Duration half_life = common::milliseconds(200);
 };
 
 // Sums up the ranks' counters of chosen experts, with exponential decay.
--- a/packages/state/expert_demand/rebalance.cc
+++ b/packages/state/expert_demand/rebalance.cc
@@ -14,8 +14,6 @@
 constexpr int kStepsPerRank = 4;
 // Times that the search goes on in one layer after no single change helps.
 constexpr int kMaxUnblocks = 6;
-// A layer whose slowest rank is this near to the mean is good enough.
-constexpr double kGoodEnough = 1.02;
 
 bool Holds(const std::vector<int>& rank, int expert) {
   return std::find(rank.begin(), rank.end(), expert) != rank.end();
@@ -71,23 +69,18 @@
   }
 }
 
-}  // namespace
-
-double MeanSlowest(const std::vector<ExpertMap>& maps,
-                   const std::vector<Loads>& loads) {
-  double sum = 0;
-  for (size_t layer = 0; layer < maps.size(); ++layer) {
-    sum += placement::SkewOf(maps[layer], loads[layer]).slowest;
-  }
-  return maps.empty() ? 1 : sum / static_cast<double>(maps.size());
-}
-
-std::optional<Rebalance> PlanRebalance(const std::vector<ExpertMap>& current,
-                                       const std::vector<Loads>& loads,
-                                       const RebalanceOptions& options) {
+// The best maps with at most `options.max_new_per_rank` new experts per rank.
+Rebalance PlanAll(const std::vector<ExpertMap>& current,
+                  const std::vector<Loads>& loads,
+                  const RebalanceOptions& options) {
   Rebalance plan{.slowest_before = MeanSlowest(current, loads)};
   for (size_t layer = 0; layer < current.size(); ++layer) {
     const ExpertMap& before = current[layer];
+    const double layer_before = placement::SkewOf(before, loads[layer]).slowest;
+    if (layer_before <= options.good_enough) {
+      plan.maps.push_back(before);
+      continue;
+    }
     const ExpertMap filled = FillFreeSlots(before, loads[layer], options);
     placement::Improver improver(
         filled, {loads[layer]},
@@ -97,7 +90,8 @@
     double best_slowest = improver.SlowestNow();
     int unblocks_left = kMaxUnblocks;
     const int max_steps = kStepsPerRank * static_cast<int>(before.ranks.size());
-    for (int step = 0; step < max_steps && best_slowest > kGoodEnough; ++step) {
+    for (int step = 0; step < max_steps && best_slowest > options.good_enough;
+         ++step) {
       if (improver.Step() == 0 &&
           (unblocks_left-- == 0 || improver.Unblock() == 0)) {
         break;
@@ -107,7 +101,6 @@
         best_slowest = improver.SlowestNow();
       }
     }
-    const double layer_before = placement::SkewOf(before, loads[layer]).slowest;
     const int moves = placement::CountMoves(before, best);
     const double saving = (layer_before - best_slowest) /
                           (layer_before + 1e-9) /
@@ -120,6 +113,32 @@
     plan.maps.push_back(std::move(best));
   }
   plan.slowest_after = MeanSlowest(plan.maps, loads);
+  return plan;
+}
+
+}  // namespace
+
+double MeanSlowest(const std::vector<ExpertMap>& maps,
+                   const std::vector<Loads>& loads) {
+  double sum = 0;
+  for (size_t layer = 0; layer < maps.size(); ++layer) {
+    sum += placement::SkewOf(maps[layer], loads[layer]).slowest;
+  }
+  return maps.empty() ? 1 : sum / static_cast<double>(maps.size());
+}
+
+std::optional<Rebalance> PlanRebalance(const std::vector<ExpertMap>& current,
+                                       const std::vector<Loads>& loads,
+                                       const RebalanceOptions& options) {
+  Rebalance plan;
+  RebalanceOptions limited = options;
+  for (int limit = 1; limit <= options.max_new_per_rank; ++limit) {
+    limited.max_new_per_rank = limit;
+    plan = PlanAll(current, loads, limited);
+    if (plan.slowest_after <= options.acceptable) {
+      break;
+    }
+  }
   const double saving =
       (plan.slowest_before - plan.slowest_after) / plan.slowest_before;
   if (plan.moves == 0 || saving < options.least_saving) {
--- a/packages/state/expert_demand/rebalance.h
+++ b/packages/state/expert_demand/rebalance.h
@@ -11,11 +11,17 @@
 struct RebalanceOptions {
   // Expert slots per rank and layer.
   int slots_per_rank = 1;
-  // Experts of one layer that a rank can take in at once.
+  // Experts of one layer that a rank can take in at once. Copying takes a time
+  // in proportion, so fewer are used when they do.
   int max_new_per_rank = 1;
+  // A layer whose slowest rank is this near to the mean is left as it is.
+  double good_enough = 1.12;
+  // A plan with fewer new experts per rank is taken when its slowest ranks are
+  // within this, over the mean.
+  double acceptable = 1.3;
   // Expected saving, as a share of the experts' part of a step, below which a
   // switch does not pay its copies and orders.
-  double least_saving = 0.06;
+  double least_saving = 0.12;
   // Share of a step that copying one expert to one rank costs, spread over the
   // time that a map serves. Source: the price of an expert's copy against the
   // worth of what a group answers in the seconds between two shifts.
