--- a/packages/daemon/companion/companion.cc
+++ b/packages/daemon/companion/companion.cc
@@ -123,7 +123,7 @@
                        const std::string& body) {
   const auto poll = companion_messages::DecodePoll(body);
   if (!poll.ok()) {
-    channel.Respond(kBadRequest, {}, poll.status().message().data());
+    channel.Respond(kBadRequest, {}, {});
     return;
   }
   if (poll->generation < generation_) {
--- a/packages/daemon/companion/group_coordinator.cc
+++ b/packages/daemon/companion/group_coordinator.cc
@@ -335,9 +335,10 @@
   }
   stopped_ = true;
   loop_.Cancel(timer_);
-  loop_.Post([alive = alive_, this] {
+  // The callback destroys this object, so it must not be called as a member.
+  loop_.Post([alive = alive_, superseded = std::move(on_superseded_)] {
     if (*alive) {
-      on_superseded_();
+      superseded();
     }
   });
 }
--- a/packages/daemon/gateway/gateway.cc
+++ b/packages/daemon/gateway/gateway.cc
@@ -122,7 +122,7 @@
     if (address.empty()) {
       continue;
     }
-    const absl::Status listening = side_server_->Listen(address);
+    absl::Status listening = side_server_->Listen(address);
     if (!listening.ok()) {
       return listening;
     }
--- a/packages/daemon/gateway/proxied_run.cc
+++ b/packages/daemon/gateway/proxied_run.cc
@@ -128,8 +128,8 @@
 }
 
 void ProxiedRun::Dispatch() {
-  while (const auto picked = core_.router.Pick(
-             {.target = service_, .avoid = tried_}, now())) {
+  while (const auto picked =
+             core_.router.Pick({.target = service_, .avoid = tried_}, now())) {
     const fleet::EndpointRecord* endpoint = core_.fleet.FindUsable(*picked);
     if (endpoint != nullptr) {
       SendTo(*endpoint);
--- a/packages/protocol/http1/message_reader.h
+++ b/packages/protocol/http1/message_reader.h
@@ -35,7 +35,7 @@
 };
 
 struct ReaderOptions {
-  size_t max_header_bytes = 16 * 1024;
+  size_t max_header_bytes = 16UL * 1024;
   uint64_t max_body_bytes = UINT64_MAX;
   // The response answers a HEAD request and has no body.
   bool without_body = false;
--- a/packages/state/serving/configuration.h
+++ b/packages/state/serving/configuration.h
@@ -106,7 +106,7 @@
 // What callers may send and how long they may take.
 struct CallerLimits {
   uint32_t max_header_bytes = 16 * 1024;
-  uint64_t max_body_bytes = 4 * 1024 * 1024;
+  uint64_t max_body_bytes = 4UL * 1024 * 1024;
   common::Duration header_timeout = common::seconds(3);
   common::Duration idle_timeout = common::seconds(15);
 };
--- a/packages/transport/http_channel/endpoint_channel.cc
+++ b/packages/transport/http_channel/endpoint_channel.cc
@@ -78,13 +78,13 @@
     }
     socket_.Consume(progress->consumed);
     const bool stalled = progress->consumed == 0;
-    if (!OnProgress(*std::move(progress)) || stalled) {
+    if (!OnProgress(*progress) || stalled) {
       return;
     }
   }
 }
 
-bool EndpointChannel::OnProgress(http1::Progress progress) {
+bool EndpointChannel::OnProgress(const http1::Progress& progress) {
   if (progress.head_complete) {
     if (reader_.head().status < kFirstFinalStatus) {
       if (progress.complete) {
--- a/packages/transport/http_channel/endpoint_channel.h
+++ b/packages/transport/http_channel/endpoint_channel.h
@@ -73,7 +73,7 @@
 
  private:
   // Returns whether the connection can go on.
-  bool OnProgress(http1::Progress progress);
+  bool OnProgress(const http1::Progress& progress);
   void Fail(bool nothing_sent, std::string detail);
   void Finish(bool reusable);
   void NewReader();
--- a/packages/transport/log_output/log_output.h
+++ b/packages/transport/log_output/log_output.h
@@ -13,7 +13,7 @@
 
 struct LogOutputOptions {
   // Lines that wait for a reader of standard output at most.
-  size_t max_buffer_bytes = 256 * 1024;
+  size_t max_buffer_bytes = 256UL * 1024;
   // Lines written in any second at most.
   uint32_t max_lines_per_second = 400;
   // How often lines are handed to the kernel.
--- a/packages/transport/stream_socket/stream_socket.cc
+++ b/packages/transport/stream_socket/stream_socket.cc
@@ -14,9 +14,9 @@
 namespace {
 
 // Bytes read per system call; a streamed event and most answers fit.
-constexpr size_t kReadBytes = 16 * 1024;
+constexpr size_t kReadBytes = 16UL * 1024;
 // Unconsumed room that is given back to the allocator once it is this large.
-constexpr size_t kKeptBufferBytes = 64 * 1024;
+constexpr size_t kKeptBufferBytes = 64UL * 1024;
 // Keep-alive: seconds of silence before a probe, and between probes.
 constexpr int kProbeIdleSeconds = 2;
 constexpr int kProbeIntervalSeconds = 1;
