--- a/packages/protocol/http1/message_reader.cc
+++ b/packages/protocol/http1/message_reader.cc
@@ -28,9 +28,7 @@
   explicit Parser(const ReaderOptions& options) {
     this->header_limit(static_cast<uint32_t>(
         std::min<size_t>(options.max_header_bytes, UINT32_MAX)));
-    this->body_limit(options.max_body_bytes == UINT64_MAX
-                         ? boost::optional<uint64_t>()
-                         : boost::optional<uint64_t>(options.max_body_bytes));
+    this->body_limit(options.max_body_bytes);
     this->eager(true);
     this->skip(options.without_body);
   }
@@ -71,15 +69,7 @@
     error = {};
   }
 
-  void on_header_impl(error_code& error) override {
-    error = {};
-    // A coding other than chunks alone would be passed on undecoded.
-    const std::string* coding = head_.headers.Find("Transfer-Encoding");
-    if (coding != nullptr && (head_.headers.Count("Transfer-Encoding") > 1 ||
-                              !EqualsIgnoreCase(*coding, "chunked"))) {
-      error = beast::http::error::bad_transfer_encoding;
-    }
-  }
+  void on_header_impl(error_code& error) override { error = {}; }
 
   void on_body_init_impl(const boost::optional<uint64_t>&,
                          error_code& error) override {
@@ -161,6 +151,9 @@
       head_complete_ = true;
       progress.head_complete = true;
       FinishHead();
+      if (!HasPlainCoding()) {
+        return absl::InvalidArgumentError("transfer coding not understood");
+      }
     }
     progress.body = parser_.TakeBody();
     progress.complete = parser_.is_done();
@@ -177,6 +170,15 @@
   Head& head() { return parser_.head(); }
 
  private:
+  // Whether the body is in chunks or as it is: any other coding would be passed
+  // on undecoded.
+  bool HasPlainCoding() {
+    const Headers& headers = parser_.head().headers;
+    const std::string* coding = headers.Find("Transfer-Encoding");
+    return coding == nullptr || (headers.Count("Transfer-Encoding") == 1 &&
+                                 EqualsIgnoreCase(*coding, "chunked"));
+  }
+
   void FinishHead() {
     parser_.head().keep_alive = parser_.keep_alive();
     if constexpr (std::is_same_v<Head, ResponseHead>) {
--- /dev/null
+++ b/tests/unit/coordination/retry_window/retry_window_test.cc
@@ -0,0 +1,59 @@
+#include "coordination/retry_window/retry_window.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+#include <vector>
+
+namespace wagtailshore::retry_window {
+namespace {
+
+const common::Time kStart{common::seconds(100)};
+
+TEST(RetryWindowTest, ReserveIsThereWithoutRequests) {
+  RetryWindow window({.ratio = 0.2, .reserve = 2});
+  EXPECT_TRUE(window.TryTake(kStart));
+  EXPECT_TRUE(window.TryTake(kStart));
+  EXPECT_FALSE(window.TryTake(kStart));
+}
+
+TEST(RetryWindowTest, BudgetComesBackWhenTheWindowHasPassed) {
+  RetryWindow window(
+      {.window = common::seconds(10), .ratio = 0, .reserve = 1});
+  EXPECT_TRUE(window.TryTake(kStart));
+  EXPECT_FALSE(window.TryTake(kStart + common::milliseconds(9999)));
+  EXPECT_TRUE(window.TryTake(kStart + common::seconds(10)));
+}
+
+// When every request asks for a retry, no window of any start holds more than
+// the bound allows.
+TEST(RetryWindowTest, NoSlidingWindowExceedsTheBound) {
+  constexpr RetryWindowOptions kOptions = {
+      .window = common::seconds(10), .ratio = 0.2, .reserve = 5};
+  RetryWindow window(kOptions);
+  std::mt19937 random(7);
+  std::vector<common::Time> requests;
+  std::vector<common::Time> retries;
+  common::Time now = kStart;
+  for (int i = 0; i < 3000; ++i) {
+    now += common::milliseconds(std::uniform_int_distribution<int>(1, 60)(random));
+    window.OnRequest(now);
+    requests.push_back(now);
+    if (window.TryTake(now)) {
+      retries.push_back(now);
+    }
+  }
+  for (const common::Time& last : retries) {
+    const auto in_window = [&](const common::Time& at) {
+      return at <= last && at > last - kOptions.window;
+    };
+    const auto taken = std::count_if(retries.begin(), retries.end(), in_window);
+    const auto seen = std::count_if(requests.begin(), requests.end(), in_window);
+    EXPECT_LE(static_cast<double>(taken),
+              kOptions.reserve + kOptions.ratio * static_cast<double>(seen));
+  }
+  EXPECT_GT(retries.size(), 300U);
+}
+
+}  // namespace
+}  // namespace wagtailshore::retry_window
--- /dev/null
+++ b/tests/unit/state/fleet/fleet_test.cc
@@ -0,0 +1,111 @@
+#include "state/fleet/fleet.h"
+
+#include <gtest/gtest.h>
+
+namespace wagtailshore::fleet {
+namespace {
+
+EndpointRecord Record(const std::string& id,
+                      const std::string& address,
+                      int64_t started_at_ms = 1) {
+  return {.id = id,
+          .service = "s",
+          .address = address,
+          .failure_domain = "d",
+          .slots = 4,
+          .started_at_ms = started_at_ms};
+}
+
+common::Time At(int ms) {
+  return common::Time(common::seconds(10) + common::milliseconds(ms));
+}
+
+TEST(FleetTest, ListedEndpointsAreUsable) {
+  Fleet fleet({});
+  const FleetChange change =
+      fleet.OnList({Record("a", "1"), Record("b", "2")}, At(0));
+  EXPECT_EQ(change.started, (std::vector<std::string>{"a", "b"}));
+  EXPECT_NE(fleet.FindUsable("a"), nullptr);
+  EXPECT_EQ(fleet.FindUsable("c"), nullptr);
+}
+
+TEST(FleetTest, UnlistedEndpointIsGone) {
+  Fleet fleet({});
+  fleet.OnList({Record("a", "1")}, At(0));
+  EXPECT_EQ(fleet.OnList({}, At(1000)).gone, std::vector<std::string>{"a"});
+  EXPECT_EQ(fleet.Find("a"), nullptr);
+}
+
+TEST(FleetTest, DrainingIsNotTakenBack) {
+  Fleet fleet({});
+  EndpointRecord record = Record("a", "1");
+  fleet.OnList({record}, At(0));
+  record.draining = true;
+  EXPECT_EQ(fleet.OnList({record}, At(1000)).draining,
+            std::vector<std::string>{"a"});
+  record.draining = false;
+  EXPECT_TRUE(fleet.OnList({record}, At(2000)).empty());
+  EXPECT_EQ(fleet.FindUsable("a"), nullptr);
+}
+
+TEST(FleetTest, RestartUnderOneIdIsANewLife) {
+  Fleet fleet({});
+  EndpointRecord record = Record("a", "1");
+  record.draining = true;
+  fleet.OnList({record}, At(0));
+  EXPECT_EQ(fleet.OnList({Record("a", "1", 2)}, At(1000)).started,
+            std::vector<std::string>{"a"});
+  EXPECT_NE(fleet.FindUsable("a"), nullptr);
+}
+
+struct OutageCase {
+  const char* name;
+  // When the list can be read again, and when the entry is looked for.
+  int back_ms;
+  int look_ms;
+  bool kept;
+};
+
+class FleetOutageTest : public testing::TestWithParam<OutageCase> {};
+
+// An entry that lapsed while the list was away may still come back.
+TEST_P(FleetOutageTest, LapsedEntryIsKeptForAWhile) {
+  Fleet fleet({.relisting_time = common::milliseconds(2800)});
+  fleet.OnList({Record("a", "1")}, At(0));
+  fleet.OnListUnavailable(At(1000));
+  fleet.OnList({}, At(GetParam().back_ms));
+  fleet.OnList({}, At(GetParam().look_ms));
+  EXPECT_EQ(fleet.FindUsable("a") != nullptr, GetParam().kept);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Outages,
+    FleetOutageTest,
+    testing::Values(OutageCase{"JustBack", 5000, 5500, true},
+                    OutageCase{"BackForTwoSeconds", 5000, 7000, true},
+                    OutageCase{"BackForLonger", 5000, 7800, false}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+// After all endpoints restart, the entries of their former lives are listed
+// beside the new ones until they lapse.
+TEST(FleetTest, OfTwoAtOneAddressOnlyTheLaterIsUsable) {
+  Fleet fleet({});
+  fleet.OnList({Record("old", "1", 1), Record("young", "1", 2)}, At(0));
+  EXPECT_EQ(fleet.FindUsable("old"), nullptr);
+  EXPECT_NE(fleet.FindUsable("young"), nullptr);
+  EXPECT_NE(fleet.Find("old"), nullptr);
+}
+
+TEST(FleetTest, MisdirectedEndpointIsNotUsedUntilItStartsAnew) {
+  Fleet fleet({});
+  fleet.OnList({Record("a", "1", 1)}, At(0));
+  fleet.OnMisdirected("a");
+  EXPECT_EQ(fleet.FindUsable("a"), nullptr);
+  fleet.OnList({Record("a", "1", 1)}, At(1000));
+  EXPECT_EQ(fleet.FindUsable("a"), nullptr);
+  fleet.OnList({Record("a", "1", 2)}, At(2000));
+  EXPECT_NE(fleet.FindUsable("a"), nullptr);
+}
+
+}  // namespace
+}  // namespace wagtailshore::fleet
