--- /dev/null
+++ b/tests/unit/platform/engine_test.cc
@@ -0,0 +1,92 @@
+#include "platform/engine.h"
+
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+
+namespace wagtailshore::platform {
+namespace {
+
+using map_coordinator::OrderOutcome;
+using nlohmann::json;
+
+TEST(EngineTest, StateIsDecoded) {
+  const auto state = DecodeEngineState(
+      {.status = 200,
+       .body = R"({"group":{"name":"g","epoch":3,"rank":2,"state":"open"},)"
+               R"("size":12,"step":40,"map":7,"prepared":8,)"
+               R"("armed":{"version":8,"step":43},"held":43,"pace":1.5})"});
+  ASSERT_TRUE(state.ok()) << state.status().message();
+  EXPECT_EQ(state->group, "g");
+  EXPECT_EQ(state->ranks, 12);
+  EXPECT_TRUE(state->report.open);
+  EXPECT_EQ(state->report.prepared, 8U);
+  EXPECT_EQ(state->report.armed,
+            (map_coordinator::ArmedMap{.version = 8, .step = 43}));
+  EXPECT_EQ(state->report.held_step, 43U);
+  EXPECT_EQ(state->slowness, 1.5);
+}
+
+TEST(EngineTest, NothingPreparedArmedOrHeld) {
+  const auto state = DecodeEngineState(
+      {.status = 200,
+       .body = R"({"group":{"name":"g","epoch":1,"rank":0,"state":"broken"},)"
+               R"("size":2,"step":0,"map":0,"prepared":null,"armed":null,)"
+               R"("held":null})"});
+  ASSERT_TRUE(state.ok());
+  EXPECT_FALSE(state->report.open);
+  EXPECT_FALSE(state->report.prepared.has_value());
+  EXPECT_FALSE(state->report.armed.has_value());
+  EXPECT_FALSE(state->report.held_step.has_value());
+}
+
+TEST(EngineTest, EngineWithoutAGroup) {
+  EXPECT_TRUE(absl::IsNotFound(
+      DecodeEngineState({.status = 200, .body = "{}"}).status()));
+  EXPECT_FALSE(DecodeEngineState({.status = 503}).ok());
+  EXPECT_FALSE(DecodeCounts({.status = 200, .body = R"({"counts":[-1]})"}).ok());
+}
+
+TEST(EngineTest, OrderNamesEpochAndFencingNumber) {
+  const http_channel::Call call = EngineOrderCall(
+      {.rank = 1,
+       .epoch = 4,
+       .generation = 9,
+       .body = map_coordinator::HoldStep{.step = 30}});
+  const json body = json::parse(call.body);
+  EXPECT_EQ(body.at("operation"), "retention");
+  EXPECT_EQ(body.at("step"), 30);
+  EXPECT_EQ(body.at("epoch"), 4);
+  EXPECT_EQ(body.at("fencing_token"), 9);
+}
+
+struct OutcomeCase {
+  int status;
+  OrderOutcome outcome;
+};
+
+class OrderOutcomeTest : public testing::TestWithParam<OutcomeCase> {};
+
+TEST_P(OrderOutcomeTest, StatusesAreRead) {
+  EXPECT_EQ(DecodeOrderOutcome(
+                http_channel::CallAnswer{.status = GetParam().status}),
+            GetParam().outcome);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Statuses,
+    OrderOutcomeTest,
+    testing::Values(OutcomeCase{200, OrderOutcome::kAccepted},
+                    OutcomeCase{202, OrderOutcome::kAccepted},
+                    OutcomeCase{409, OrderOutcome::kConflict},
+                    OutcomeCase{412, OrderOutcome::kFenced},
+                    OutcomeCase{400, OrderOutcome::kRefused},
+                    OutcomeCase{421, OrderOutcome::kRefused}));
+
+TEST(EngineTest, NoAnswerIsUnknown) {
+  EXPECT_EQ(DecodeOrderOutcome(absl::DeadlineExceededError("late")),
+            OrderOutcome::kUnknown);
+}
+
+}  // namespace
+}  // namespace wagtailshore::platform
--- /dev/null
+++ b/tests/unit/platform/requests_test.cc
@@ -0,0 +1,129 @@
+#include "platform/requests.h"
+
+#include <gtest/gtest.h>
+
+namespace wagtailshore::platform {
+namespace {
+
+http1::RequestHead HeadOf(
+    const std::vector<std::pair<std::string, std::string>>& fields) {
+  http1::RequestHead head{.method = "POST", .target = "/p/x"};
+  for (const auto& [name, value] : fields) {
+    head.headers.Add(name, value);
+  }
+  return head;
+}
+
+TEST(RequestsTest, FieldsAreDecodedOnce) {
+  const auto request = DecodeCallerRequest(
+      HeadOf({{"Host", "h"},
+              {"X-Wagtailshore-Attempt-Id", "a1"},
+              {"X-Wagtailshore-Deadline-Ms", "1500"},
+              {"X-Wagtailshore-Token-Count", "1460,80"},
+              {"Last-Event-Id", "12"},
+              {"Authorization", "Token secret"}}),
+      "body");
+  EXPECT_EQ(request.attempt_id, "a1");
+  EXPECT_EQ(request.host, "h");
+  EXPECT_EQ(request.time_left, common::milliseconds(1500));
+  EXPECT_EQ(request.prompt_tokens, 1460U);
+  EXPECT_EQ(request.max_answer_tokens, 80U);
+  EXPECT_EQ(request.resume_after, 12U);
+  EXPECT_EQ(request.key, "secret");
+}
+
+// What a caller sends must not pass for what the system says.
+TEST(RequestsTest, ForwardedHeadersAreTheSystemsOwn) {
+  const auto request = DecodeCallerRequest(
+      HeadOf({{"Host", "h"},
+              {"X-Wagtailshore-Attempt-Id", "a1"},
+              {"X-Wagtailshore-Tenant", "forged"},
+              {"x-wagtailshore-expect-instance", "forged"},
+              {"X-Wagtailshore-Request-Priority", "0"},
+              {"X-Wagtailshore-Expect-Version", "9"},
+              {"X-Wagtailshore-Model", "m"},
+              {"Authorization", "Token secret"},
+              {"Connection", "keep-alive, X-Hop"},
+              {"X-Hop", "1"},
+              {"X-Other", "kept"}}),
+      "body");
+  const std::string text =
+      EncodeForwarded(request, {.endpoint_id = "i-1",
+                                .customer = "c",
+                                .time_left = common::milliseconds(700)});
+  http1::RequestReader reader{http1::ReaderOptions{}};
+  const auto progress = reader.Read(text);
+  ASSERT_TRUE(progress.ok());
+  const http1::Headers& headers = reader.head().headers;
+  EXPECT_EQ(*headers.Find("X-Wagtailshore-Tenant"), "c");
+  EXPECT_EQ(headers.Count("X-Wagtailshore-Tenant"), 1U);
+  EXPECT_EQ(*headers.Find("X-Wagtailshore-Expect-Instance"), "i-1");
+  EXPECT_EQ(*headers.Find("X-Wagtailshore-Deadline-Ms"), "700");
+  EXPECT_EQ(*headers.Find("X-Wagtailshore-Attempt-Id"), "a1");
+  EXPECT_EQ(*headers.Find("X-Wagtailshore-Model"), "m");
+  EXPECT_EQ(*headers.Find("X-Other"), "kept");
+  for (const char* name : {"Authorization", "X-Hop", "Connection",
+                           "X-Wagtailshore-Expect-Version",
+                           "X-Wagtailshore-Request-Priority"}) {
+    EXPECT_EQ(headers.Find(name), nullptr) << name;
+  }
+  EXPECT_EQ(progress->body, "body");
+}
+
+TEST(RequestsTest, WithoutACustomerNoneIsNamed) {
+  const auto request =
+      DecodeCallerRequest(HeadOf({{"X-Wagtailshore-Tenant", "forged"}}), "");
+  EXPECT_EQ(EncodeForwarded(request, {.endpoint_id = "i"}).find("forged"),
+            std::string::npos);
+}
+
+struct AnswerCase {
+  const char* name;
+  int status;
+  std::vector<std::pair<std::string, std::string>> fields;
+  bool sealed;
+  bool not_run;
+};
+
+class EndpointAnswerTest : public testing::TestWithParam<AnswerCase> {};
+
+TEST_P(EndpointAnswerTest, PromisesAreRead) {
+  http1::ResponseHead head{.status = GetParam().status};
+  for (const auto& [name, value] : GetParam().fields) {
+    head.headers.Add(name, value);
+  }
+  const proxied::EndpointAnswer answer = DecodeEndpointAnswer(head);
+  EXPECT_EQ(answer.sealed, GetParam().sealed);
+  EXPECT_EQ(answer.not_run, GetParam().not_run);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Answers,
+    EndpointAnswerTest,
+    testing::Values(
+        AnswerCase{"Sealed", 200, {{"X-Wagtailshore-Server-Seal", "s"}}, true, false},
+        AnswerCase{"Bare", 200, {}, false, false},
+        AnswerCase{"Refused",
+                   503,
+                   {{"X-Wagtailshore-Not-Executed", "1"}},
+                   false,
+                   true},
+        AnswerCase{"BareRefusal", 503, {}, false, false},
+        AnswerCase{"Misdirected", 421, {}, false, true}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+TEST(RequestsTest, LoadAndIdleTimeAreRead) {
+  http1::ResponseHead head{.status = 200};
+  head.headers.Add("X-Wagtailshore-Server-Load", "3,1,8");
+  head.headers.Add("Keep-Alive", "timeout=5, max=100");
+  const proxied::EndpointAnswer answer = DecodeEndpointAnswer(head);
+  ASSERT_TRUE(answer.load.has_value());
+  EXPECT_EQ(answer.load->running, 3U);
+  EXPECT_EQ(answer.load->queued, 1U);
+  EXPECT_EQ(answer.load->slots, 8U);
+  EXPECT_EQ(answer.keep_alive, common::seconds(5));
+  EXPECT_EQ(answer.headers.Find("X-Wagtailshore-Server-Load"), nullptr);
+}
+
+}  // namespace
+}  // namespace wagtailshore::platform
--- /dev/null
+++ b/tests/unit/state/expert_demand/expert_demand_test.cc
@@ -0,0 +1,131 @@
+#include "state/expert_demand/expert_demand.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <random>
+
+#include "state/expert_demand/rebalance.h"
+
+namespace wagtailshore::expert_demand {
+namespace {
+
+using placement::ExpertMap;
+using placement::Loads;
+
+const common::Time kStart{common::seconds(100)};
+
+constexpr int kRanks = 12;
+constexpr int kExperts = 72;
+constexpr RebalanceOptions kOptions = {.slots_per_rank = 8,
+                                       .max_new_per_rank = 3};
+
+TEST(ExpertDemandTest, CountersAreSummedOverRanks) {
+  ExpertDemand demand({.layers = 1, .experts = 2});
+  demand.OnCounts(0, 1, {10, 10}, kStart);
+  demand.OnCounts(1, 1, {5, 5}, kStart);
+  demand.OnCounts(0, 1, {14, 10}, kStart);
+  demand.OnCounts(1, 1, {6, 5}, kStart);
+  EXPECT_EQ(demand.loads().front(), (Loads{5, 0}));
+}
+
+// A restarted rank counts from zero; that is no demand.
+TEST(ExpertDemandTest, CountersThatBeganAnewAreNotTakenForDemand) {
+  ExpertDemand demand({.layers = 1, .experts = 1});
+  demand.OnCounts(0, 1, {100}, kStart);
+  demand.OnCounts(0, 2, {40}, kStart);
+  EXPECT_EQ(demand.total(), 0);
+  demand.OnCounts(0, 2, {50}, kStart);
+  EXPECT_EQ(demand.total(), 10);
+  demand.OnCounts(0, 2, {3}, kStart);
+  EXPECT_EQ(demand.total(), 10);
+}
+
+TEST(ExpertDemandTest, OldChoicesFade) {
+  ExpertDemand demand({.layers = 1,
+                       .experts = 1,
+                       .half_life = common::milliseconds(200)});
+  demand.OnCounts(0, 1, {0}, kStart);
+  demand.OnCounts(0, 1, {100}, kStart);
+  demand.OnCounts(0, 1, {100}, kStart + common::milliseconds(400));
+  EXPECT_NEAR(demand.total(), 25, 1e-6);
+}
+
+// Shares fall with the rank of popularity; which experts are popular is the
+// seed's.
+Loads SkewedLoads(uint64_t seed) {
+  Loads loads(kExperts);
+  for (int i = 0; i < kExperts; ++i) {
+    loads[i] = 1000.0 / (1 + i);
+  }
+  std::mt19937_64 random(seed);
+  std::shuffle(loads.begin(), loads.end(), random);
+  return loads;
+}
+
+// Every expert on one rank, in turn, with slots to spare.
+ExpertMap FirstMap() {
+  ExpertMap map{.ranks = std::vector<std::vector<int>>(kRanks)};
+  for (int expert = 0; expert < kExperts; ++expert) {
+    map.ranks[expert % kRanks].push_back(expert);
+  }
+  return map;
+}
+
+class RebalanceTest : public testing::TestWithParam<uint64_t> {};
+
+TEST_P(RebalanceTest, KeepsTheRulesAndRelievesTheSlowestRank) {
+  const std::vector<ExpertMap> current = {FirstMap(), FirstMap()};
+  const std::vector<Loads> loads = {SkewedLoads(GetParam()),
+                                    SkewedLoads(GetParam() + 1000)};
+  const auto plan = PlanRebalance(current, loads, kOptions);
+  ASSERT_TRUE(plan.has_value());
+  EXPECT_LT(plan->slowest_after, 1.5);
+  EXPECT_LT(plan->slowest_after, plan->slowest_before);
+  for (size_t layer = 0; layer < current.size(); ++layer) {
+    const ExpertMap& map = plan->maps[layer];
+    EXPECT_TRUE(placement::Check({.ranks = kRanks,
+                                  .experts = kExperts,
+                                  .slots_per_rank = kOptions.slots_per_rank},
+                                 map)
+                    .empty());
+    for (int rank = 0; rank < kRanks; ++rank) {
+      const auto& before = current[layer].ranks[rank];
+      const auto added = std::count_if(
+          map.ranks[rank].begin(), map.ranks[rank].end(), [&](int expert) {
+            return std::find(before.begin(), before.end(), expert) ==
+                   before.end();
+          });
+      EXPECT_LE(added, kOptions.max_new_per_rank);
+    }
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, RebalanceTest, testing::Range<uint64_t>(1, 21));
+
+TEST(RebalanceTest, EvenDemandMovesNothing) {
+  EXPECT_FALSE(PlanRebalance({FirstMap()}, {Loads(kExperts, 1.0)}, kOptions)
+                   .has_value());
+}
+
+// The load that it answers: the popular experts change every few seconds. After
+// each change two switches must bring the slowest rank near the mean, and the
+// copies stay under those of a map made anew.
+TEST(RebalanceTest, FollowsShiftingDemand) {
+  std::vector<ExpertMap> maps = {FirstMap()};
+  int moves = 0;
+  for (uint64_t shift = 1; shift <= 20; ++shift) {
+    const std::vector<Loads> loads = {SkewedLoads(shift)};
+    for (int round = 0; round < 2; ++round) {
+      if (const auto plan = PlanRebalance(maps, loads, kOptions)) {
+        maps = plan->maps;
+        moves += plan->moves;
+      }
+    }
+    EXPECT_LT(MeanSlowest(maps, loads), 1.35) << "shift " << shift;
+  }
+  EXPECT_LT(moves, 20 * kRanks * kOptions.slots_per_rank / 2);
+}
+
+}  // namespace
+}  // namespace wagtailshore::expert_demand
