--- a/packages/daemon/gateway/gateway.h
+++ b/packages/daemon/gateway/gateway.h
@@ -23,6 +23,10 @@
 
   // Opens the addresses; fails when one cannot be bound.
   absl::Status Start(const std::string& metrics_address);
+  // The port for callers; only after Start().
+  uint16_t caller_port() const { return listener_->port(); }
+  // Whether the balancer may send callers here.
+  bool IsReady() const;
   // Refuses readiness, lets what is in flight end, then stops the loop.
   void Drain();
 
@@ -39,7 +43,6 @@
   void Accept(int descriptor);
   void OnFleet(const fleet::FleetChange& change);
   void EndRun(http_channel::CallerChannel& channel);
-  bool IsReady() const;
   std::string Metrics();
   void StopWhenIdle(common::Time latest);
 
--- a/packages/transport/event_loop/event_loop.cc
+++ b/packages/transport/event_loop/event_loop.cc
@@ -178,6 +178,7 @@
   }
 
   void Run() {
+    stopped_ = false;
     while (!stopped_) {
       ACE_Time_Value wait = WaitTime();
       reactor_.handle_events(wait);
--- a/packages/transport/event_loop/event_loop.h
+++ b/packages/transport/event_loop/event_loop.h
@@ -61,7 +61,7 @@
   // Calls `handler` on the loop's thread after the process got `signal`.
   void OnSignal(int signal, std::function<void()> handler);
 
-  // Returns after Stop().
+  // Returns after Stop(); may be called again then.
   void Run();
   void Stop();
 
--- a/packages/transport/stream_socket/listener.cc
+++ b/packages/transport/stream_socket/listener.cc
@@ -1,5 +1,6 @@
 #include "transport/stream_socket/listener.h"
 
+#include <arpa/inet.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -62,6 +63,13 @@
   close(descriptor_);
 }
 
+uint16_t Listener::port() const {
+  sockaddr_in address{};
+  socklen_t length = sizeof(address);
+  getsockname(descriptor_, reinterpret_cast<sockaddr*>(&address), &length);
+  return ntohs(address.sin_port);
+}
+
 void Listener::OnReadable() {
   for (int i = 0; i < kAcceptsPerWake; ++i) {
     const int accepted =
--- a/packages/transport/stream_socket/listener.h
+++ b/packages/transport/stream_socket/listener.h
@@ -1,6 +1,7 @@
 #ifndef TRANSPORT_STREAM_SOCKET_LISTENER_H_
 #define TRANSPORT_STREAM_SOCKET_LISTENER_H_
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -25,6 +26,9 @@
   Listener(const Listener&) = delete;
   Listener& operator=(const Listener&) = delete;
 
+  // The port that is listened on, also when it was chosen by the kernel.
+  uint16_t port() const;
+
   void OnReadable() override;
   void OnWritable() override {}
 
--- /dev/null
+++ b/tests/unit/daemon/gateway/gateway_test.cc
@@ -0,0 +1,294 @@
+#include "daemon/gateway/gateway.h"
+
+#include <gtest/gtest.h>
+
+#include "common/strings.h"
+#include "support/hosted_world.h"
+
+namespace wagtailshore::hosted_world {
+namespace {
+
+// A caller's answer, and how often its request reached an endpoint, for one
+// behaviour of the first endpoint that gets it; all later attempts succeed.
+struct FaultCase {
+  const char* name;
+  const char* path;
+  std::function<Reply(const Received&)> first;
+  int status;
+  bool whole;
+  size_t arrivals;
+};
+
+class FirstAttemptTest : public testing::TestWithParam<FaultCase> {};
+
+TEST_P(FirstAttemptTest, AnswerIsWholeAndPromisesAreTrue) {
+  const FaultCase& param = GetParam();
+  HostedWorld world(2);
+  int attempts = 0;
+  world.Script([&](const Received& request) {
+    if (++attempts == 1) {
+      return param.first(request);
+    }
+    return std::string_view(param.path).starts_with("/stream/")
+               ? Stream(request, 0, 4)
+               : Plain(request, 200, "ok");
+  });
+  const CallerAnswer answer = world.Ask({.path = param.path});
+  EXPECT_EQ(answer.status, param.status);
+  EXPECT_EQ(answer.whole, param.whole);
+  EXPECT_EQ(world.arrivals(), param.arrivals);
+  if (answer.status == 200 && answer.whole) {
+    EXPECT_NE(answer.headers.Find("X-Wagtailshore-Server-Seal"), nullptr);
+  }
+  if (answer.status == 503) {
+    EXPECT_NE(answer.headers.Find("Retry-After"), nullptr);
+  }
+}
+
+Reply Ok(const Received& request) {
+  return Plain(request, 200, "ok");
+}
+Reply Error(const Received& request) {
+  return Plain(request, 500, "error");
+}
+Reply ResetAtOnce(const Received&) {
+  return {.reset = true};
+}
+Reply CutBody(const Received& request) {
+  return {.bytes = common::StrCat(HeadOf(request, 200, "Content-Length: 9\r\n"),
+                                  "\r\nabc"),
+          .reset = true};
+}
+Reply NoBytesOfHttp(const Received&) {
+  return {.bytes = "garbage\r\n\r\n"};
+}
+Reply WithoutSeal(const Received& request) {
+  const std::string* id =
+      request.head.headers.Find("X-Wagtailshore-Attempt-Id");
+  return {.bytes = common::StrCat(
+              "HTTP/1.1 200 OK\r\nX-Wagtailshore-Attempt-Id: ", *id,
+              "\r\nContent-Length: 2\r\n\r\nok")};
+}
+Reply BareRefusal(const Received& request) {
+  return Plain(request, 503, "");
+}
+Reply AnothersAnswerFirst(const Received& request) {
+  Received other = request;
+  other.head.headers.Set("X-Wagtailshore-Attempt-Id", "another");
+  return {.bytes = Plain(other, 200, "not yours").bytes +
+                   Plain(request, 200, "ok").bytes};
+}
+Reply SecondAnswerAfterIt(const Received& request) {
+  return {.bytes = Plain(request, 200, "ok").bytes +
+                   Plain(request, 200, "again").bytes};
+}
+Reply UntilClose(const Received& request) {
+  return {.bytes = common::StrCat(HeadOf(request, 200, ""), "\r\nok"),
+          .close = true};
+}
+Reply UntilReset(const Received& request) {
+  return {.bytes = common::StrCat(HeadOf(request, 200, ""), "\r\nok"),
+          .reset = true};
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Faults,
+    FirstAttemptTest,
+    testing::Values(
+        FaultCase{"Safe", "/safe/x", Ok, 200, true, 1},
+        FaultCase{"SafeError", "/safe/x", Error, 200, true, 2},
+        FaultCase{"SafeReset", "/safe/x", ResetAtOnce, 200, true, 2},
+        FaultCase{"SafeCut", "/safe/x", CutBody, 200, true, 2},
+        FaultCase{"SafeGarbage", "/safe/x", NoBytesOfHttp, 200, true, 2},
+        FaultCase{"SafeUnsealed", "/safe/x", WithoutSeal, 200, true, 2},
+        FaultCase{"SafeRefused", "/safe/x", Refusal, 200, true, 2},
+        FaultCase{"SafeUntilClose", "/safe/x", UntilClose, 200, true, 1},
+        FaultCase{"SafeUntilReset", "/safe/x", UntilReset, 200, true, 2},
+        FaultCase{"Once", "/once/x", Ok, 200, true, 1},
+        FaultCase{"OnceError", "/once/x", Error, 500, true, 1},
+        FaultCase{"OnceReset", "/once/x", ResetAtOnce, 502, true, 1},
+        FaultCase{"OnceCut", "/once/x", CutBody, 502, true, 1},
+        FaultCase{"OnceUnsealed", "/once/x", WithoutSeal, 502, true, 1},
+        FaultCase{"OnceRefused", "/once/x", Refusal, 503, true, 1},
+        FaultCase{"OnceBareRefusal", "/once/x", BareRefusal, 502, true, 1},
+        FaultCase{"OnceForeign", "/once/x", AnothersAnswerFirst, 200, true, 1},
+        FaultCase{"OnceExtra", "/once/x", SecondAnswerAfterIt, 200, true, 1},
+        FaultCase{
+            "StreamCutEarly", "/stream/x",
+            [](const Received& request) { return CutStream(request, 0, -1); },
+            200, true, 2}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+TEST(GatewayTest, CutStreamGoesOnAtItsNextEvent) {
+  HostedWorld world(2);
+  world.Script([](const Received& request) {
+    const std::string* after = request.head.headers.Find("Last-Event-Id");
+    return after == nullptr ? CutStream(request, 0, 2)
+                            : Stream(request, std::stoi(*after) + 1, 5);
+  });
+  const CallerAnswer answer = world.Ask({.path = "/stream/x"});
+  EXPECT_EQ(answer.status, 200);
+  EXPECT_TRUE(answer.whole);
+  std::string expected;
+  for (int id = 0; id <= 5; ++id) {
+    expected += common::StrCat("id: ", id, "\ndata: x\n\n");
+  }
+  EXPECT_EQ(answer.body, expected);
+}
+
+// A stream that cannot be resumed must not look complete, and nothing else may
+// be written into it.
+TEST(GatewayTest, StreamThatCannotGoOnIsBroken) {
+  HostedWorld world(2);
+  world.Script([](const Received& request) {
+    return request.head.headers.Find("Last-Event-Id") == nullptr
+               ? CutStream(request, 0, 2)
+               : Refusal(request);
+  });
+  const CallerAnswer answer = world.Ask({.path = "/stream/x"});
+  EXPECT_EQ(answer.status, 200);
+  EXPECT_FALSE(answer.whole);
+  EXPECT_EQ(answer.body.find("HTTP"), std::string::npos);
+}
+
+TEST(GatewayTest, EventsThatAreMissingBreakTheStream) {
+  HostedWorld world(1);
+  world.Script([](const Received& request) {
+    return Reply{.bytes = common::StrCat(
+                     HeadOf(request, 200, "Transfer-Encoding: chunked\r\n"),
+                     "\r\n", Events(0, 1), Events(3, 4), "0\r\n\r\n")};
+  });
+  EXPECT_FALSE(world.Ask({.path = "/stream/x"}).whole);
+}
+
+// What a group refuses for the lack of a rank, its other ranks refuse too.
+TEST(GatewayTest, StalledGroupIsNotAskedTwice) {
+  HostedWorld world(2);
+  world.Script([](const Received& request) {
+    return Reply{.bytes = common::StrCat(
+                     HeadOf(request, 503,
+                            "X-Wagtailshore-Not-Executed: 1\r\nAt-Server: "
+                            "10.0.0.1:1\r\nContent-Length: 0\r\n"),
+                     "\r\n")};
+  });
+  const CallerAnswer answer = world.Ask({.path = "/stream/x"});
+  EXPECT_EQ(answer.status, 503);
+  EXPECT_EQ(world.arrivals(), 1U);
+  EXPECT_GE(std::stod(*answer.headers.Find("Retry-After")), 1.0);
+}
+
+TEST(GatewayTest, UnreachableEndpointIsPassedOver) {
+  HostedWorld world(1);
+  world.store().SetEndpoint("dead", {{"service", "s"},
+                                     {"address", "127.0.0.1:1"},
+                                     {"zone", "z"},
+                                     {"slots", 4},
+                                     {"state", "ready"}});
+  for (int i = 0; i < 8; ++i) {
+    EXPECT_EQ(
+        world.Ask({.path = "/once/x", .id = common::StrCat("a", i)}).status,
+        200);
+  }
+  EXPECT_EQ(world.arrivals(), 8U);
+}
+
+struct OwnAnswerCase {
+  const char* name;
+  CallerRequestOptions options;
+  int status;
+};
+
+class OwnAnswerTest : public testing::TestWithParam<OwnAnswerCase> {};
+
+TEST_P(OwnAnswerTest, IsGivenWithoutAnEndpoint) {
+  HostedWorld world(1);
+  EXPECT_EQ(world.Ask(GetParam().options).status, GetParam().status);
+  EXPECT_EQ(world.arrivals(), 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Requests,
+    OwnAnswerTest,
+    testing::Values(OwnAnswerCase{"UnknownKey", {.key = "stranger"}, 401},
+                    OwnAnswerCase{"UnknownPath", {.path = "/none/x"}, 404}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+TEST(GatewayTest, RevokedKeyIsRefusedOnceTheChangeIsKnown) {
+  HostedWorld world(1);
+  EXPECT_EQ(world.Ask({.key = "other"}).status, 200);
+  nlohmann::json configuration = HostedWorld::Configuration(2);
+  configuration["tenants"][0]["api_keys"] = {"key"};
+  world.store().SetConfiguration(configuration);
+  EXPECT_TRUE(world.RunUntil(
+      [&] { return world.Ask({.key = "other"}).status == 401; }));
+  EXPECT_EQ(world.Ask({.key = "key"}).status, 200);
+}
+
+TEST(GatewayTest, OlderConfigurationDoesNotComeBack) {
+  HostedWorld world(1);
+  nlohmann::json configuration = HostedWorld::Configuration(5);
+  configuration["routes"].erase(0);
+  world.store().SetConfiguration(configuration);
+  ASSERT_TRUE(world.RunUntil([&] { return world.Ask({}).status == 404; }));
+  const int calls = world.store().calls();
+  world.store().SetConfiguration(HostedWorld::Configuration(4));
+  ASSERT_TRUE(
+      world.RunUntil([&] { return world.store().calls() > calls + 2; }));
+  EXPECT_EQ(world.Ask({}).status, 404);
+}
+
+// With the store away nobody can know that a key still holds.
+TEST(GatewayTest, KeysAreNotTrustedForLongWithoutTheStore) {
+  HostedWorld world(1, common::milliseconds(900));
+  EXPECT_EQ(world.Ask({}).status, 200);
+  world.store().set_down(true);
+  ASSERT_TRUE(world.RunUntil([&] { return world.Ask({}).status == 503; }));
+  const size_t arrivals = world.arrivals();
+  EXPECT_EQ(world.Ask({}).status, 503);
+  EXPECT_EQ(world.arrivals(), arrivals);
+  world.store().set_down(false);
+  EXPECT_TRUE(world.RunUntil([&] { return world.Ask({}).status == 200; }));
+}
+
+TEST(GatewayTest, CallerWhoLeavesTakesItsRequestBack) {
+  HostedWorld world(1);
+  world.Script([](const Received&) { return Reply{}; });
+  world.AskAndLeave({.path = "/safe/x"}, common::milliseconds(50));
+  EXPECT_TRUE(world.RunUntil([&] { return world.endpoint(0).closed() > 0; }));
+  EXPECT_EQ(world.arrivals(), 1U);
+}
+
+TEST(GatewayTest, SilentEndpointEndsWithTheRoutesTimeout) {
+  HostedWorld world(1);
+  world.Script([](const Received&) { return Reply{}; });
+  EXPECT_EQ(world.Ask({.path = "/once/x"}).status, 504);
+}
+
+TEST(GatewayTest, EndpointsConnectionsAreReused) {
+  HostedWorld world(1);
+  for (int i = 0; i < 5; ++i) {
+    EXPECT_EQ(world.Ask({.id = common::StrCat("a", i)}).status, 200);
+  }
+  EXPECT_EQ(world.endpoint(0).closed(), 0);
+}
+
+TEST(GatewayTest, DrainingEndpointGetsNoMoreWork) {
+  HostedWorld world(2);
+  world.store().SetEndpoint("e0", {{"service", "s"},
+                                   {"address", world.endpoint(0).address()},
+                                   {"zone", "z"},
+                                   {"slots", 4},
+                                   {"state", "draining"},
+                                   {"born", 1}});
+  const int calls = world.store().calls();
+  ASSERT_TRUE(
+      world.RunUntil([&] { return world.store().calls() > calls + 40; }));
+  const size_t before = world.endpoint(0).received().size();
+  for (int i = 0; i < 6; ++i) {
+    EXPECT_EQ(world.Ask({.id = common::StrCat("a", i)}).status, 200);
+  }
+  EXPECT_EQ(world.endpoint(0).received().size(), before);
+}
+
+}  // namespace
+}  // namespace wagtailshore::hosted_world
