--- a/tests/unit/coordination/map_coordinator/fake_group.cc
+++ b/tests/unit/coordination/map_coordinator/fake_group.cc
@@ -14,9 +14,8 @@
     : ranks_(ranks), copy_time_(copy_time) {}
 
 bool FakeGroup::IsHeld(uint64_t step) const {
-  return std::any_of(ranks_.begin(), ranks_.end(), [step](const Rank& rank) {
-    return rank.held == step;
-  });
+  return std::any_of(ranks_.begin(), ranks_.end(),
+                     [step](const Rank& rank) { return rank.held == step; });
 }
 
 bool FakeGroup::Advance(common::Time now) {
@@ -53,9 +52,8 @@
 }
 
 bool FakeGroup::armed() const {
-  return std::any_of(ranks_.begin(), ranks_.end(), [](const Rank& rank) {
-    return rank.armed.has_value();
-  });
+  return std::any_of(ranks_.begin(), ranks_.end(),
+                     [](const Rank& rank) { return rank.armed.has_value(); });
 }
 
 void FakeGroup::Reform() {
@@ -90,8 +88,8 @@
   if (order.epoch != epoch_) {
     return OrderOutcome::kConflict;
   }
-  return std::visit(
-      [&](const auto& body) { return Apply(rank, body, now); }, order.body);
+  return std::visit([&](const auto& body) { return Apply(rank, body, now); },
+                    order.body);
 }
 
 OrderOutcome FakeGroup::Apply(Rank& rank,
@@ -124,7 +122,9 @@
   return OrderOutcome::kAccepted;
 }
 
-OrderOutcome FakeGroup::Apply(Rank& rank, const DisarmMap& order, common::Time) {
+OrderOutcome FakeGroup::Apply(Rank& rank,
+                              const DisarmMap& order,
+                              common::Time) {
   if (rank.map == order.version) {
     return OrderOutcome::kConflict;
   }
--- a/tests/unit/coordination/map_coordinator/map_coordinator_test.cc
+++ b/tests/unit/coordination/map_coordinator/map_coordinator_test.cc
@@ -52,8 +52,8 @@
         events_.pop();
         run();
       }
-      ASSERT_TRUE(group_.Advance(now_)) << "step " << group_.step()
-                                        << " begins with two maps";
+      ASSERT_TRUE(group_.Advance(now_))
+          << "step " << group_.step() << " begins with two maps";
       maps_used_.insert(group_.map_version());
       longest_hold_ = std::max(longest_hold_, group_.held_for(now_));
       Disturb();
@@ -86,7 +86,8 @@
     return std::uniform_real_distribution<double>(0, 1)(random_) < share;
   }
   void At(common::Duration delay, std::function<void()> run) {
-    events_.push({.at = now_ + delay, .order = ++events_made_, .run = std::move(run)});
+    events_.push(
+        {.at = now_ + delay, .order = ++events_made_, .run = std::move(run)});
   }
 
   void NewCoordinator() {
@@ -141,7 +142,8 @@
     }
     At(kDelay, [this, to, rank] {
       const RankReport report = group_.Report(rank, now_);
-      At(kDelay, [this, to, rank, report] { to->OnReport(rank, report, now_); });
+      At(kDelay,
+         [this, to, rank, report] { to->OnReport(rank, report, now_); });
     });
   }
 
@@ -185,8 +187,8 @@
 
 class MapCoordinatorRunTest : public testing::TestWithParam<FaultMix> {};
 
-// Two minutes with each of ten seeds; a group is never held longer than a takeover and a few
-// repeated orders take.
+// Two minutes with each of ten seeds; a group is never held longer than a
+// takeover and a few repeated orders take.
 TEST_P(MapCoordinatorRunTest, NoStepHasTwoMapsAndNoHoldStays) {
   for (uint64_t seed = 1; seed <= 10; ++seed) {
     FaultMix faults = GetParam();
@@ -205,25 +207,24 @@
 INSTANTIATE_TEST_SUITE_P(
     Faults,
     MapCoordinatorRunTest,
-    testing::Values(
-        FaultMix{.name = "Calm"},
-        FaultMix{.name = "LateOrders", .late = 0.35},
-        FaultMix{.name = "LostAnswers", .unanswered = 0.35},
-        FaultMix{.name = "LostReports", .lost_reports = 0.5},
-        FaultMix{.name = "Kills", .late = 0.1, .kills = 10},
-        FaultMix{.name = "Reforms", .late = 0.1, .reforms = 6},
-        FaultMix{.name = "Overlapping",
-                 .late = 0.1,
-                 .unanswered = 0.1,
-                 .kills = 10,
-                 .overlapping = true},
-        FaultMix{.name = "Everything",
-                 .late = 0.2,
-                 .unanswered = 0.1,
-                 .lost_reports = 0.2,
-                 .kills = 8,
-                 .reforms = 3,
-                 .overlapping = true}),
+    testing::Values(FaultMix{.name = "Calm"},
+                    FaultMix{.name = "LateOrders", .late = 0.35},
+                    FaultMix{.name = "LostAnswers", .unanswered = 0.35},
+                    FaultMix{.name = "LostReports", .lost_reports = 0.5},
+                    FaultMix{.name = "Kills", .late = 0.1, .kills = 10},
+                    FaultMix{.name = "Reforms", .late = 0.1, .reforms = 6},
+                    FaultMix{.name = "Overlapping",
+                             .late = 0.1,
+                             .unanswered = 0.1,
+                             .kills = 10,
+                             .overlapping = true},
+                    FaultMix{.name = "Everything",
+                             .late = 0.2,
+                             .unanswered = 0.1,
+                             .lost_reports = 0.2,
+                             .kills = 8,
+                             .reforms = 3,
+                             .overlapping = true}),
     [](const auto& info) { return std::string(info.param.name); });
 
 TEST(MapCoordinatorTest, CalmGroupIsNeverHeldAtItsStep) {
--- a/tests/unit/coordination/retry_window/retry_window_test.cc
+++ b/tests/unit/coordination/retry_window/retry_window_test.cc
@@ -18,8 +18,7 @@
 }
 
 TEST(RetryWindowTest, BudgetComesBackWhenTheWindowHasPassed) {
-  RetryWindow window(
-      {.window = common::seconds(10), .ratio = 0, .reserve = 1});
+  RetryWindow window({.window = common::seconds(10), .ratio = 0, .reserve = 1});
   EXPECT_TRUE(window.TryTake(kStart));
   EXPECT_FALSE(window.TryTake(kStart + common::milliseconds(9999)));
   EXPECT_TRUE(window.TryTake(kStart + common::seconds(10)));
@@ -36,7 +35,8 @@
   std::vector<common::Time> retries;
   common::Time now = kStart;
   for (int i = 0; i < 3000; ++i) {
-    now += common::milliseconds(std::uniform_int_distribution<int>(1, 60)(random));
+    now +=
+        common::milliseconds(std::uniform_int_distribution<int>(1, 60)(random));
     window.OnRequest(now);
     requests.push_back(now);
     if (window.TryTake(now)) {
@@ -48,7 +48,8 @@
       return at <= last && at > last - kOptions.window;
     };
     const auto taken = std::count_if(retries.begin(), retries.end(), in_window);
-    const auto seen = std::count_if(requests.begin(), requests.end(), in_window);
+    const auto seen =
+        std::count_if(requests.begin(), requests.end(), in_window);
     EXPECT_LE(static_cast<double>(taken),
               kOptions.reserve + kOptions.ratio * static_cast<double>(seen));
   }
--- a/tests/unit/platform/engine_test.cc
+++ b/tests/unit/platform/engine_test.cc
@@ -44,15 +44,16 @@
   EXPECT_TRUE(absl::IsNotFound(
       DecodeEngineState({.status = 200, .body = "{}"}).status()));
   EXPECT_FALSE(DecodeEngineState({.status = 503}).ok());
-  EXPECT_FALSE(DecodeCounts({.status = 200, .body = R"({"counts":[-1]})"}).ok());
+  EXPECT_FALSE(
+      DecodeCounts({.status = 200, .body = R"({"counts":[-1]})"}).ok());
 }
 
 TEST(EngineTest, OrderNamesEpochAndFencingNumber) {
-  const http_channel::Call call = EngineOrderCall(
-      {.rank = 1,
-       .epoch = 4,
-       .generation = 9,
-       .body = map_coordinator::HoldStep{.step = 30}});
+  const http_channel::Call call =
+      EngineOrderCall({.rank = 1,
+                       .epoch = 4,
+                       .generation = 9,
+                       .body = map_coordinator::HoldStep{.step = 30}});
   const json body = json::parse(call.body);
   EXPECT_EQ(body.at("operation"), "retention");
   EXPECT_EQ(body.at("step"), 30);
@@ -68,9 +69,9 @@
 class OrderOutcomeTest : public testing::TestWithParam<OutcomeCase> {};
 
 TEST_P(OrderOutcomeTest, StatusesAreRead) {
-  EXPECT_EQ(DecodeOrderOutcome(
-                http_channel::CallAnswer{.status = GetParam().status}),
-            GetParam().outcome);
+  EXPECT_EQ(
+      DecodeOrderOutcome(http_channel::CallAnswer{.status = GetParam().status}),
+      GetParam().outcome);
 }
 
 INSTANTIATE_TEST_SUITE_P(
--- a/tests/unit/platform/requests_test.cc
+++ b/tests/unit/platform/requests_test.cc
@@ -15,14 +15,14 @@
 }
 
 TEST(RequestsTest, FieldsAreDecodedOnce) {
-  const auto request = DecodeCallerRequest(
-      HeadOf({{"Host", "h"},
-              {"X-Wagtailshore-Attempt-Id", "a1"},
-              {"X-Wagtailshore-Deadline-Ms", "1500"},
-              {"X-Wagtailshore-Token-Count", "1460,80"},
-              {"Last-Event-Id", "12"},
-              {"Authorization", "Token secret"}}),
-      "body");
+  const auto request =
+      DecodeCallerRequest(HeadOf({{"Host", "h"},
+                                  {"X-Wagtailshore-Attempt-Id", "a1"},
+                                  {"X-Wagtailshore-Deadline-Ms", "1500"},
+                                  {"X-Wagtailshore-Token-Count", "1460,80"},
+                                  {"Last-Event-Id", "12"},
+                                  {"Authorization", "Token secret"}}),
+                          "body");
   EXPECT_EQ(request.attempt_id, "a1");
   EXPECT_EQ(request.host, "h");
   EXPECT_EQ(request.time_left, common::milliseconds(1500));
@@ -34,19 +34,19 @@
 
 // What a caller sends must not pass for what the system says.
 TEST(RequestsTest, ForwardedHeadersAreTheSystemsOwn) {
-  const auto request = DecodeCallerRequest(
-      HeadOf({{"Host", "h"},
-              {"X-Wagtailshore-Attempt-Id", "a1"},
-              {"X-Wagtailshore-Tenant", "forged"},
-              {"x-wagtailshore-expect-instance", "forged"},
-              {"X-Wagtailshore-Request-Priority", "0"},
-              {"X-Wagtailshore-Expect-Version", "9"},
-              {"X-Wagtailshore-Model", "m"},
-              {"Authorization", "Token secret"},
-              {"Connection", "keep-alive, X-Hop"},
-              {"X-Hop", "1"},
-              {"X-Other", "kept"}}),
-      "body");
+  const auto request =
+      DecodeCallerRequest(HeadOf({{"Host", "h"},
+                                  {"X-Wagtailshore-Attempt-Id", "a1"},
+                                  {"X-Wagtailshore-Tenant", "forged"},
+                                  {"x-wagtailshore-expect-instance", "forged"},
+                                  {"X-Wagtailshore-Request-Priority", "0"},
+                                  {"X-Wagtailshore-Expect-Version", "9"},
+                                  {"X-Wagtailshore-Model", "m"},
+                                  {"Authorization", "Token secret"},
+                                  {"Connection", "keep-alive, X-Hop"},
+                                  {"X-Hop", "1"},
+                                  {"X-Other", "kept"}}),
+                          "body");
   const std::string text =
       EncodeForwarded(request, {.endpoint_id = "i-1",
                                 .customer = "c",
@@ -62,9 +62,9 @@
   EXPECT_EQ(*headers.Find("X-Wagtailshore-Attempt-Id"), "a1");
   EXPECT_EQ(*headers.Find("X-Wagtailshore-Model"), "m");
   EXPECT_EQ(*headers.Find("X-Other"), "kept");
-  for (const char* name : {"Authorization", "X-Hop", "Connection",
-                           "X-Wagtailshore-Expect-Version",
-                           "X-Wagtailshore-Request-Priority"}) {
+  for (const char* name :
+       {"Authorization", "X-Hop", "Connection", "X-Wagtailshore-Expect-Version",
+        "X-Wagtailshore-Request-Priority"}) {
     EXPECT_EQ(headers.Find(name), nullptr) << name;
   }
   EXPECT_EQ(progress->body, "body");
@@ -100,16 +100,19 @@
 INSTANTIATE_TEST_SUITE_P(
     Answers,
     EndpointAnswerTest,
-    testing::Values(
-        AnswerCase{"Sealed", 200, {{"X-Wagtailshore-Server-Seal", "s"}}, true, false},
-        AnswerCase{"Bare", 200, {}, false, false},
-        AnswerCase{"Refused",
-                   503,
-                   {{"X-Wagtailshore-Not-Executed", "1"}},
-                   false,
-                   true},
-        AnswerCase{"BareRefusal", 503, {}, false, false},
-        AnswerCase{"Misdirected", 421, {}, false, true}),
+    testing::Values(AnswerCase{"Sealed",
+                               200,
+                               {{"X-Wagtailshore-Server-Seal", "s"}},
+                               true,
+                               false},
+                    AnswerCase{"Bare", 200, {}, false, false},
+                    AnswerCase{"Refused",
+                               503,
+                               {{"X-Wagtailshore-Not-Executed", "1"}},
+                               false,
+                               true},
+                    AnswerCase{"BareRefusal", 503, {}, false, false},
+                    AnswerCase{"Misdirected", 421, {}, false, true}),
     [](const auto& info) { return std::string(info.param.name); });
 
 TEST(RequestsTest, LoadAndIdleTimeAreRead) {
--- a/tests/unit/platform/store_test.cc
+++ b/tests/unit/platform/store_test.cc
@@ -20,16 +20,16 @@
 }
 
 http_channel::CallAnswer AnswerOf(const json& rows) {
-  return {.status = 200,
-          .body = json{{"rows", rows}, {"row_version", 90}, {"now_ms", 1}}
-                      .dump()};
+  return {
+      .status = 200,
+      .body = json{{"rows", rows}, {"row_version", 90}, {"now_ms", 1}}.dump()};
 }
 
 // A feed tells every change in order; the configuration in force is the last.
 TEST(StoreTest, LatestOfSeveralChangesIsTheConfiguration) {
-  const auto rows = DecodeRows(AnswerOf(
-      {RowOf("config", "old", 24), RowOf("other", "x", 25),
-       RowOf("config", "new", 28)}));
+  const auto rows =
+      DecodeRows(AnswerOf({RowOf("config", "old", 24), RowOf("other", "x", 25),
+                           RowOf("config", "new", 28)}));
   ASSERT_TRUE(rows.ok());
   EXPECT_EQ(rows->revision, 90U);
   ASSERT_NE(FindConfiguration(*rows), nullptr);
@@ -54,10 +54,9 @@
 class RowsStatusTest : public testing::TestWithParam<StatusCase> {};
 
 TEST_P(RowsStatusTest, RefusalsAreToldApart) {
-  EXPECT_EQ(DecodeRows({.status = GetParam().status, .body = "{}"})
-                .status()
-                .code(),
-            GetParam().code);
+  EXPECT_EQ(
+      DecodeRows({.status = GetParam().status, .body = "{}"}).status().code(),
+      GetParam().code);
 }
 
 INSTANTIATE_TEST_SUITE_P(
@@ -88,11 +87,13 @@
          {"route_kind", "streaming"},
          {"timeout_ms", 8000},
          {"traffic_split",
-          {{{"service", "a"}, {"weight", 90}}, {{"service", "b"}, {"weight", 10}}}},
+          {{{"service", "a"}, {"weight", 90}},
+           {{"service", "b"}, {"weight", 10}}}},
          {"max_attempts", 2},
          {"stream_resume", true}}}},
       {"services",
-       {{{"name", "a"}, {"engine", {{"sets", 4}, {"experts", 72}, {"placements", 8}}}}}},
+       {{{"name", "a"},
+         {"engine", {{"sets", 4}, {"experts", 72}, {"placements", 8}}}}}},
       {"limits", {{"max_body_bytes", 1000}, {"idle_timeout_ms", 15000}}},
       {"tenants", {{{"name", "t"}, {"api_keys", {"k"}}, {"priority", 1}}}}};
   const auto configuration = DecodeConfiguration(text.dump());
@@ -115,8 +116,8 @@
 class BadConfigurationTest : public testing::TestWithParam<BadTextCase> {};
 
 TEST_P(BadConfigurationTest, IsRefused) {
-  EXPECT_TRUE(absl::IsInvalidArgument(
-      DecodeConfiguration(GetParam().text).status()));
+  EXPECT_TRUE(
+      absl::IsInvalidArgument(DecodeConfiguration(GetParam().text).status()));
 }
 
 INSTANTIATE_TEST_SUITE_P(
@@ -153,9 +154,8 @@
         BadTextCase{"NumberForText",
                     R"({"service":3,"address":"1.2.3.4:5","zone":"z",)"
                     R"("slots":1,"state":"ready"})"},
-        BadTextCase{"NoAddress",
-                    R"({"service":"s","zone":"z","slots":1,)"
-                    R"("state":"ready"})"}),
+        BadTextCase{"NoAddress", R"({"service":"s","zone":"z","slots":1,)"
+                                 R"("state":"ready"})"}),
     [](const auto& info) { return std::string(info.param.name); });
 
 TEST(StoreTest, EndpointIsDecoded) {
--- a/tests/unit/protocol/http1/message_reader_test.cc
+++ b/tests/unit/protocol/http1/message_reader_test.cc
@@ -72,8 +72,7 @@
 
 // What two readers could take differently hides requests in others.
 TEST_P(BadRequestTest, IsRefused) {
-  RequestReader reader(
-      {.max_header_bytes = 256, .max_body_bytes = 8});
+  RequestReader reader({.max_header_bytes = 256, .max_body_bytes = 8});
   const auto progress = reader.Read(GetParam().text);
   ASSERT_FALSE(progress.ok());
   EXPECT_EQ(ReadErrorOf(progress.status()), GetParam().error);
--- a/tests/unit/state/expert_demand/expert_demand_test.cc
+++ b/tests/unit/state/expert_demand/expert_demand_test.cc
@@ -42,9 +42,8 @@
 }
 
 TEST(ExpertDemandTest, OldChoicesFade) {
-  ExpertDemand demand({.layers = 1,
-                       .experts = 1,
-                       .half_life = common::milliseconds(200)});
+  ExpertDemand demand(
+      {.layers = 1, .experts = 1, .half_life = common::milliseconds(200)});
   demand.OnCounts(0, 1, {0}, kStart);
   demand.OnCounts(0, 1, {100}, kStart);
   demand.OnCounts(0, 1, {100}, kStart + common::milliseconds(400));
--- a/tests/unit/state/serving/route_table_test.cc
+++ b/tests/unit/state/serving/route_table_test.cc
@@ -8,7 +8,8 @@
 RouteTable* MakeTable() {
   Configuration configuration{.version = 3};
   for (const auto& [name, prefix] :
-       {std::pair("root", "/"), std::pair("a", "/a/"), std::pair("ab", "/a/b/")}) {
+       {std::pair("root", "/"), std::pair("a", "/a/"),
+        std::pair("ab", "/a/b/")}) {
     configuration.routes.push_back({.name = name,
                                     .host = "one.example",
                                     .prefix = prefix,
