--- a/packages/daemon/gateway/gateway.cc
+++ b/packages/daemon/gateway/gateway.cc
@@ -25,6 +25,10 @@
 // Without word of the store for this long, other gateways serve callers
 // better. Requests with keys are refused a little later.
 constexpr common::Duration kReadyAge = common::milliseconds(4000);
+// Part of the time within which a draining endpoint must be known that passes
+// between two readings of the list; the rest is for the reading itself.
+constexpr double kListShare = 0.7;
+
 // An unreachable endpoint is noticed within about a tenth of the latency that
 // callers expect.
 constexpr common::Duration kConnectTimeout = common::milliseconds(250);
@@ -99,7 +103,9 @@
       router_(RouterOptionsOf(settings_)),
       store_(loop,
              store_caller_,
-             {.store_address = settings_.store_address},
+             {.store_address = settings_.store_address,
+              .endpoints_period = std::chrono::duration_cast<common::Duration>(
+                  settings_.drain_bound * kListShare)},
              freshness_,
              fleet_,
              [this](const fleet::FleetChange& change) { OnFleet(change); }),
--- a/packages/daemon/gateway/store_watch.h
+++ b/packages/daemon/gateway/store_watch.h
@@ -20,10 +20,10 @@
 struct StoreWatchOptions {
   std::string store_address;
   // How long one wait for a configuration change lasts. Each wait that ends
-  // proves the configuration current, so it bounds the age of that proof.
-  common::Duration configuration_wait = common::milliseconds(1500);
-  // Time between readings of the endpoint list. A draining endpoint gets no
-  // work 2 s after the store heard of it, at the latest.
+  // proves the configuration current, so it bounds the age of that proof; half
+  // of the time that keys are trusted leaves room for one lost answer.
+  common::Duration configuration_wait = common::milliseconds(2400);
+  // Time between readings of the endpoint list.
   common::Duration endpoints_period = common::milliseconds(1000);
   // Longest wait for an answer that is due at once.
   common::Duration call_timeout = common::milliseconds(900);
@@ -60,6 +60,9 @@
   void AwaitConfiguration();
   void OnConfigurationAnswer(common::Time asked_at,
                              const http_channel::CallResult& result);
+  // A moment at which the store's answer was still true.
+  common::Time AnsweredAfter(common::Time asked_at,
+                             const platform::Rows& rows) const;
   void Adopt(const platform::Rows& rows);
   void ReadEndpoints(const std::string& start_key);
   void OnEndpointsAnswer(common::Time asked_at,
--- a/packages/state/serving/hosted_settings.h
+++ b/packages/state/serving/hosted_settings.h
@@ -26,6 +26,8 @@
   uint16_t peer_port = 0;
   // How long after its removal a key may still be accepted.
   common::Duration revocation_bound = common::seconds(5);
+  // How long after the store heard of it a draining endpoint may get work.
+  common::Duration drain_bound = common::seconds(2);
   // From the stop signal to the kill.
   common::Duration stop_grace = common::seconds(8);
   // Work that depends on a lost endpoint fails after this long.
