--- a/packages/transport/event_loop/event_loop.cc
+++ b/packages/transport/event_loop/event_loop.cc
@@ -95,6 +95,8 @@
       // With room for as many descriptors as the process may open.
       : reactor_(new ACE_Dev_Poll_Reactor, /*delete_implementation=*/true) {
     reactor_.owner(ACE_Thread::self());
+    // A signal does not end a wait; it is seen with the next event or timer.
+    reactor_.restart(1);
   }
 
   ~Impl() {
--- a/tests/e2e/child_process.cc
+++ b/tests/e2e/child_process.cc
@@ -53,13 +53,17 @@
 
 std::optional<int> ChildProcess::WaitForExit(common::Duration timeout) {
   const common::Time give_up = common::Clock::now() + timeout;
-  while (!exit_code_.has_value() && common::Clock::now() < give_up) {
+  // Looks once at least.
+  while (!exit_code_.has_value()) {
     int status = 0;
     if (waitpid(pid_, &status, WNOHANG) == pid_) {
       exit_code_ = WIFEXITED(status) ? WEXITSTATUS(status)
                                      : kSignalExitBase + WTERMSIG(status);
       break;
     }
+    if (common::Clock::now() >= give_up) {
+      break;
+    }
     std::this_thread::sleep_for(kPollPeriod);
   }
   return exit_code_;
--- /dev/null
+++ b/tests/soak/hosted_soak.cc
@@ -0,0 +1,473 @@
+// Plays random, overlapping faults against real gateways on loopback and checks
+// what callers and endpoints see. hosted_soak --seed=N --seconds=S
+// Prints the seed, what happened and every broken promise; exits with 1 then.
+
+#include <glog/logging.h>
+#include <signal.h>
+#include <tclap/CmdLine.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <random>
+
+#include "common/strings.h"
+#include "e2e/child_process.h"
+#include "protocol/http1/serialize.h"
+#include "soak/soak_ledger.h"
+#include "soak/tcp_proxy.h"
+#include "support/hosted_world.h"
+
+namespace wagtailshore::soak {
+namespace {
+
+using hosted_world::FakeEndpoint;
+using hosted_world::Received;
+using hosted_world::Reply;
+using nlohmann::json;
+
+constexpr int kGateways = 3;
+constexpr int kEndpoints = 4;
+constexpr int kCallers = 24;
+constexpr common::Duration kRevocationBound = common::milliseconds(2000);
+constexpr int kGraceSeconds = 4;
+// A callers' request waits this long at most.
+constexpr int kTimeLeftMs = 2500;
+// Time for everything to work again once faults have ended.
+constexpr common::Duration kRecovery = common::seconds(8);
+
+int FreePort(event_loop::EventLoop& loop) {
+  const auto listener =
+      stream_socket::Listener::Open(loop, "127.0.0.1:0", [](int) {});
+  return (*listener)->port();
+}
+
+// One gateway process, and the link that it reaches the store by.
+struct GatewayProcess {
+  std::string caller_address;
+  std::string settings_path;
+  std::unique_ptr<TcpProxy> store_link;
+  std::unique_ptr<e2e::ChildProcess> process;
+  // A signal of ours explains its end.
+  bool may_end = false;
+  bool stopped = false;
+};
+
+struct EndpointProcess {
+  std::string id;
+  int lives = 0;
+  std::unique_ptr<FakeEndpoint> server;
+  std::unique_ptr<TcpProxy> link;
+};
+
+class Caller final : public http_channel::ExchangeListener {
+ public:
+  http_channel::Ownership OnHead(const http1::ResponseHead& head) override {
+    answer.status = head.status;
+    return http_channel::Ownership::kOurs;
+  }
+  void OnBody(std::string_view data) override { answer.body += data; }
+  void OnComplete() override {
+    answer.whole = true;
+    busy = false;
+    channel = nullptr;
+  }
+  void OnFailed(const http_channel::ExchangeFailure&) override {
+    busy = false;
+    channel = nullptr;
+  }
+
+  std::string id;
+  hosted_world::CallerAnswer answer;
+  http_channel::EndpointChannel* channel = nullptr;
+  common::Time give_up_at{};
+  bool busy = false;
+};
+
+class Soak {
+ public:
+  Soak(uint64_t seed, const std::string& folder)
+      : folder_(folder), random_(seed), store_(loop_), pool_(loop_, {}) {
+    for (int i = 0; i < 6; ++i) {
+      keys_.push_back(common::StrCat("key", i));
+    }
+    Configure();
+    endpoints_.resize(kEndpoints);
+    for (int i = 0; i < kEndpoints; ++i) {
+      StartEndpoint(i);
+    }
+    gateways_.resize(kGateways);
+    for (GatewayProcess& gateway : gateways_) {
+      gateway.store_link = std::make_unique<TcpProxy>(loop_, store_.address());
+      gateway.caller_address = common::StrCat("127.0.0.1:", FreePort(loop_));
+      StartGateway(gateway);
+    }
+    callers_.resize(kCallers);
+  }
+
+  bool Run(common::Duration length) {
+    const common::Time start = loop_.Now();
+    RunFor(common::seconds(2));
+    while (loop_.Now() < start + length) {
+      BeginFault();
+      RunFor(common::milliseconds(Pick(50, 500)));
+    }
+    calm_ = true;
+    RunFor(kRecovery);
+    const int before = ledger_.complete();
+    RunFor(common::seconds(2));
+    if (ledger_.complete() < before + 20) {
+      ledger_.OnViolation("requests are not served again after the faults");
+    }
+    stopping_ = true;
+    RunFor(common::milliseconds(kTimeLeftMs + 500));
+    CheckGracefulStop();
+    ledger_.Finish();
+    return ledger_.violations().empty();
+  }
+
+  const SoakLedger& ledger() const { return ledger_; }
+
+ private:
+  int Pick(int least, int most) {
+    return std::uniform_int_distribution<int>(least, most)(random_);
+  }
+  bool Happens(int percent) { return Pick(1, 100) <= percent; }
+
+  void RunFor(common::Duration length) {
+    const common::Time end = loop_.Now() + length;
+    while (loop_.Now() < end) {
+      loop_.RunAfter(common::milliseconds(5), [this] { loop_.Stop(); });
+      loop_.Run();
+      DriveCallers();
+      CheckProcesses();
+    }
+  }
+
+  void Configure() {
+    json configuration = hosted_world::HostedWorld::Configuration(++version_);
+    configuration["tenants"][0]["api_keys"] = keys_;
+    store_.SetConfiguration(configuration);
+  }
+
+  void StartEndpoint(int index) {
+    EndpointProcess& endpoint = endpoints_[index];
+    if (!endpoint.id.empty()) {
+      store_.RemoveEndpoint(endpoint.id);
+    }
+    endpoint.id = common::StrCat("e", index, "-", ++endpoint.lives);
+    endpoint.server = std::make_unique<FakeEndpoint>(
+        loop_, [this, id = endpoint.id](const Received& request) {
+          return Serve(id, request);
+        });
+    endpoint.link =
+        std::make_unique<TcpProxy>(loop_, endpoint.server->address());
+    store_.SetEndpoint(endpoint.id, {{"service", "s"},
+                                     {"address", endpoint.link->address()},
+                                     {"zone", "z"},
+                                     {"slots", 4},
+                                     {"state", "ready"},
+                                     {"born", endpoint.lives}});
+  }
+
+  void StartGateway(GatewayProcess& gateway) {
+    gateway.settings_path =
+        folder_ + "/" + std::to_string(++settings_made_) + ".json";
+    std::ofstream(gateway.settings_path)
+        << json{{"node_name", gateway.caller_address},
+                {"zone", "z"},
+                {"ip", "127.0.0.1"},
+                {"listen", {{"front", gateway.caller_address}}},
+                {"platform", {{"address", gateway.store_link->address()}}},
+                {"bounds",
+                 {{"revoke_ms", common::ToMilliseconds(kRevocationBound)},
+                  {"grace_s", kGraceSeconds},
+                  {"retry_allowance", 200}}}};
+    setenv("WAGTAILSHORE_SETTINGS", gateway.settings_path.c_str(), 1);
+    gateway.process = std::make_unique<e2e::ChildProcess>(
+        std::vector<std::string>{DAEMON_PATH, "--role=gateway"},
+        gateway.settings_path + ".log");
+    gateway.may_end = false;
+    gateway.stopped = false;
+  }
+
+  Reply Serve(const std::string& endpoint_id, const Received& request) {
+    const std::string* id =
+        request.head.headers.Find("X-Wagtailshore-Attempt-Id");
+    const std::string* expected =
+        request.head.headers.Find("X-Wagtailshore-Expect-Instance");
+    if (expected == nullptr || *expected != endpoint_id) {
+      return {.bytes = common::StrCat(
+                  HeadOf(request, 421, "Content-Length: 0\r\n"), "\r\n")};
+    }
+    const int chance = calm_ ? 100 : Pick(1, 100);
+    if (chance <= 4) {
+      return hosted_world::Refusal(request);
+    }
+    ledger_.OnRun(*id, loop_.Now());
+    if (chance <= 6) {
+      return {.reset = true};
+    }
+    if (chance <= 8) {
+      return {};
+    }
+    return request.head.target.starts_with("/stream/")
+               ? ServeStream(request, *id, chance)
+               : ServePlain(request, *id, chance);
+  }
+
+  Reply ServePlain(const Received& request, const std::string& id, int chance) {
+    Reply reply = hosted_world::Plain(request, 200, SoakLedger::BodyOf(id));
+    if (chance <= 10) {
+      reply.bytes.resize(reply.bytes.size() - 3);
+      reply.reset = true;
+    } else if (chance <= 12) {
+      reply.bytes += reply.bytes;
+    } else if (chance <= 14) {
+      reply = hosted_world::Plain(request, 500, "error");
+    }
+    return reply;
+  }
+
+  Reply ServeStream(const Received& request,
+                    const std::string& id,
+                    int chance) {
+    const std::string* after = request.head.headers.Find("Last-Event-Id");
+    const int first = after == nullptr ? 0 : std::stoi(*after) + 1;
+    const bool cut = chance <= 16;
+    const int end =
+        cut ? Pick(first, SoakLedger::kEvents) : SoakLedger::kEvents;
+    std::string bytes = common::StrCat(
+        HeadOf(request, 200, "Transfer-Encoding: chunked\r\n"), "\r\n");
+    for (int event = first; event < end; ++event) {
+      bytes += http1::FormatChunk(common::StrCat(
+          "id: ", event, "\ndata: ", SoakLedger::BodyOf(id), "\n\n"));
+    }
+    if (cut) {
+      bytes += http1::FormatChunk("id: 99\nda");
+    } else {
+      bytes += http1::kLastChunk;
+    }
+    return {.bytes = std::move(bytes), .reset = cut};
+  }
+
+  void DriveCallers() {
+    const common::Time now = loop_.Now();
+    for (Caller& caller : callers_) {
+      if (caller.busy && now >= caller.give_up_at) {
+        caller.channel->Abandon();
+        caller.busy = false;
+      }
+      if (caller.busy) {
+        continue;
+      }
+      if (!caller.id.empty()) {
+        ledger_.OnAnswer(caller.id, caller.answer);
+        caller.id.clear();
+      }
+      if (!stopping_ && Happens(20)) {
+        Ask(caller);
+      }
+    }
+  }
+
+  void Ask(Caller& caller) {
+    constexpr std::array kPaths = {"/safe/x", "/once/x", "/stream/x"};
+    const auto kind = static_cast<SoakKind>(Pick(0, 2));
+    const std::string key = all_keys_[Pick(0, std::ssize(all_keys_) - 1)];
+    caller.id = common::StrCat("r", ++requests_);
+    caller.answer = {};
+    caller.busy = true;
+    caller.give_up_at = loop_.Now() + common::milliseconds(kTimeLeftMs + 300);
+    ledger_.OnSent(caller.id,
+                   {.kind = kind, .key = key, .sent_at = loop_.Now()});
+    http1::Headers headers;
+    headers.Add("Host", "h.example");
+    headers.Add("X-Wagtailshore-Attempt-Id", caller.id);
+    headers.Add("X-Wagtailshore-Deadline-Ms", common::StrCat(kTimeLeftMs));
+    headers.Add("Authorization", common::StrCat("Token ", key));
+    const GatewayProcess& gateway = gateways_[Pick(0, kGateways - 1)];
+    caller.channel =
+        &pool_.Acquire(gateway.caller_address, gateway.caller_address);
+    caller.channel->SetIdleLimit(common::seconds(10));
+    caller.channel->Send(
+        http1::FormatRequest("POST", kPaths.at(static_cast<size_t>(kind)),
+                             headers, "body"),
+        caller, false);
+  }
+
+  void CheckProcesses() {
+    for (GatewayProcess& gateway : gateways_) {
+      const auto code = gateway.process->WaitForExit(common::Duration::zero());
+      if (!code.has_value()) {
+        continue;
+      }
+      if (!gateway.may_end) {
+        ledger_.OnViolation(common::StrCat("a process ended by itself, code ",
+                                           *code, " log ",
+                                           gateway.settings_path, ".log"));
+      }
+      StartGateway(gateway);
+    }
+  }
+
+  void BeginFault() {
+    switch (Pick(0, 8)) {
+      case 0:
+      case 1:
+        FaultLink(*endpoints_[Pick(0, kEndpoints - 1)].link);
+        return;
+      case 2:
+        FaultLink(*gateways_[Pick(0, kGateways - 1)].store_link);
+        return;
+      case 3:
+        store_.set_down(true);
+        loop_.RunAfter(common::milliseconds(Pick(100, 3000)),
+                       [this] { store_.set_down(false); });
+        return;
+      case 4:
+        Pause(gateways_[Pick(0, kGateways - 1)]);
+        return;
+      case 5:
+        End(gateways_[Pick(0, kGateways - 1)], SIGKILL);
+        return;
+      case 6:
+        End(gateways_[Pick(0, kGateways - 1)], SIGTERM);
+        return;
+      case 7:
+        StartEndpoint(Pick(0, kEndpoints - 1));
+        return;
+      default:
+        ChangeKeys();
+        return;
+    }
+  }
+
+  void FaultLink(TcpProxy& link) {
+    link.SetFault(static_cast<LinkFault>(Pick(1, 5)));
+    // The proxy may be replaced before the fault ends.
+    loop_.RunAfter(common::milliseconds(Pick(100, 3000)), [this, &link] {
+      for (const EndpointProcess& endpoint : endpoints_) {
+        if (endpoint.link.get() == &link) {
+          link.SetFault(LinkFault::kNone);
+        }
+      }
+      for (const GatewayProcess& gateway : gateways_) {
+        if (gateway.store_link.get() == &link) {
+          link.SetFault(LinkFault::kNone);
+        }
+      }
+    });
+  }
+
+  void Pause(GatewayProcess& gateway) {
+    if (gateway.stopped) {
+      return;
+    }
+    gateway.stopped = true;
+    gateway.process->Signal(SIGSTOP);
+    loop_.RunAfter(common::milliseconds(Pick(100, 4000)), [&gateway] {
+      if (gateway.stopped) {
+        gateway.process->Signal(SIGCONT);
+        gateway.stopped = false;
+      }
+    });
+  }
+
+  static void End(GatewayProcess& gateway, int signal) {
+    gateway.may_end = true;
+    gateway.process->Signal(signal);
+    if (gateway.stopped) {
+      gateway.process->Signal(SIGCONT);
+      gateway.stopped = false;
+    }
+  }
+
+  void ChangeKeys() {
+    if (keys_.size() > 2 && Happens(60)) {
+      const std::string revoked = keys_.back();
+      keys_.pop_back();
+      Configure();
+      ledger_.OnKeyRevoked(revoked, loop_.Now());
+    } else {
+      keys_.insert(keys_.begin(), common::StrCat("new", ++requests_));
+      all_keys_.push_back(keys_.front());
+      Configure();
+    }
+  }
+
+  void CheckGracefulStop() {
+    for (GatewayProcess& gateway : gateways_) {
+      gateway.may_end = true;
+      gateway.process->Signal(SIGTERM);
+    }
+    for (GatewayProcess& gateway : gateways_) {
+      const auto code =
+          gateway.process->WaitForExit(common::seconds(kGraceSeconds));
+      if (code != 0) {
+        ledger_.OnViolation("a process did not end in order after SIGTERM");
+      }
+    }
+  }
+
+  std::string folder_;
+  std::mt19937_64 random_;
+  event_loop::EventLoop loop_;
+  hosted_world::FakeStore store_;
+  http_channel::EndpointPool pool_;
+  std::vector<EndpointProcess> endpoints_;
+  std::vector<GatewayProcess> gateways_;
+  std::vector<Caller> callers_;
+  SoakLedger ledger_{kRevocationBound};
+  std::vector<std::string> keys_;
+  // Also those that were revoked: callers go on using them.
+  std::vector<std::string> all_keys_ = {"key0", "key1", "key2",
+                                        "key3", "key4", "key5"};
+  int version_ = 0;
+  int requests_ = 0;
+  int settings_made_ = 0;
+  bool calm_ = false;
+  bool stopping_ = false;
+};
+
+int Main(int argc, char** argv) {
+  google::InitGoogleLogging(argv[0]);
+  signal(SIGPIPE, SIG_IGN);
+  TCLAP::CmdLine line("Plays random faults against real gateways.", '=', "1");
+  TCLAP::ValueArg<uint64_t> seed("", "seed", "seed of the faults", false, 1,
+                                 "number", line);
+  TCLAP::ValueArg<int> seconds("", "seconds", "length of the faults", false, 12,
+                               "number", line);
+  line.parse(argc, argv);
+  std::string folder =
+      std::filesystem::temp_directory_path() /
+      common::StrCat("hosted_soak_", seed.getValue(), "_XXXXXX");
+  if (mkdtemp(folder.data()) == nullptr) {
+    std::cerr << "no folder for logs\n";
+    return 2;
+  }
+  Soak soak(seed.getValue(), folder);
+  const bool kept = soak.Run(common::seconds(seconds.getValue()));
+  const SoakLedger& ledger = soak.ledger();
+  std::cout << "seed " << seed.getValue() << ": " << ledger.complete()
+            << " complete, " << ledger.refused() << " refused, "
+            << ledger.other() << " other\n";
+  for (const std::string& violation : ledger.violations()) {
+    std::cout << "broken: " << violation << "\n";
+  }
+  if (kept) {
+    std::filesystem::remove_all(folder);
+    return 0;
+  }
+  std::cout << "logs: " << folder << "\n";
+  return 1;
+}
+
+}  // namespace
+}  // namespace wagtailshore::soak
+
+int main(int argc, char** argv) {
+  return wagtailshore::soak::Main(argc, argv);
+}
--- /dev/null
+++ b/tests/soak/soak_ledger.h
@@ -0,0 +1,67 @@
+#ifndef SOAK_SOAK_LEDGER_H_
+#define SOAK_SOAK_LEDGER_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "common/time.h"
+#include "support/hosted_world.h"
+
+namespace wagtailshore::soak {
+
+enum class SoakKind { kSafe, kOnce, kStream };
+
+// One request as its caller saw it.
+struct SoakRequest {
+  SoakKind kind = SoakKind::kSafe;
+  std::string key;
+  common::Time sent_at{};
+};
+
+// Holds what callers and endpoints saw against the promises of the system.
+class SoakLedger {
+ public:
+  explicit SoakLedger(common::Duration revocation_bound)
+      : revocation_bound_(revocation_bound) {}
+
+  void OnSent(const std::string& id, const SoakRequest& request);
+  // An endpoint began to run the request.
+  void OnRun(const std::string& id, common::Time now);
+  void OnAnswer(const std::string& id,
+                const hosted_world::CallerAnswer& answer);
+  void OnKeyRevoked(const std::string& key, common::Time now);
+  void OnViolation(const std::string& what) { violations_.push_back(what); }
+
+  // What only shows once everything has ended.
+  void Finish();
+
+  const std::vector<std::string>& violations() const { return violations_; }
+  int complete() const { return complete_; }
+  int refused() const { return refused_; }
+  int other() const { return other_; }
+
+  // What a complete answer of the request holds.
+  static std::string BodyOf(const std::string& id);
+  static constexpr int kEvents = 6;
+
+ private:
+  struct Entry {
+    SoakRequest request;
+    int runs = 0;
+    bool promised_not_run = false;
+  };
+
+  common::Duration revocation_bound_;
+  std::map<std::string, Entry> entries_;
+  std::map<std::string, common::Time> revoked_;
+  std::vector<std::string> violations_;
+  int complete_ = 0;
+  int refused_ = 0;
+  int other_ = 0;
+};
+
+}  // namespace wagtailshore::soak
+
+#endif  // SOAK_SOAK_LEDGER_H_
