--- a/packages/daemon/gateway/gateway_core.h
+++ b/packages/daemon/gateway/gateway_core.h
@@ -6,6 +6,7 @@
 #include <random>
 #include <string>
 
+#include "coordination/admission/admission.h"
 #include "coordination/freshness/freshness.h"
 #include "coordination/retry_window/retry_window.h"
 #include "daemon/gateway/store_watch.h"
@@ -30,6 +31,7 @@
   metrics::GatewayMetrics& metrics;
   // By service.
   std::map<std::string, retry_window::RetryWindow> retry_windows;
+  std::map<std::string, admission::AdmissionControl> admissions;
   std::minstd_rand random;
 };
 
--- a/packages/daemon/gateway/proxied_run.cc
+++ b/packages/daemon/gateway/proxied_run.cc
@@ -35,6 +35,14 @@
 constexpr common::Duration kRetryWhenUninformed = common::milliseconds(100);
 // Endpoints that may turn out to be unreachable before a request is given up.
 constexpr int kMaxConnectFailures = 3;
+// An overloaded service has room again once a part of its requests, each about
+// two seconds long, have ended.
+constexpr common::Duration kRetryWhenOverloaded = common::milliseconds(1500);
+// Urgencies that requests are sent with; those that cannot be in time any more
+// come after all that can.
+constexpr int kMostUrgent = 1;
+constexpr int kLeastUrgent = 5;
+constexpr int kLateUrgencyStep = 4;
 // An answer that is passed on whole is at most this large.
 constexpr size_t kMaxAnswerBytes = 16 << 20;
 // A caller that does not read its stream is cut off beyond this.
@@ -91,7 +99,50 @@
                         .ratio = core_.settings.retry_ratio * 0.75,
                         .reserve = core_.settings.retry_allowance / 25}))
       .first->second.OnRequest(arrived_);
-  Dispatch();
+  if (PassesAdmission()) {
+    Dispatch();
+  }
+}
+
+bool ProxiedRun::PassesAdmission() {
+  if (route_->kind != serving::RequestKind::kStream ||
+      route_->latency_objective == common::Duration::zero()) {
+    return true;
+  }
+  admission::AdmissionControl& control =
+      core_.admissions.try_emplace(service_, admission::AdmissionOptions{})
+          .first->second;
+  std::uniform_real_distribution<double> chance(0, 1);
+  if (!control.Admit(chance(core_.random), arrived_)) {
+    Refuse("overloaded", kRetryWhenOverloaded);
+    return false;
+  }
+  control.OnSent(arrived_, route_->latency_objective);
+  awaited_ = true;
+  return true;
+}
+
+void ProxiedRun::EndWaiting(bool started) {
+  if (!awaited_) {
+    return;
+  }
+  awaited_ = false;
+  admission::AdmissionControl& control = core_.admissions.at(service_);
+  if (started) {
+    control.OnStarted(arrived_, route_->latency_objective, now());
+  } else {
+    control.OnEnded(arrived_, route_->latency_objective);
+  }
+}
+
+int ProxiedRun::Urgency() const {
+  // A caller that has waited for more than the objective before it came here
+  // again tells so by the time it has left.
+  const bool late_already =
+      request_.time_left.has_value() &&
+      *request_.time_left + route_->latency_objective < route_->timeout;
+  return std::clamp(kMostUrgent + priority_, kMostUrgent, kLeastUrgent) +
+         (late_already ? kLateUrgencyStep : 0);
 }
 
 bool ProxiedRun::Authorize() {
@@ -110,6 +161,7 @@
     }
     return false;
   }
+  priority_ = route_->priority;
   if (!routes_->NeedsKey(*route_)) {
     return true;
   }
@@ -124,6 +176,7 @@
     return false;
   }
   customer_ = customer->name;
+  priority_ = customer->priority.value_or(priority_);
   return true;
 }
 
@@ -153,6 +206,7 @@
   proxied::Forwarding forwarding{.endpoint_id = endpoint.id,
                                  .customer = customer_,
                                  .time_left = deadline_ - attempt_began_,
+                                 .urgency = Urgency(),
                                  .resume_after = last_event_};
   ++attempts_;
   exchange_ = &core_.pool.Acquire(
@@ -203,6 +257,7 @@
   for (event_stream::Event& event : splitter_.Feed(data)) {
     if (!attempt_first_.has_value()) {
       attempt_first_ = now() - attempt_began_;
+      EndWaiting(/*started=*/true);
     }
     if (event.id.has_value() && last_event_.has_value()) {
       if (*event.id <= *last_event_) {
@@ -437,6 +492,7 @@
     return;
   }
   ended_ = true;
+  EndWaiting(/*started=*/false);
   core_.loop.Cancel(deadline_timer_);
   deadline_timer_ = event_loop::kNoTimer;
   const common::Duration took = now() - arrived_;
--- a/packages/daemon/gateway/proxied_run.h
+++ b/packages/daemon/gateway/proxied_run.h
@@ -53,6 +53,13 @@
   bool Authorize();
   void Dispatch();
   void SendTo(const fleet::EndpointRecord& endpoint);
+  // Whether the service can start the request in time, or takes it though it
+  // cannot; answers the caller itself if not.
+  bool PassesAdmission();
+  // Requests whose first event can still be in time go first.
+  int Urgency() const;
+  // The first event of the request came, or will not come.
+  void EndWaiting(bool started);
   // Ends the attempt in progress, then tries again or gives up.
   void RetryOrGiveUp(std::string_view cause);
   bool MayTryAgain();
@@ -85,7 +92,11 @@
   const serving::Route* route_ = nullptr;
   std::optional<std::string> customer_;
   std::string service_;
+  // 0 is the most urgent, from the customer or else the route.
+  int priority_ = 0;
   common::Time deadline_{};
+  // The service's admission control waits for the first event.
+  bool awaited_ = false;
   event_loop::TimerId deadline_timer_ = event_loop::kNoTimer;
 
   // The attempt in progress.
--- a/packages/protocol/proxied/proxied.h
+++ b/packages/protocol/proxied/proxied.h
@@ -40,6 +40,8 @@
   std::string endpoint_id;
   std::optional<std::string> customer;
   common::Duration time_left{};
+  // 0 is the most urgent, 9 the least; endpoints begin the more urgent first.
+  int urgency = 5;
   // Go on after this event instead of where the caller asked.
   std::optional<uint64_t> resume_after;
 };
