--- a/packages/coordination/freshness/freshness.cc
+++ b/packages/coordination/freshness/freshness.cc
@@ -1,6 +1,34 @@
 #include "coordination/freshness/freshness.h"
 
+#include <algorithm>
+
 namespace wagtailshore::freshness {
+namespace {
+
+// A bound is forgotten after this, so that the clocks' drift stays far below
+// the safety margin: 100 parts in a million are 6 ms.
+constexpr common::Duration kBoundLifetime = common::seconds(60);
+
+}  // namespace
+
+common::Time StoreClock::AnsweredAfter(common::Time asked_at,
+                                       common::Time received_at,
+                                       common::Duration store_time) {
+  const common::Time offset = asked_at - store_time;
+  while (!bounds_.empty() &&
+         bounds_.front().at < received_at - kBoundLifetime) {
+    bounds_.pop_front();
+  }
+  if (!bounds_.empty() && bounds_.front().offset + store_time > received_at) {
+    // The store's clock jumped.
+    bounds_.clear();
+  }
+  while (!bounds_.empty() && bounds_.back().offset <= offset) {
+    bounds_.pop_back();
+  }
+  bounds_.push_back({.at = received_at, .offset = offset});
+  return std::max(asked_at, bounds_.front().offset + store_time);
+}
 
 void Freshness::OnConfirmed(common::Time asked_at) {
   if (!confirmed_at_.has_value() || asked_at > *confirmed_at_) {
--- a/packages/coordination/freshness/freshness.h
+++ b/packages/coordination/freshness/freshness.h
@@ -1,6 +1,7 @@
 #ifndef COORDINATION_FRESHNESS_FRESHNESS_H_
 #define COORDINATION_FRESHNESS_FRESHNESS_H_
 
+#include <deque>
 #include <optional>
 
 #include "common/time.h"
@@ -16,6 +17,30 @@
   common::Duration safety_margin = common::milliseconds(400);
 };
 
+// Tells when the store gave an answer, by this process's clock. The store's
+// answers carry its steady clock, and an answer to a question of a moment
+// cannot have been given before it: that bounds the difference of the two
+// clocks. A long wait's answer thus proves what held at its end, however late
+// it comes.
+class StoreClock {
+ public:
+  // The latest moment before which the answer cannot have been given; between
+  // `asked_at` and `received_at`.
+  common::Time AnsweredAfter(common::Time asked_at,
+                             common::Time received_at,
+                             common::Duration store_time);
+
+ private:
+  struct Bound {
+    common::Time at;
+    // Least difference between this clock and the store's.
+    common::Time offset;
+  };
+
+  // By falling offset; the first is the tightest.
+  std::deque<Bound> bounds_;
+};
+
 // Age of the configuration in force. It counts from the moment at which the
 // platform was asked, as the answer may be as old as that. Answers the load of
 // instances that lose the store, freeze or are partitioned.
--- a/packages/daemon/gateway/store_watch.cc
+++ b/packages/daemon/gateway/store_watch.cc
@@ -6,13 +6,6 @@
 #include "common/strings.h"
 
 namespace wagtailshore::gateway {
-namespace {
-
-// How much sooner than asked the store may end a wait.
-constexpr common::Duration kWaitTolerance = common::milliseconds(200);
-
-}  // namespace
-
 StoreWatch::StoreWatch(event_loop::EventLoop& loop,
                        http_channel::HttpCaller& caller,
                        StoreWatchOptions options,
@@ -75,6 +68,8 @@
     return;
   }
   Note(absl::OkStatus());
+  const common::Time answered_after =
+      clock_.AnsweredAfter(asked_at, loop_.Now(), rows->store_time);
   Adopt(*rows);
   if (routes_ == nullptr) {
     loop_.RunAfter(RetryDelay(), [this] { ReadConfiguration(); });
@@ -83,19 +78,11 @@
   revision_ = rows->revision;
   // With changes still to come the configuration may not be the latest.
   if (!rows->has_more) {
-    freshness_.OnConfirmed(AnsweredAfter(asked_at, *rows));
+    freshness_.OnConfirmed(answered_after);
   }
   AwaitConfiguration();
 }
 
-common::Time StoreWatch::AnsweredAfter(common::Time asked_at,
-                                       const platform::Rows& rows) const {
-  // A wait that ends without a change has lasted its whole time at the store.
-  const common::Time wait_end = asked_at + options_.configuration_wait;
-  const bool waited = rows.rows.empty() && loop_.Now() >= wait_end;
-  return waited ? wait_end - kWaitTolerance : asked_at;
-}
-
 void StoreWatch::Adopt(const platform::Rows& rows) {
   const platform::Row* row = platform::FindConfiguration(rows);
   if (row == nullptr) {
@@ -146,6 +133,7 @@
     return;
   }
   Note(absl::OkStatus());
+  clock_.AnsweredAfter(asked_at, loop_.Now(), rows->store_time);
   for (const platform::Row& row : rows->rows) {
     auto record = platform::DecodeEndpoint(row);
     if (record.ok()) {
--- a/packages/daemon/gateway/store_watch.h
+++ b/packages/daemon/gateway/store_watch.h
@@ -60,9 +60,6 @@
   void AwaitConfiguration();
   void OnConfigurationAnswer(common::Time asked_at,
                              const http_channel::CallResult& result);
-  // A moment at which the store's answer was still true.
-  common::Time AnsweredAfter(common::Time asked_at,
-                             const platform::Rows& rows) const;
   void Adopt(const platform::Rows& rows);
   void ReadEndpoints(const std::string& start_key);
   void OnEndpointsAnswer(common::Time asked_at,
@@ -82,6 +79,7 @@
   OnFleet on_fleet_;
   std::shared_ptr<const serving::RouteTable> routes_;
   uint64_t revision_ = 0;
+  freshness::StoreClock clock_;
   std::vector<fleet::EndpointRecord> records_;
   common::Time list_asked_at_{};
   std::minstd_rand random_;
--- a/tests/support/hosted_world.cc
+++ b/tests/support/hosted_world.cc
@@ -72,7 +72,11 @@
       add(id, entry);
     }
   }
-  return json{{"rows", rows}, {"row_version", revision_}, {"now_ms", 1}}.dump();
+  return json{
+      {"rows", rows},
+      {"row_version", revision_},
+      {"now_ms", common::ToMilliseconds(loop_.Now().time_since_epoch())}}
+      .dump();
 }
 
 void FakeStore::AnswerFeed(http_channel::CallerChannel& channel) {
@@ -81,7 +85,9 @@
   }
   channel.Respond(
       down_ ? 503 : 200, {},
-      json{{"rows", json::array()}, {"row_version", revision_}, {"now_ms", 1}}
+      json{{"rows", json::array()},
+           {"row_version", revision_},
+           {"now_ms", common::ToMilliseconds(loop_.Now().time_since_epoch())}}
           .dump());
 }
 
--- a/tests/unit/coordination/freshness/freshness_test.cc
+++ b/tests/unit/coordination/freshness/freshness_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <vector>
+
 namespace wagtailshore::freshness {
 namespace {
 
@@ -32,5 +34,61 @@
   EXPECT_EQ(freshness.Age(kStart + milliseconds(1500)), milliseconds(500));
 }
 
+struct StoreAnswer {
+  int asked_ms;
+  // When the store answered, by this process's clock.
+  int answered_ms;
+  int received_ms;
+};
+
+struct ClockCase {
+  const char* name;
+  std::vector<StoreAnswer> answers;
+  // Of the last answer.
+  int answered_after_ms;
+};
+
+class StoreClockTest : public testing::TestWithParam<ClockCase> {};
+
+// The store's clock is some hours behind.
+TEST_P(StoreClockTest, NoAnswerIsTakenForYounger) {
+  StoreClock clock;
+  common::Time answered_after;
+  for (const StoreAnswer& answer : GetParam().answers) {
+    answered_after =
+        clock.AnsweredAfter(kStart + milliseconds(answer.asked_ms),
+                            kStart + milliseconds(answer.received_ms),
+                            milliseconds(5000 + answer.answered_ms));
+    EXPECT_LE(answered_after, kStart + milliseconds(answer.answered_ms));
+  }
+  EXPECT_EQ(answered_after,
+            kStart + milliseconds(GetParam().answered_after_ms));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Answers,
+    StoreClockTest,
+    testing::Values(
+        ClockCase{"FirstCall", {{0, 2, 4}}, 0},
+        ClockCase{"WaitThatLasted", {{0, 2, 4}, {10, 2410, 2412}}, 2408},
+        // Found by the soak's seed 44: the answer was given at once and came
+        // after the time that a wait would have taken.
+        ClockCase{"AnsweredEarlyCameLate", {{0, 2, 4}, {10, 110, 2600}}, 108},
+        ClockCase{"ReadAfterAPause", {{0, 2, 4}, {10, 2410, 9000}}, 2408}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+// A store that is replaced may have another clock.
+TEST(StoreClockTest, JumpOfTheStoresClockMakesNoAnswerYounger) {
+  StoreClock clock;
+  clock.AnsweredAfter(kStart, kStart + milliseconds(4), milliseconds(1000));
+  const common::Time asked = kStart + milliseconds(100);
+  EXPECT_EQ(
+      clock.AnsweredAfter(asked, asked + milliseconds(4), milliseconds(900000)),
+      asked);
+  EXPECT_EQ(clock.AnsweredAfter(asked + milliseconds(10),
+                                asked + milliseconds(14), milliseconds(7)),
+            asked + milliseconds(10));
+}
+
 }  // namespace
 }  // namespace wagtailshore::freshness
