--- a/packages/daemon/gateway/gateway.cc
+++ b/packages/daemon/gateway/gateway.cc
@@ -27,7 +27,7 @@
 constexpr common::Duration kReadyAge = common::milliseconds(4000);
 // Part of the time within which a draining endpoint must be known that passes
 // between two readings of the list; the rest is for the reading itself.
-constexpr double kListShare = 0.7;
+constexpr double kListShare = 0.8;
 
 // An unreachable endpoint is noticed within about a tenth of the latency that
 // callers expect.
--- a/packages/daemon/gateway/store_watch.h
+++ b/packages/daemon/gateway/store_watch.h
@@ -20,9 +20,10 @@
 struct StoreWatchOptions {
   std::string store_address;
   // How long one wait for a configuration change lasts. Each wait that ends
-  // proves the configuration current, so it bounds the age of that proof; half
-  // of the time that keys are trusted leaves room for one lost answer.
-  common::Duration configuration_wait = common::milliseconds(2400);
+  // proves the configuration current, so it bounds the age of that proof;
+  // two thirds of the usual 5 s bound leave time to notice a lost answer and
+  // ask again.
+  common::Duration configuration_wait = common::milliseconds(3200);
   // Time between readings of the endpoint list.
   common::Duration endpoints_period = common::milliseconds(1000);
   // Longest wait for an answer that is due at once.
