--- a/packages/common/event_log.cc
+++ b/packages/common/event_log.cc
@@ -22,8 +22,10 @@
     EventSpec{EventId::kSettingsRefused, Severity::kError, "settings refused",
               "A flag or environment variable is missing or out of range.",
               "Correct every place the line names; see docs/SETTINGS.md."},
-    EventSpec{EventId::kSettingsReloaded, Severity::kInfo, "settings reloaded",
-              "The settings file changed or a reload signal came.", "None."},
+    EventSpec{EventId::kReloadSignal, Severity::kInfo, "reload signal",
+              "SIGHUP came. A hosted process reads its settings when it starts "
+              "and serves on with these.",
+              "Restart the process for new settings."},
     EventSpec{EventId::kManifestInForce, Severity::kInfo, "manifest in force",
               "A higher manifest version was learned and is now used.",
               "None."},
--- a/packages/common/event_log.h
+++ b/packages/common/event_log.h
@@ -14,7 +14,7 @@
   kProcessDraining = 1002,
   kProcessStopped = 1003,
   kSettingsRefused = 1004,
-  kSettingsReloaded = 1005,
+  kReloadSignal = 1005,
   kManifestInForce = 1101,
   kManifestRefused = 1102,
   kManifestConflict = 1103,
--- a/packages/daemon/gateway/proxied_run.cc
+++ b/packages/daemon/gateway/proxied_run.cc
@@ -114,6 +114,7 @@
           .first->second;
   std::uniform_real_distribution<double> chance(0, 1);
   if (!control.Admit(chance(core_.random), arrived_)) {
+    reasons_ = common::StrCat(" admitted_share=", control.share());
     Refuse("overloaded", kRetryWhenOverloaded);
     return false;
   }
@@ -147,6 +148,7 @@
 
 bool ProxiedRun::Authorize() {
   routes_ = core_.store.routes();
+  configuration_age_ = core_.freshness.Age(arrived_);
   if (routes_ == nullptr) {
     Refuse("no_configuration", kRetryWhenUninformed);
     return false;
@@ -387,7 +389,8 @@
       common::LogEvent(
           common::EventId::kStreamResumed,
           common::StrCat("request=", request_.attempt_id,
-                         " after_event=", last_event_.value_or(0)));
+                         " after_event=", last_event_.value_or(0),
+                         " attempts=", history_));
     }
     Dispatch();
     return;
@@ -498,7 +501,6 @@
   const common::Duration took = now() - arrived_;
   core_.metrics.OnAnswer(took);
   core_.metrics.OnRequest(route_ == nullptr ? "none" : route_->name, outcome);
-  const auto age = core_.freshness.Age(arrived_);
   common::LogEvent(
       common::EventId::kRequestEnded,
       common::StrCat(
@@ -508,7 +510,10 @@
           " took_ms=", common::ToMilliseconds(took),
           " attempts=", history_.empty() ? "none" : history_, " configuration=",
           routes_ == nullptr ? 0 : routes_->version(), " configuration_age_ms=",
-          age.has_value() ? common::ToMilliseconds(*age) : -1));
+          configuration_age_.has_value()
+              ? common::ToMilliseconds(*configuration_age_)
+              : -1,
+          reasons_));
   on_end_();
 }
 
--- a/packages/daemon/gateway/proxied_run.h
+++ b/packages/daemon/gateway/proxied_run.h
@@ -117,8 +117,11 @@
   bool stream_begun_ = false;
   std::optional<uint64_t> last_event_;
   bool ended_ = false;
-  // For the log: each attempt's endpoint and result.
+  // For the log: each attempt's endpoint and result, how old the configuration
+  // was on arrival, and what else decided.
   std::string history_;
+  std::optional<common::Duration> configuration_age_;
+  std::string reasons_;
 };
 
 }  // namespace wagtailshore::gateway
--- a/packages/daemon/main.cc
+++ b/packages/daemon/main.cc
@@ -81,7 +81,8 @@
     });
   }
   loop.OnSignal(SIGHUP, [] {
-    common::LogEvent(common::EventId::kSettingsReloaded, "signal=1");
+    common::LogEvent(common::EventId::kReloadSignal,
+                     "settings=those_of_the_start");
   });
   loop.Run();
   common::LogEvent(common::EventId::kProcessStopped, "");
--- a/packages/transport/http_channel/endpoint_channel.cc
+++ b/packages/transport/http_channel/endpoint_channel.cc
@@ -97,7 +97,7 @@
       return false;
     }
     if (ownership_ == Ownership::kForeign && reader_.head().until_close) {
-      Fail(/*nothing_sent=*/false, "another exchange's answer without an end");
+      Fail(/*nothing_sent=*/false, "foreign_answer_without_end");
       return false;
     }
   }
@@ -155,9 +155,9 @@
       reason == stream_socket::CloseReason::kNotConnected ||
       !socket_.sent_any();
   Fail(nothing_sent, reason == stream_socket::CloseReason::kNotConnected
-                         ? "not connected"
-                     : in_order ? "closed before the answer's end"
-                                : "connection broken");
+                         ? "not_connected"
+                     : in_order ? "closed_before_the_end"
+                                : "connection_broken");
 }
 
 }  // namespace wagtailshore::http_channel
--- a/packages/transport/http_channel/endpoint_channel.h
+++ b/packages/transport/http_channel/endpoint_channel.h
@@ -15,6 +15,7 @@
 struct ExchangeFailure {
   // No byte of the request can have reached the peer.
   bool nothing_sent = false;
+  // One word, for logs.
   std::string detail;
 };
 
