--- a/packages/daemon/gateway/proxied_run.cc
+++ b/packages/daemon/gateway/proxied_run.cc
@@ -386,11 +386,10 @@
   EndAttempt(cause);
   if (serving::MayRepeat(*route_) && MayTryAgain()) {
     if (stream_begun_) {
-      common::LogEvent(
-          common::EventId::kStreamResumed,
-          common::StrCat("request=", request_.attempt_id,
-                         " after_event=", last_event_.value_or(0),
-                         " attempts=", history_));
+      common::LogEvent(common::EventId::kStreamResumed,
+                       common::StrCat("request=", request_.attempt_id,
+                                      " after_event=", last_event_.value_or(0),
+                                      " attempts=", history_));
     }
     Dispatch();
     return;
--- a/tests/soak/hosted_soak.cc
+++ b/tests/soak/hosted_soak.cc
@@ -276,7 +276,8 @@
   void Ask(Caller& caller) {
     constexpr std::array kPaths = {"/safe/x", "/once/x", "/stream/x"};
     const auto kind = static_cast<SoakKind>(Pick(0, 2));
-    const std::string key = all_keys_[Pick(0, std::ssize(all_keys_) - 1)];
+    const std::string key =
+        all_keys_[Pick(0, static_cast<int>(all_keys_.size()) - 1)];
     caller.id = common::StrCat("r", ++requests_);
     caller.answer = {};
     caller.busy = true;
