--- a/packages/daemon/gateway/proxied_run.cc
+++ b/packages/daemon/gateway/proxied_run.cc
@@ -33,6 +33,13 @@
 // time out, then it forms anew.
 constexpr common::Duration kRetryWhenGroupStalled = common::milliseconds(2300);
 constexpr common::Duration kRetryWhenUninformed = common::milliseconds(100);
+// Part of the retry budget's ratio that a gateway uses: attempts in flight
+// across the end of a window count in the next one.
+constexpr double kRetryRatioShare = 0.75;
+// Gateways that the budget's allowance is divided among. Nobody knows their
+// number; the deployments described have 6 to 40, and an allowance that grows
+// with it.
+constexpr double kGatewaysAssumed = 25;
 // Endpoints that may turn out to be unreachable before a request is given up.
 constexpr int kMaxConnectFailures = 3;
 // An overloaded service has room again once a part of its requests, each about
@@ -93,11 +100,12 @@
   std::discrete_distribution<size_t> pick(weights.begin(), weights.end());
   service_ = route_->services[pick(core_.random)].service;
   core_.retry_windows
-      .try_emplace(service_,
-                   retry_window::RetryWindow(
-                       {.window = core_.settings.retry_window,
-                        .ratio = core_.settings.retry_ratio * 0.75,
-                        .reserve = core_.settings.retry_allowance / 25}))
+      .try_emplace(
+          service_,
+          retry_window::RetryWindow(
+              {.window = core_.settings.retry_window,
+               .ratio = core_.settings.retry_ratio * kRetryRatioShare,
+               .reserve = core_.settings.retry_allowance / kGatewaysAssumed}))
       .first->second.OnRequest(arrived_);
   if (PassesAdmission()) {
     Dispatch();
--- a/packages/daemon/gateway/store_watch.cc
+++ b/packages/daemon/gateway/store_watch.cc
@@ -128,7 +128,7 @@
                         : absl::StatusOr<platform::Rows>(result.status());
   if (!rows.ok()) {
     Note(rows.status());
-    fleet_.OnListUnavailable(asked_at);
+    fleet_.OnListUnavailable();
     loop_.RunAfter(RetryDelay(), [this] { ReadEndpoints({}); });
     return;
   }
--- a/packages/state/fleet/fleet.cc
+++ b/packages/state/fleet/fleet.cc
@@ -73,7 +73,7 @@
   }
 }
 
-void Fleet::OnListUnavailable(common::Time) {
+void Fleet::OnListUnavailable() {
   was_unavailable_ = true;
   back_since_.reset();
 }
--- a/packages/state/fleet/fleet.h
+++ b/packages/state/fleet/fleet.h
@@ -60,7 +60,7 @@
   // `id`: it gets no new work in this lifetime.
   void OnMisdirected(const std::string& id);
   // A reading failed.
-  void OnListUnavailable(common::Time now);
+  void OnListUnavailable();
 
   // Null for endpoints that must not get new work: draining ones, and those
   // whose address has passed to a later process.
--- a/packages/state/serving/hosted_settings.h
+++ b/packages/state/serving/hosted_settings.h
@@ -30,8 +30,6 @@
   common::Duration drain_bound = common::seconds(2);
   // From the stop signal to the kill.
   common::Duration stop_grace = common::seconds(8);
-  // Work that depends on a lost endpoint fails after this long.
-  common::Duration stall_time = common::milliseconds(1500);
   // Budget of further attempts over all processes.
   double retry_ratio = 0.2;
   double retry_allowance = 0;
--- a/packages/transport/http_channel/caller_channel.h
+++ b/packages/transport/http_channel/caller_channel.h
@@ -68,8 +68,6 @@
   }
   // Bytes of the answer that the caller has not taken yet.
   size_t unsent() const { return socket_.unsent(); }
-  // Bytes of the request that is being read.
-  size_t buffered() const { return body_.size() + socket_.input().size(); }
 
   void OnData() override;
   void OnClosed(stream_socket::CloseReason reason) override;
--- a/packages/transport/http_channel/endpoint_channel.cc
+++ b/packages/transport/http_channel/endpoint_channel.cc
@@ -59,8 +59,6 @@
   return now - idle_since_ < limit;
 }
 
-void EndpointChannel::OnConnected() {}
-
 void EndpointChannel::OnData() {
   while (open_ && !socket_.input().empty()) {
     if (listener_ == nullptr) {
--- a/packages/transport/http_channel/endpoint_channel.h
+++ b/packages/transport/http_channel/endpoint_channel.h
@@ -68,7 +68,6 @@
   // Whether an idle connection is young enough for another exchange.
   bool IsFresh(common::Time now) const;
 
-  void OnConnected() override;
   void OnData() override;
   void OnClosed(stream_socket::CloseReason reason) override;
 
