Adapter: take a call's result whole, as its writes and orders do

Seven callers turned a failed call into a status before they could decode it; the decoders do that now. Behaviour is unchanged; the tests name the type that they pass and keep their expectations.

--- a/packages/daemon/companion/companion.cc
+++ b/packages/daemon/companion/companion.cc
@@ -138,10 +138,7 @@
       1 + (poll->want_choices ? 1 : 0) + (poll->want_map ? 1 : 0);
   ReadEngine(platform::ReadEngineCall(),
              [this, id](const http_channel::CallResult& result) {
-               const auto state =
-                   result.ok()
-                       ? platform::DecodeEngineState(*result)
-                       : absl::StatusOr<platform::EngineState>(result.status());
+               const auto state = platform::DecodeEngineState(result);
                if (state.ok()) {
                  companion_messages::RankState& told =
                      pending_polls_.at(id).state;
@@ -156,12 +153,10 @@
   if (poll->want_choices) {
     ReadEngine(platform::ReadCountsCall(),
                [this, id](const http_channel::CallResult& result) {
-                 if (result.ok()) {
-                   const auto counters = platform::DecodeCounts(*result);
-                   if (counters.ok()) {
-                     pending_polls_.at(id).state.choices =
-                         choices_.Take(*counters);
-                   }
+                 const auto counters = platform::DecodeCounts(result);
+                 if (counters.ok()) {
+                   pending_polls_.at(id).state.choices =
+                       choices_.Take(*counters);
                  }
                  FinishReading(id, true);
                });
@@ -169,11 +164,9 @@
   if (poll->want_map) {
     ReadEngine(platform::ReadExpertsCall(),
                [this, id](const http_channel::CallResult& result) {
-                 if (result.ok()) {
-                   auto experts = platform::DecodeExperts(*result);
-                   if (experts.ok()) {
-                     pending_polls_.at(id).state.experts = *std::move(experts);
-                   }
+                 auto experts = platform::DecodeExperts(result);
+                 if (experts.ok()) {
+                   pending_polls_.at(id).state.experts = *std::move(experts);
                  }
                  FinishReading(id, true);
                });
@@ -243,10 +236,7 @@
   taking_over_ = true;
   ReadEngine(platform::ReadEngineCall(),
              [this](const http_channel::CallResult& result) {
-               const auto state =
-                   result.ok()
-                       ? platform::DecodeEngineState(*result)
-                       : absl::StatusOr<platform::EngineState>(result.status());
+               const auto state = platform::DecodeEngineState(result);
                if (!state.ok() || !state->report.open) {
                  GiveUpTakeOver("engine_not_open");
                  return;
@@ -273,9 +263,7 @@
 
 void Companion::OnConfiguration(const platform::EngineState& state,
                                 const http_channel::CallResult& result) {
-  const auto rows = result.ok()
-                        ? platform::DecodeRows(*result)
-                        : absl::StatusOr<platform::Rows>(result.status());
+  const auto rows = platform::DecodeRows(result);
   const platform::Row* row =
       rows.ok() ? platform::FindConfiguration(*rows) : nullptr;
   if (row == nullptr) {
@@ -303,9 +291,7 @@
       settings_.store_address,
       platform::ReadTableCall(platform::OwnTable::kCoordinators), kStoreTimeout,
       [this, state, engine](const http_channel::CallResult& result) {
-        const auto rows = result.ok()
-                              ? platform::DecodeRows(*result)
-                              : absl::StatusOr<platform::Rows>(result.status());
+        const auto rows = platform::DecodeRows(result);
         if (!rows.ok()) {
           GiveUpTakeOver("store_unavailable");
           return;
--- a/packages/daemon/companion/group_coordinator.cc
+++ b/packages/daemon/companion/group_coordinator.cc
@@ -71,9 +71,7 @@
 }
 
 void GroupCoordinator::OnDirectory(const http_channel::CallResult& result) {
-  const auto rows = result.ok()
-                        ? platform::DecodeRows(*result)
-                        : absl::StatusOr<platform::Rows>(result.status());
+  const auto rows = platform::DecodeRows(result);
   if (!rows.ok()) {
     common::LogEvent(
         common::EventId::kPlatformUnavailable,
@@ -189,10 +187,7 @@
       Guarded([this, address](const http_channel::CallResult& result) {
         Peer& answered = peers_[address];
         answered.poll_in_flight = false;
-        if (!result.ok()) {
-          return;
-        }
-        const auto state = platform::DecodeEngineState(*result);
+        const auto state = platform::DecodeEngineState(result);
         if (state.ok()) {
           OnState(answered, {.group = state->group,
                              .rank = state->rank,
--- a/packages/daemon/gateway/store_watch.cc
+++ b/packages/daemon/gateway/store_watch.cc
@@ -51,9 +51,7 @@
 
 void StoreWatch::OnConfigurationAnswer(common::Time asked_at,
                                        const http_channel::CallResult& result) {
-  const auto rows = result.ok()
-                        ? platform::DecodeRows(*result)
-                        : absl::StatusOr<platform::Rows>(result.status());
+  const auto rows = platform::DecodeRows(result);
   if (!rows.ok()) {
     Note(rows.status());
     const bool history_gone = absl::IsFailedPrecondition(rows.status());
@@ -123,9 +121,7 @@
 
 void StoreWatch::OnEndpointsAnswer(common::Time asked_at,
                                    const http_channel::CallResult& result) {
-  const auto rows = result.ok()
-                        ? platform::DecodeRows(*result)
-                        : absl::StatusOr<platform::Rows>(result.status());
+  const auto rows = platform::DecodeRows(result);
   if (!rows.ok()) {
     Note(rows.status());
     fleet_.OnListUnavailable();
--- a/tests/unit/platform/engine_test.cc
+++ b/tests/unit/platform/engine_test.cc
@@ -11,11 +11,11 @@
 using nlohmann::json;
 
 TEST(EngineTest, StateIsDecoded) {
-  const auto state = DecodeEngineState(
-      {.status = 200,
-       .body = R"({"group":{"name":"g","epoch":3,"rank":2,"state":"open"},)"
-               R"("size":12,"step":40,"map":7,"prepared":8,)"
-               R"("armed":{"version":8,"step":43},"held":43,"pace":1.5})"});
+  const auto state = DecodeEngineState(http_channel::CallAnswer{
+      .status = 200,
+      .body = R"({"group":{"name":"g","epoch":3,"rank":2,"state":"open"},)"
+              R"("size":12,"step":40,"map":7,"prepared":8,)"
+              R"("armed":{"version":8,"step":43},"held":43,"pace":1.5})"});
   ASSERT_TRUE(state.ok()) << state.status().message();
   EXPECT_EQ(state->group, "g");
   EXPECT_EQ(state->ranks, 12);
@@ -27,11 +27,11 @@
 }
 
 TEST(EngineTest, NothingPreparedArmedOrHeld) {
-  const auto state = DecodeEngineState(
-      {.status = 200,
-       .body = R"({"group":{"name":"g","epoch":1,"rank":0,"state":"broken"},)"
-               R"("size":2,"step":0,"map":0,"prepared":null,"armed":null,)"
-               R"("held":null})"});
+  const auto state = DecodeEngineState(http_channel::CallAnswer{
+      .status = 200,
+      .body = R"({"group":{"name":"g","epoch":1,"rank":0,"state":"broken"},)"
+              R"("size":2,"step":0,"map":0,"prepared":null,"armed":null,)"
+              R"("held":null})"});
   ASSERT_TRUE(state.ok());
   EXPECT_FALSE(state->report.open);
   EXPECT_FALSE(state->report.prepared.has_value());
@@ -41,10 +41,12 @@
 
 TEST(EngineTest, EngineWithoutAGroup) {
   EXPECT_TRUE(absl::IsNotFound(
-      DecodeEngineState({.status = 200, .body = "{}"}).status()));
-  EXPECT_FALSE(DecodeEngineState({.status = 503}).ok());
-  EXPECT_FALSE(
-      DecodeCounts({.status = 200, .body = R"({"counts":[-1]})"}).ok());
+      DecodeEngineState(http_channel::CallAnswer{.status = 200, .body = "{}"})
+          .status()));
+  EXPECT_FALSE(DecodeEngineState(http_channel::CallAnswer{.status = 503}).ok());
+  EXPECT_FALSE(DecodeCounts(http_channel::CallAnswer{
+                                .status = 200, .body = R"({"counts":[-1]})"})
+                   .ok());
 }
 
 TEST(EngineTest, OrderNamesEpochAndFencingNumber) {
--- a/tests/unit/platform/store_test.cc
+++ b/tests/unit/platform/store_test.cc
@@ -54,9 +54,11 @@
 class RowsStatusTest : public testing::TestWithParam<StatusCase> {};
 
 TEST_P(RowsStatusTest, RefusalsAreToldApart) {
-  EXPECT_EQ(
-      DecodeRows({.status = GetParam().status, .body = "{}"}).status().code(),
-      GetParam().code);
+  EXPECT_EQ(DecodeRows(http_channel::CallAnswer{.status = GetParam().status,
+                                                .body = "{}"})
+                .status()
+                .code(),
+            GetParam().code);
 }
 
 INSTANTIATE_TEST_SUITE_P(
