E2e: kill processes one after the other

Cause of real_engine_killed failing beside load: SIGKILL returns before the process is gone, so the retry could still connect to a dying engine and be reset by it; two crashes under one content are rightly quarantined. Shown by real_engine_dies_under_retry, which freezes the other engines first and gets 'quarantined' each time.

--- a/tests/e2e/process_world.cc
+++ b/tests/e2e/process_world.cc
@@ -157,6 +157,12 @@
       return Failed("no process is called " + name);
     }
     process->Signal(signals.at(command.verb));
+    // A process that is being killed may still accept a connection and reset it
+    // later; the next one dies only when this one is gone.
+    if (command.verb == "kill" &&
+        !process->WaitForExit(kExitTimeout).has_value()) {
+      return Failed(name + " does not end");
+    }
   }
   return absl::OkStatus();
 }
