Expert demand: drop readings from before a shift; date reports by their question

Cause: with readings fading over 200 ms the first map after each shift was planned from a mix of old and new demand (slowest rank thought 1.3 to 1.9 over the mean, 2.3 to 3.4 in truth), and the right one only followed it about 1.4 s after the shift. A round that differs from the estimate by more than chance and a tenth of the choices now empties it. A report that was under way during a release was taken for a hold left behind: 63 orders to arm, refused, then disarmed. Reports now count from when they were asked for; the new test fails without it.

--- a/packages/common/event_log.h
+++ b/packages/common/event_log.h
@@ -35,6 +35,7 @@
   kCoordinatorSuperseded = 1603,
   kMapPlanned = 1604,
   kMapSwitchPhase = 1605,
+  kDemandShifted = 1606,
 };
 
 enum class Severity { kInfo, kWarning, kError };
--- a/packages/coordination/map_coordinator/map_coordinator.cc
+++ b/packages/coordination/map_coordinator/map_coordinator.cc
@@ -23,7 +23,7 @@
 
 void MapCoordinator::OnReport(int rank,
                               const RankReport& report,
-                              common::Time now) {
+                              common::Time asked_at) {
   if (rank < 0 || rank >= options_.ranks || report.epoch < epoch_) {
     return;
   }
@@ -32,7 +32,7 @@
     epoch_ = report.epoch;
   }
   ranks_[rank].report = report;
-  ranks_[rank].reported_at = now;
+  ranks_[rank].reported_at = asked_at;
 }
 
 void MapCoordinator::Reset() {
@@ -62,13 +62,20 @@
   });
 }
 
+bool MapCoordinator::AllReported(common::Time now) const {
+  return AllFresh(now) &&
+         std::all_of(ranks_.begin(), ranks_.end(), [&](const Rank& rank) {
+           return rank.reported_at >= phase_began_;
+         });
+}
+
 uint64_t MapCoordinator::map_version() const {
   return ranks_.front().report.has_value() ? ranks_.front().report->map_version
                                            : 0;
 }
 
 bool MapCoordinator::CanSwitch(common::Time now) const {
-  if (fenced_ || phase_ != Phase::kIdle || !AllFresh(now)) {
+  if (fenced_ || phase_ != Phase::kIdle || !AllReported(now)) {
     return false;
   }
   return std::all_of(ranks_.begin(), ranks_.end(), [&](const Rank& rank) {
@@ -145,7 +152,8 @@
 }
 
 void MapCoordinator::Recover(common::Time now) {
-  if (!AllFresh(now)) {
+  // A report from before the last release still shows its hold.
+  if (!AllReported(now)) {
     return;
   }
   const auto holder = std::find_if(
--- a/packages/coordination/map_coordinator/map_coordinator.h
+++ b/packages/coordination/map_coordinator/map_coordinator.h
@@ -62,7 +62,8 @@
  public:
   explicit MapCoordinator(const MapCoordinatorOptions& options);
 
-  void OnReport(int rank, const RankReport& report, common::Time now);
+  // What a rank answered to a question of `asked_at`; it may be as old as that.
+  void OnReport(int rank, const RankReport& report, common::Time asked_at);
   void OnOutcome(uint64_t order_id, OrderOutcome outcome, common::Time now);
   // The orders to give now; each rank has one at a time.
   std::vector<RankOrder> Tick(common::Time now);
@@ -88,6 +89,7 @@
  private:
   struct Rank {
     std::optional<RankReport> report;
+    // When the report was asked for.
     common::Time reported_at{};
     // The order without an outcome, if any.
     std::optional<uint64_t> in_flight;
@@ -106,6 +108,9 @@
   void TickReleasing(common::Time now, std::vector<RankOrder>& orders);
   void Give(int rank, OrderBody body, std::vector<RankOrder>& orders);
   bool AllConfirmed() const;
+  // Whether all ranks have reported lately, and what they reported is from
+  // this phase.
+  bool AllReported(common::Time now) const;
   bool AllFresh(common::Time now) const;
   uint64_t FurthestStep() const;
 
--- a/packages/daemon/companion/group_coordinator.cc
+++ b/packages/daemon/companion/group_coordinator.cc
@@ -96,7 +96,9 @@
     ReadDirectory();
   }
   if (now >= next_poll_) {
-    const bool quiet = decisions_.phase() == map_coordinator::Phase::kIdle;
+    CloseRound();
+    const bool quiet = decisions_.phase() == map_coordinator::Phase::kIdle &&
+                       !demand_.shifting();
     next_poll_ =
         now + (quiet ? options_.poll_period : options_.switch_poll_period);
     PollAll();
@@ -105,6 +107,20 @@
   GiveOrders();
 }
 
+bool GroupCoordinator::IsSampled(const Peer& peer) const {
+  return peer.rank < options_.sampled_ranks;
+}
+
+void GroupCoordinator::CloseRound() {
+  if (demand_.CloseRound(loop_.Now())) {
+    common::LogEvent(common::EventId::kDemandShifted,
+                     common::StrCat("group=", options_.group,
+                                    " map=", decisions_.map_version()));
+    next_poll_ = std::min(next_poll_,
+                          loop_.Now() + options_.switch_poll_period);
+  }
+}
+
 void GroupCoordinator::PollAll() {
   for (auto& [address, peer] : peers_) {
     if (!peer.poll_in_flight) {
@@ -137,29 +153,44 @@
   peer.poll_in_flight = true;
   const companion_messages::Poll poll{
       .generation = options_.generation,
-      .want_choices =
-          !decisions_.urgent() && peer.rank < options_.sampled_ranks,
+      .want_choices = !decisions_.urgent() && IsSampled(peer),
       .want_map = WantsMap(peer)};
   const std::string address = peer.entry.peer_address;
+  const common::Time asked_at = loop_.Now();
   peer_caller_.Start(
       address,
       {.method = "POST",
        .target = std::string(kPollPath),
        .body = companion_messages::EncodePoll(poll)},
       options_.poll_timeout,
-      Guarded([this, address](const http_channel::CallResult& result) {
-        OnPolled(address, result);
+      Guarded([this, address,
+               asked_at](const http_channel::CallResult& result) {
+        OnPolled(address, result, asked_at);
       }));
 }
 
 void GroupCoordinator::OnPolled(const std::string& address,
-                                const http_channel::CallResult& result) {
+                                const http_channel::CallResult& result,
+                                common::Time asked_at) {
   Peer& peer = peers_[address];
   peer.poll_in_flight = false;
   if (result.ok() && result->status == kSupersededStatus) {
     Stop();
     return;
   }
+  OnPollResult(peer, result, asked_at);
+  const bool round_ended =
+      std::none_of(peers_.begin(), peers_.end(), [this](const auto& item) {
+        return item.second.poll_in_flight && IsSampled(item.second);
+      });
+  if (round_ended) {
+    CloseRound();
+  }
+}
+
+void GroupCoordinator::OnPollResult(Peer& peer,
+                                    const http_channel::CallResult& result,
+                                    common::Time asked_at) {
   constexpr int kOk = 200;
   if (!result.ok()) {
     peer.unreachable = true;
@@ -174,40 +205,44 @@
   }
   const auto state = companion_messages::DecodeRankState(result->body);
   if (state.ok()) {
-    OnState(peer, *state);
+    OnState(peer, *state, asked_at);
   }
 }
 
 void GroupCoordinator::ReadEngineDirectly(Peer& peer) {
   peer.poll_in_flight = true;
   const std::string address = peer.entry.peer_address;
+  const common::Time asked_at = loop_.Now();
   peer_caller_.Start(
       peer.entry.engine_address, platform::ReadEngineCall(),
       options_.poll_timeout,
-      Guarded([this, address](const http_channel::CallResult& result) {
+      Guarded([this, address,
+               asked_at](const http_channel::CallResult& result) {
         Peer& answered = peers_[address];
         answered.poll_in_flight = false;
         const auto state = platform::DecodeEngineState(result);
         if (state.ok()) {
-          OnState(answered, {.group = state->group,
-                             .rank = state->rank,
-                             .ranks = state->ranks,
-                             .report = state->report});
+          OnState(answered,
+                  {.group = state->group,
+                   .rank = state->rank,
+                   .ranks = state->ranks,
+                   .report = state->report},
+                  asked_at);
         }
       }));
 }
 
 void GroupCoordinator::OnState(Peer& peer,
-                               const companion_messages::RankState& state) {
+                               const companion_messages::RankState& state,
+                               common::Time asked_at) {
   if (state.group != options_.group || state.ranks != options_.ranks) {
     return;
   }
   peer.rank = state.rank;
-  const common::Time now = loop_.Now();
   reports_[state.rank] = state.report;
-  decisions_.OnReport(state.rank, state.report, now);
+  decisions_.OnReport(state.rank, state.report, asked_at);
   if (state.choices.has_value()) {
-    demand_.OnChoices(*state.choices, now);
+    demand_.OnChoices(*state.choices);
   }
   if (state.experts.has_value()) {
     experts_[state.rank] = {.epoch = state.report.epoch,
--- a/packages/daemon/companion/group_coordinator.h
+++ b/packages/daemon/companion/group_coordinator.h
@@ -92,10 +92,21 @@
   void Tick();
   void PollAll();
   void Poll(Peer& peer);
+  // `asked_at` is when the poll was sent.
   void OnPolled(const std::string& address,
-                const http_channel::CallResult& result);
+                const http_channel::CallResult& result,
+                common::Time asked_at);
+  void OnPollResult(Peer& peer,
+                    const http_channel::CallResult& result,
+                    common::Time asked_at);
+  // Whether the rank's choices are asked for.
+  bool IsSampled(const Peer& peer) const;
+  // The readings of choices that were asked for together are all there.
+  void CloseRound();
   void ReadEngineDirectly(Peer& peer);
-  void OnState(Peer& peer, const companion_messages::RankState& state);
+  void OnState(Peer& peer,
+               const companion_messages::RankState& state,
+               common::Time asked_at);
   void GiveOrders();
   void Relay(const map_coordinator::RankOrder& order);
   void OnOutcome(uint64_t order_id, map_coordinator::OrderOutcome outcome);
--- a/tests/unit/coordination/map_coordinator/map_coordinator_test.cc
+++ b/tests/unit/coordination/map_coordinator/map_coordinator_test.cc
@@ -140,10 +140,11 @@
     if (Happens(faults_.lost_reports)) {
       return;
     }
-    At(kDelay, [this, to, rank] {
+    At(kDelay, [this, to, rank, asked_at = now_] {
       const RankReport report = group_.Report(rank, now_);
-      At(kDelay,
-         [this, to, rank, report] { to->OnReport(rank, report, now_); });
+      At(kDelay, [to, rank, report, asked_at] {
+        to->OnReport(rank, report, asked_at);
+      });
     });
   }
 
@@ -251,6 +252,44 @@
   EXPECT_EQ(group.step(), 1U);
 }
 
+// An answer that was under way while the group was released still shows the
+// hold, and must not be taken for one that somebody left behind.
+TEST(MapCoordinatorTest, ReportFromBeforeTheReleaseStartsNothing) {
+  FakeGroup group(1, common::milliseconds(1));
+  MapCoordinator decisions({.ranks = 1, .generation = 1});
+  common::Time now{common::seconds(1)};
+  ASSERT_TRUE(group.Advance(now));
+  decisions.OnReport(0, group.Report(0, now), now);
+  decisions.Switch(std::make_shared<const GroupMap>(), now);
+  std::optional<RankReport> held;
+  common::Time held_asked_at{};
+  for (int i = 0; i < 100 && decisions.switches() == 0; ++i) {
+    now += kTick;
+    for (const RankOrder& order : decisions.Tick(now)) {
+      decisions.OnOutcome(order.id, group.Carry(order, now), now);
+    }
+    const RankReport report = group.Report(0, now);
+    if (report.held_step.has_value() && report.armed.has_value()) {
+      held = report;
+      held_asked_at = now;
+    }
+    decisions.OnReport(0, report, now);
+  }
+  for (int i = 0; i < 100 && decisions.phase() != Phase::kIdle; ++i) {
+    now += common::milliseconds(60);
+    for (const RankOrder& order : decisions.Tick(now)) {
+      decisions.OnOutcome(order.id, group.Carry(order, now), now);
+    }
+    ASSERT_TRUE(group.Advance(now));
+    decisions.OnReport(0, group.Report(0, now), now);
+  }
+  ASSERT_EQ(decisions.phase(), Phase::kIdle);
+  ASSERT_TRUE(held.has_value());
+  decisions.OnReport(0, *held, held_asked_at);
+  EXPECT_TRUE(decisions.Tick(now + kTick).empty());
+  EXPECT_EQ(decisions.phase(), Phase::kIdle);
+}
+
 TEST(MapCoordinatorTest, FencedCoordinatorGivesNoMoreOrders) {
   MapCoordinator decisions({.ranks = 1, .generation = 1});
   const common::Time now{common::seconds(1)};
--- a/tests/unit/state/expert_demand/expert_demand_test.cc
+++ b/tests/unit/state/expert_demand/expert_demand_test.cc
@@ -36,23 +36,50 @@
 
 TEST(ExpertDemandTest, ChoicesAreSummedOverRanks) {
   ExpertDemand demand({.layers = 1, .experts = 2});
-  demand.OnChoices({4, 0}, kStart);
-  demand.OnChoices({1, 0}, kStart);
-  EXPECT_EQ(demand.loads().front(), (Loads{5, 0}));
+  demand.OnChoices({40, 0});
+  demand.OnChoices({10, 0});
+  EXPECT_FALSE(demand.CloseRound(kStart));
+  EXPECT_EQ(demand.loads().front(), (Loads{50, 0}));
 }
 
 TEST(ExpertDemandTest, ChoicesOfAnotherShapeAreLeftOut) {
   ExpertDemand demand({.layers = 1, .experts = 2});
-  demand.OnChoices({4, 0, 7}, kStart);
+  demand.OnChoices({40, 0, 70});
+  demand.CloseRound(kStart);
   EXPECT_EQ(demand.total(), 0);
 }
 
 TEST(ExpertDemandTest, OldChoicesFade) {
   ExpertDemand demand(
       {.layers = 1, .experts = 1, .half_life = common::milliseconds(200)});
-  demand.OnChoices({100}, kStart);
-  demand.OnChoices({0}, kStart + common::milliseconds(400));
-  EXPECT_NEAR(demand.total(), 25, 1e-6);
+  demand.OnChoices({100});
+  demand.CloseRound(kStart);
+  demand.OnChoices({100});
+  demand.CloseRound(kStart + common::milliseconds(400));
+  EXPECT_NEAR(demand.total(), 125, 1e-6);
+}
+
+// A round of too few choices goes on.
+TEST(ExpertDemandTest, FewChoicesAreKeptForTheNextRound) {
+  ExpertDemand demand({.layers = 1, .experts = 2, .least_per_expert = 4});
+  demand.OnChoices({7, 0});
+  demand.CloseRound(kStart);
+  EXPECT_EQ(demand.total(), 0);
+  demand.OnChoices({0, 1});
+  demand.CloseRound(kStart + common::milliseconds(100));
+  EXPECT_EQ(demand.loads().front(), (Loads{7, 1}));
+}
+
+// Draws choices of one layer by their shares, as an engine counts them.
+std::vector<uint64_t> Draw(const Loads& shares,
+                           int choices,
+                           std::mt19937_64& random) {
+  std::discrete_distribution<size_t> expert(shares.begin(), shares.end());
+  std::vector<uint64_t> counts(shares.size());
+  for (int i = 0; i < choices; ++i) {
+    ++counts[expert(random)];
+  }
+  return counts;
 }
 
 // Shares fall with the rank of popularity; which experts are popular is the
@@ -107,6 +134,56 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, RebalanceTest, testing::Range<uint64_t>(1, 21));
 
+// The load that it answers: demand that shifts at once, somewhere within a
+// round. What is planned after it must suit the new demand alone.
+class DemandShiftTest : public testing::TestWithParam<double> {};
+
+TEST_P(DemandShiftTest, NothingOfTheOldDemandIsLeft) {
+  const Loads before = SkewedLoads(1);
+  const Loads after = SkewedLoads(2);
+  std::mt19937_64 random(7);
+  ExpertDemand demand({.layers = 1, .experts = kExperts});
+  common::Time now = kStart;
+  const auto round = [&](double share_after, int choices) {
+    const int late = static_cast<int>(share_after * choices);
+    demand.OnChoices(Draw(before, choices - late, random));
+    demand.OnChoices(Draw(after, late, random));
+    now += common::milliseconds(120);
+    return demand.CloseRound(now);
+  };
+  constexpr int kChoices = 20'000;
+  for (int i = 0; i < 10; ++i) {
+    EXPECT_FALSE(round(0, kChoices));
+  }
+  EXPECT_TRUE(round(GetParam(), kChoices));
+  EXPECT_TRUE(demand.shifting());
+  EXPECT_EQ(demand.total(), 0);
+  EXPECT_FALSE(round(1, kChoices));
+  EXPECT_FALSE(demand.shifting());
+  EXPECT_LT(MovedShare(demand.loads(), {after}), 0.02);
+}
+
+INSTANTIATE_TEST_SUITE_P(ShareOfTheRound,
+                         DemandShiftTest,
+                         testing::Values(0.25, 0.5, 0.75, 1.0));
+
+// What chance does to few choices is no shift.
+class SteadyDemandTest : public testing::TestWithParam<int> {};
+
+TEST_P(SteadyDemandTest, ChanceIsNoShift) {
+  std::mt19937_64 random(3);
+  ExpertDemand demand({.layers = 1, .experts = kExperts});
+  for (int i = 0; i < 200; ++i) {
+    demand.OnChoices(Draw(SkewedLoads(1), GetParam(), random));
+    EXPECT_FALSE(
+        demand.CloseRound(kStart + common::milliseconds(120) * i));
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(ChoicesARound,
+                         SteadyDemandTest,
+                         testing::Values(300, 1000, 5000, 50000));
+
 TEST(RebalanceTest, EvenDemandMovesNothing) {
   EXPECT_FALSE(PlanRebalance({FirstMap()}, {Loads(kExperts, 1.0)}, kOptions)
                    .has_value());
