Gateway: routing by loads that companions share, tried and taken back

Queues were 2 of 400 requests in calm, so there is little to gain; what binds is the length of a step.

--- a/packages/daemon/companion/companion.cc
+++ b/packages/daemon/companion/companion.cc
@@ -78,12 +78,10 @@
 void Companion::OnRequest(http_channel::CallerChannel& channel,
                           const http1::RequestHead& head,
                           std::string body) {
-  if (head.target == companion_messages::kPollPath) {
+  if (head.target == kPollPath) {
     OnPoll(channel, body);
-  } else if (head.target == companion_messages::kOrderPath) {
+  } else if (head.target == kOrderPath) {
     OnOrder(channel, body);
-  } else if (head.target == companion_messages::kLoadsPath) {
-    channel.Respond(kOk, {}, LoadTableNow());
   } else {
     channel.Respond(kNotFound, {}, {});
   }
@@ -123,7 +121,7 @@
 
 void Companion::OnPoll(http_channel::CallerChannel& channel,
                        const std::string& body) {
-  auto poll = companion_messages::DecodePoll(body);
+  const auto poll = companion_messages::DecodePoll(body);
   if (!poll.ok()) {
     channel.Respond(kBadRequest, {}, {});
     return;
@@ -134,27 +132,24 @@
   }
   generation_ = poll->generation;
   heard_at_ = loop_.Now();
-  LearnLoads(std::move(poll->loads));
   const uint64_t id = Pend(channel);
   PendingPoll& pending = pending_polls_[id];
   pending.readings_left =
       1 + (poll->want_choices ? 1 : 0) + (poll->want_map ? 1 : 0);
-  ReadEngine(
-      platform::ReadEngineCall(),
-      [this, id](const http_channel::CallResult& result) {
-        const auto state = platform::DecodeEngineState(result);
-        if (state.ok()) {
-          companion_messages::RankState& told = pending_polls_.at(id).state;
-          told.group = state->group;
-          told.rank = state->rank;
-          told.ranks = state->ranks;
-          told.load = {.running = state->running, .queued = state->queued};
-          told.directory = loads_.addresses.empty() ? 0 : loads_.directory;
-          told.report = state->report;
-          rank_ = state->rank;
-        }
-        FinishReading(id, state.ok());
-      });
+  ReadEngine(platform::ReadEngineCall(),
+             [this, id](const http_channel::CallResult& result) {
+               const auto state = platform::DecodeEngineState(result);
+               if (state.ok()) {
+                 companion_messages::RankState& told =
+                     pending_polls_.at(id).state;
+                 told.group = state->group;
+                 told.rank = state->rank;
+                 told.ranks = state->ranks;
+                 told.report = state->report;
+                 rank_ = state->rank;
+               }
+               FinishReading(id, state.ok());
+             });
   if (poll->want_choices) {
     ReadEngine(platform::ReadCountsCall(),
                [this, id](const http_channel::CallResult& result) {
@@ -178,27 +173,6 @@
   }
 }
 
-void Companion::LearnLoads(companion_messages::GroupLoads loads) {
-  if (loads.addresses.empty() && loads.directory == loads_.directory) {
-    loads.addresses = std::move(loads_.addresses);
-  }
-  loads_ = std::move(loads);
-  loads_at_ = loop_.Now();
-}
-
-std::string Companion::LoadTableNow() const {
-  companion_messages::LoadTable table{.age = loads_.age +
-                                             (loop_.Now() - loads_at_)};
-  const size_t ranks = std::min(loads_.addresses.size(), loads_.engines.size());
-  for (size_t rank = 0; rank < ranks; ++rank) {
-    if (loads_.engines[rank].has_value()) {
-      table.entries.push_back(
-          {.address = loads_.addresses[rank], .load = *loads_.engines[rank]});
-    }
-  }
-  return companion_messages::EncodeLoadTable(table);
-}
-
 void Companion::FinishReading(uint64_t poll_id, bool ok) {
   const auto found = pending_polls_.find(poll_id);
   PendingPoll& poll = found->second;
--- a/packages/daemon/companion/companion.h
+++ b/packages/daemon/companion/companion.h
@@ -48,8 +48,6 @@
 
   void OnPoll(http_channel::CallerChannel& channel, const std::string& body);
   void OnOrder(http_channel::CallerChannel& channel, const std::string& body);
-  void LearnLoads(companion_messages::GroupLoads loads);
-  std::string LoadTableNow() const;
   void FinishReading(uint64_t poll_id, bool ok);
   void ReadEngine(const http_channel::Call& call,
                   std::function<void(const http_channel::CallResult&)> done);
@@ -89,10 +87,6 @@
   uint64_t next_pending_ = 1;
   // Highest fencing number met.
   uint64_t generation_ = 0;
-  // The loads of the group's engines as last told, and when; the addresses are
-  // kept while the coordinator tells none.
-  companion_messages::GroupLoads loads_;
-  common::Time loads_at_{};
   // Maps that this rank was told to prepare.
   map_coordinator::MapStock maps_;
   // Unknown until the engine was read.
--- a/packages/daemon/companion/group_coordinator.cc
+++ b/packages/daemon/companion/group_coordinator.cc
@@ -17,8 +17,6 @@
 constexpr common::Duration kTickPeriod = common::milliseconds(25);
 // A step of an ill-suited map takes longer than arming all ranks.
 constexpr uint64_t kLeadSteps = 1;
-// Versions of one coordinator's list of addresses.
-constexpr uint64_t kDirectoriesPerGeneration = 1'000'000;
 // Choices that must be known before a map is judged by them: enough for the
 // shares of the heaviest experts to stand out from chance.
 constexpr double kLeastChoicesPerExpert = 20;
@@ -46,9 +44,7 @@
                   .generation = options_.generation,
                   .lead_steps = kLeadSteps}),
       demand_({.layers = options_.engine.layers,
-               .experts = options_.engine.experts}),
-      addresses_(options_.ranks),
-      directory_(options_.generation * kDirectoriesPerGeneration) {
+               .experts = options_.engine.experts}) {
   ReadDirectory();
   Tick();
 }
@@ -161,26 +157,6 @@
                                        : options_.time_per_rank);
 }
 
-companion_messages::GroupLoads GroupCoordinator::LoadsFor(
-    uint64_t known_directory) const {
-  const common::Time now = loop_.Now();
-  companion_messages::GroupLoads loads{.directory = directory_};
-  if (known_directory != directory_) {
-    loads.addresses = addresses_;
-  }
-  for (int rank = 0; rank < options_.ranks; ++rank) {
-    const auto found = loads_.find(rank);
-    const bool known = found != loads_.end() &&
-                       now - found->second.asked_at < options_.load_expiry;
-    loads.engines.push_back(known ? std::optional(found->second.load)
-                                  : std::nullopt);
-    if (known) {
-      loads.age = std::max(loads.age, now - found->second.asked_at);
-    }
-  }
-  return loads;
-}
-
 bool GroupCoordinator::WantsMap(const Peer& peer) const {
   const auto report = reports_.find(peer.rank);
   const auto known = experts_.find(peer.rank);
@@ -194,13 +170,12 @@
   const companion_messages::Poll poll{
       .generation = options_.generation,
       .want_choices = !decisions_.urgent() && IsSampled(peer),
-      .want_map = WantsMap(peer),
-      .loads = LoadsFor(peer.directory)};
+      .want_map = WantsMap(peer)};
   const std::string address = peer.entry.peer_address;
   const common::Time asked_at = loop_.Now();
   peer_caller_.Start(address,
                      {.method = "POST",
-                      .target = std::string(companion_messages::kPollPath),
+                      .target = std::string(kPollPath),
                       .body = companion_messages::EncodePoll(poll)},
                      options_.poll_timeout,
                      Guarded([this, address, asked_at](
@@ -274,18 +249,10 @@
 void GroupCoordinator::OnState(Peer& peer,
                                const companion_messages::RankState& state,
                                common::Time asked_at) {
-  if (state.group != options_.group || state.ranks != options_.ranks ||
-      state.rank < 0 || state.rank >= options_.ranks) {
+  if (state.group != options_.group || state.ranks != options_.ranks) {
     return;
   }
   peer.rank = state.rank;
-  peer.directory = state.directory;
-  loads_[state.rank] = {.load = state.load, .asked_at = asked_at};
-  std::string& address = addresses_[state.rank];
-  if (address != peer.entry.engine_address) {
-    address = peer.entry.engine_address;
-    ++directory_;
-  }
   reports_[state.rank] = state.report;
   decisions_.OnReport(state.rank, state.report, asked_at);
   if (state.choices.has_value()) {
@@ -350,14 +317,14 @@
       std::sort(experts.begin(), experts.end());
     }
   }
-  common::LogEvent(
-      common::EventId::kMapPlanned,
-      common::StrCat("group=", options_.group,
-                     " from_map=", decisions_.map_version(),
-                     " moves=", plan->moves, " copies=", plan->copies,
-                     " slowest_before=", plan->slowest_before,
-                     " slowest_after=", plan->slowest_after,
-                     " choices=", demand_.total()));
+  common::LogEvent(common::EventId::kMapPlanned,
+                   common::StrCat("group=", options_.group,
+                                  " from_map=", decisions_.map_version(),
+                                  " moves=", plan->moves,
+                                  " copies=", plan->copies,
+                                  " slowest_before=", plan->slowest_before,
+                                  " slowest_after=", plan->slowest_after,
+                                  " choices=", demand_.total()));
   decisions_.Switch(std::move(map), now);
 }
 
@@ -409,7 +376,7 @@
   peer_caller_.Start(
       address,
       {.method = "POST",
-       .target = std::string(companion_messages::kOrderPath),
+       .target = std::string(kOrderPath),
        .body = companion_messages::EncodeOrder(order, encoded_map)},
       TimeoutOf(order),
       Guarded([this, address, order](const http_channel::CallResult& result) {
--- a/packages/daemon/companion/group_coordinator.h
+++ b/packages/daemon/companion/group_coordinator.h
@@ -20,6 +20,9 @@
 
 namespace wagtailshore::companion {
 
+// The paths that companions answer each other on.
+inline constexpr std::string_view kPollPath = "/rank";
+inline constexpr std::string_view kOrderPath = "/order";
 inline constexpr int kSupersededStatus = 409;
 
 struct GroupCoordinatorOptions {
@@ -40,8 +43,6 @@
   common::Duration time_per_rank = common::milliseconds(2);
   // Time that one rank's copy of a new map takes on the coordinator's link.
   common::Duration map_time_per_rank = common::milliseconds(8);
-  // A load older than this is not told any more.
-  common::Duration load_expiry = common::milliseconds(400);
   common::Duration poll_timeout = common::milliseconds(400);
   common::Duration order_timeout = common::milliseconds(150);
   // Ranks whose choices are asked for; requests are spread evenly, so a part
@@ -85,8 +86,6 @@
     int rank = -1;
     // Versions of maps that this companion has taken and may still know.
     std::set<uint64_t> known_maps;
-    // The list of addresses that it has.
-    uint64_t directory = 0;
   };
   // The experts of one rank, by layer, and the map they are of.
   struct RankExperts {
@@ -129,9 +128,6 @@
   void PlanIfDue();
   std::optional<std::vector<placement::ExpertMap>> CurrentMaps() const;
   bool WantsMap(const Peer& peer) const;
-  // What is known of the engines' loads, for a companion that has the list of
-  // addresses of that version.
-  companion_messages::GroupLoads LoadsFor(uint64_t known_directory) const;
   // `least`, or the time that telling every rank takes when that is longer.
   common::Duration PeriodFor(common::Duration least) const;
   common::Duration TimeoutOf(const map_coordinator::RankOrder& order) const;
@@ -152,14 +148,6 @@
   std::map<std::string, Peer> peers_;
   std::map<int, RankExperts> experts_;
   std::map<int, map_coordinator::RankReport> reports_;
-  struct RankLoad {
-    companion_messages::EngineLoad load;
-    common::Time asked_at{};
-  };
-  std::map<int, RankLoad> loads_;
-  // The engines' addresses by rank, and the version of that list.
-  std::vector<std::string> addresses_;
-  uint64_t directory_;
   common::Time next_poll_{};
   common::Time next_choices_{};
   common::Time next_plan_{};
--- a/packages/daemon/gateway/gateway.cc
+++ b/packages/daemon/gateway/gateway.cc
@@ -32,10 +32,6 @@
 // An unreachable endpoint is noticed within about a tenth of the latency that
 // callers expect.
 constexpr common::Duration kConnectTimeout = common::milliseconds(250);
-// Endpoints compared in the own failure domain, and in the others. Loads are a
-// quarter of a second old, in which an engine gets about one request: with more
-// choices all gateways would take the same few engines.
-constexpr uint32_t kChoices = 2;
 // A price in waiting time for crossing failure domains; a few round trips.
 constexpr double kOtherDomainPenaltyMs = 5;
 
@@ -43,7 +39,8 @@
     const serving::HostedSettings& settings) {
   return {.failure_domain = settings.failure_domain,
           .seed = std::random_device{}(),
-          .choices = kChoices,
+          // All endpoints are compared: there are few, and reports are fresh.
+          .choices = 1024,
           // All failure domains serve together, the own one first.
           .spill_above_ms = -1,
           .spill_below_ms = -1,
@@ -99,26 +96,19 @@
     : loop_(loop),
       settings_(std::move(settings)),
       endpoint_pool_(loop, {.connect_timeout = kConnectTimeout}),
-      call_pool_(loop, {.connect_timeout = kConnectTimeout}),
-      caller_(loop, call_pool_),
+      store_pool_(loop, {.connect_timeout = kConnectTimeout}),
+      store_caller_(loop, store_pool_),
       freshness_({.revocation_bound = settings_.revocation_bound}),
       fleet_({}),
       router_(RouterOptionsOf(settings_)),
       store_(loop,
-             caller_,
+             store_caller_,
              {.store_address = settings_.store_address,
               .endpoints_period = std::chrono::duration_cast<common::Duration>(
                   settings_.drain_bound * kListShare)},
              freshness_,
              fleet_,
              [this](const fleet::FleetChange& change) { OnFleet(change); }),
-      loads_(loop,
-             caller_,
-             {.failure_domain = settings_.failure_domain,
-              .peer_port = settings_.peer_port},
-             fleet_,
-             store_,
-             router_),
       core_{.loop = loop_,
             .settings = settings_,
             .pool = endpoint_pool_,
@@ -151,7 +141,6 @@
   }
   listener_ = *std::move(listener);
   store_.Start();
-  loads_.Start();
   return absl::OkStatus();
 }
 
--- a/packages/protocol/companion_messages/companion_messages.cc
+++ b/packages/protocol/companion_messages/companion_messages.cc
@@ -216,69 +216,27 @@
   return absl::InvalidArgumentError("unknown order");
 }
 
-// Stands for an engine that was not heard lately.
-constexpr int kUnknownLoad = -1;
-
-json ToJson(const GroupLoads& loads) {
-  std::vector<int> running;
-  std::vector<int> queued;
-  for (const std::optional<EngineLoad>& load : loads.engines) {
-    running.push_back(load.has_value() ? load->running : kUnknownLoad);
-    queued.push_back(load.has_value() ? load->queued : 0);
-  }
-  json value = {{"directory", loads.directory},
-                {"running", running},
-                {"queued", queued},
-                {"age_ms", common::ToMilliseconds(loads.age)}};
-  if (!loads.addresses.empty()) {
-    value["addresses"] = loads.addresses;
-  }
-  return value;
-}
-
-GroupLoads LoadsOf(const json& value) {
-  GroupLoads loads{
-      .directory = value.at("directory").get<uint64_t>(),
-      .age = common::milliseconds(value.at("age_ms").get<int64_t>())};
-  if (value.contains("addresses")) {
-    loads.addresses = value.at("addresses").get<std::vector<std::string>>();
-  }
-  const auto running = value.at("running").get<std::vector<int>>();
-  const auto queued = value.at("queued").get<std::vector<int>>();
-  for (size_t rank = 0; rank < std::min(running.size(), queued.size());
-       ++rank) {
-    loads.engines.push_back(running[rank] < 0 ? std::nullopt
-                                              : std::optional<EngineLoad>(
-                                                    {.running = running[rank],
-                                                     .queued = queued[rank]}));
-  }
-  return loads;
-}
-
 }  // namespace
 
 std::string EncodePoll(const Poll& poll) {
   return Pack({{"generation", poll.generation},
                {"choices", poll.want_choices},
-               {"map", poll.want_map},
-               {"loads", ToJson(poll.loads)}});
+               {"map", poll.want_map}});
 }
 
 absl::StatusOr<Poll> DecodePoll(std::string_view text) {
   return Unpack(text, [](const json& value) {
     return Poll{.generation = value.at("generation").get<uint64_t>(),
                 .want_choices = value.at("choices").get<bool>(),
-                .want_map = value.at("map").get<bool>(),
-                .loads = LoadsOf(value.at("loads"))};
+                .want_map = value.at("map").get<bool>()};
   });
 }
 
 std::string EncodeRankState(const RankState& state) {
-  json value = {
-      {"group", state.group},          {"rank", state.rank},
-      {"ranks", state.ranks},          {"running", state.load.running},
-      {"queued", state.load.queued},   {"directory", state.directory},
-      {"report", ToJson(state.report)}};
+  json value = {{"group", state.group},
+                {"rank", state.rank},
+                {"ranks", state.ranks},
+                {"report", ToJson(state.report)}};
   if (state.choices.has_value()) {
     value["choices"] = *state.choices;
   }
@@ -293,9 +251,6 @@
     RankState state{.group = value.at("group").get<std::string>(),
                     .rank = value.at("rank").get<int>(),
                     .ranks = value.at("ranks").get<int>(),
-                    .load = {.running = value.at("running").get<int>(),
-                             .queued = value.at("queued").get<int>()},
-                    .directory = value.at("directory").get<uint64_t>(),
                     .report = ReportOf(value.at("report"))};
     if (value.contains("choices")) {
       state.choices = value.at("choices").get<std::vector<uint64_t>>();
@@ -307,28 +262,6 @@
   });
 }
 
-std::string EncodeLoadTable(const LoadTable& table) {
-  json entries = json::array();
-  for (const LoadTable::Entry& entry : table.entries) {
-    entries.push_back({entry.address, entry.load.running, entry.load.queued});
-  }
-  return Pack({{"age_ms", common::ToMilliseconds(table.age)},
-               {"loads", std::move(entries)}});
-}
-
-absl::StatusOr<LoadTable> DecodeLoadTable(std::string_view text) {
-  return Unpack(text, [](const json& value) {
-    LoadTable table{
-        .age = common::milliseconds(value.at("age_ms").get<int64_t>())};
-    for (const json& entry : value.at("loads")) {
-      table.entries.push_back({.address = entry.at(0).get<std::string>(),
-                               .load = {.running = entry.at(1).get<int>(),
-                                        .queued = entry.at(2).get<int>()}});
-    }
-    return table;
-  });
-}
-
 std::string EncodeMap(const GroupMap& map) {
   return Pack(map);
 }
--- a/packages/protocol/companion_messages/companion_messages.h
+++ b/packages/protocol/companion_messages/companion_messages.h
@@ -8,7 +8,6 @@
 #include <vector>
 
 #include "absl/status/statusor.h"
-#include "common/time.h"
 #include "coordination/map_coordinator/map_stock.h"
 #include "coordination/map_coordinator/rank_orders.h"
 
@@ -16,39 +15,12 @@
 // HTTP, all from the coordinator to a companion and back.
 namespace wagtailshore::companion_messages {
 
-// The paths that companions answer on: the coordinator's polls and orders, and
-// gateways that ask for the loads of the group's engines.
-inline constexpr std::string_view kPollPath = "/rank";
-inline constexpr std::string_view kOrderPath = "/order";
-inline constexpr std::string_view kLoadsPath = "/loads";
-
-// Requests at an engine.
-struct EngineLoad {
-  int running = 0;
-  int queued = 0;
-
-  bool operator==(const EngineLoad&) const = default;
-};
-
-// The loads of a group's engines, as the coordinator tells its companions.
-struct GroupLoads {
-  // Version of the list of addresses, which is only told to those who do not
-  // have it: the engines' "IP:port" by rank.
-  uint64_t directory = 0;
-  std::vector<std::string> addresses;
-  // By rank; nothing of engines that were not heard lately.
-  std::vector<std::optional<EngineLoad>> engines;
-  // Age on sending.
-  common::Duration age{};
-};
-
 // Asks a companion for what its engine says.
 struct Poll {
   // Fencing number of the coordinator that asks.
   uint64_t generation = 0;
   bool want_choices = false;
   bool want_map = false;
-  GroupLoads loads;
 };
 
 // What an engine says, read by the companion beside it.
@@ -56,9 +28,6 @@
   std::string group;
   int rank = 0;
   int ranks = 0;
-  EngineLoad load;
-  // The list of addresses that the companion has; 0 for none.
-  uint64_t directory = 0;
   map_coordinator::RankReport report;
   // Choices of each expert since they were last told, by layer and then expert.
   std::optional<std::vector<uint64_t>> choices;
@@ -77,21 +46,6 @@
 std::string EncodeRankState(const RankState& state);
 absl::StatusOr<RankState> DecodeRankState(std::string_view text);
 
-// What a companion tells a gateway.
-struct LoadTable {
-  struct Entry {
-    // The engine's "IP:port".
-    std::string address;
-    EngineLoad load;
-  };
-  std::vector<Entry> entries;
-  // Age on sending.
-  common::Duration age{};
-};
-
-std::string EncodeLoadTable(const LoadTable& table);
-absl::StatusOr<LoadTable> DecodeLoadTable(std::string_view text);
-
 // A map as it stands in an order; encoded once for all ranks.
 std::string EncodeMap(const map_coordinator::GroupMap& map);
 // The same by what differs from a map that the receiver has, in about three
