--- a/packages/daemon/companion/group_coordinator.cc
+++ b/packages/daemon/companion/group_coordinator.cc
@@ -44,7 +44,11 @@
                   .generation = options_.generation,
                   .lead_steps = kLeadSteps}),
       demand_({.layers = options_.engine.layers,
-               .experts = options_.engine.experts}) {
+               .experts = options_.engine.experts}),
+      sampled_ranks_(std::max(
+          options_.least_sampled_ranks,
+          options_.counters_per_round /
+              std::max(1, options_.engine.layers * options_.engine.experts))) {
   ReadDirectory();
   Tick();
 }
@@ -113,7 +117,7 @@
 }
 
 bool GroupCoordinator::IsSampled(const Peer& peer) const {
-  return peer.rank >= 0 && peer.rank < options_.sampled_ranks;
+  return peer.rank >= 0 && peer.rank < sampled_ranks_;
 }
 
 void GroupCoordinator::CloseRound() {
@@ -317,14 +321,14 @@
       std::sort(experts.begin(), experts.end());
     }
   }
-  common::LogEvent(common::EventId::kMapPlanned,
-                   common::StrCat("group=", options_.group,
-                                  " from_map=", decisions_.map_version(),
-                                  " moves=", plan->moves,
-                                  " copies=", plan->copies,
-                                  " slowest_before=", plan->slowest_before,
-                                  " slowest_after=", plan->slowest_after,
-                                  " choices=", demand_.total()));
+  common::LogEvent(
+      common::EventId::kMapPlanned,
+      common::StrCat("group=", options_.group,
+                     " from_map=", decisions_.map_version(),
+                     " moves=", plan->moves, " copies=", plan->copies,
+                     " slowest_before=", plan->slowest_before,
+                     " slowest_after=", plan->slowest_after,
+                     " choices=", demand_.total()));
   decisions_.Switch(std::move(map), now);
 }
 
--- a/packages/daemon/companion/group_coordinator.h
+++ b/packages/daemon/companion/group_coordinator.h
@@ -45,9 +45,11 @@
   common::Duration map_time_per_rank = common::milliseconds(8);
   common::Duration poll_timeout = common::milliseconds(400);
   common::Duration order_timeout = common::milliseconds(150);
-  // Ranks whose choices are asked for; requests are spread evenly, so a part
-  // of a large group tells enough. 8 ranks with 2,000 counters each take 16 KB.
-  int sampled_ranks = 8;
+  // Choices are asked of as many ranks as have this many counters together,
+  // about a byte each, and of 8 at least: requests are spread evenly, so a part
+  // of a large group tells enough.
+  int counters_per_round = 16'000;
+  int least_sampled_ranks = 8;
   // Time between readings of choices; a shift shows in the first and is known
   // in the second one after it.
   common::Duration choices_period = common::milliseconds(60);
@@ -148,6 +150,8 @@
   std::map<std::string, Peer> peers_;
   std::map<int, RankExperts> experts_;
   std::map<int, map_coordinator::RankReport> reports_;
+  // Ranks whose choices are asked for.
+  int sampled_ranks_;
   common::Time next_poll_{};
   common::Time next_choices_{};
   common::Time next_plan_{};
--- a/packages/state/expert_demand/expert_demand.h
+++ b/packages/state/expert_demand/expert_demand.h
@@ -18,8 +18,8 @@
   common::Duration half_life = common::milliseconds(200);
   // Share of the choices that must have moved between experts, beyond what
   // chance explains, for demand to have shifted. Source: requests that come and
-  // go move a few hundredths, and a map suits that well enough.
-  double shift_share = 0.1;
+  // go move up to 0.16 between rounds of a dozen ranks, shifts 0.26 and more.
+  double shift_share = 0.2;
   // Fewest choices per expert and layer that a round is judged by.
   double least_per_expert = 4;
 };
