--- a/packages/state/expert_demand/rebalance.cc
+++ b/packages/state/expert_demand/rebalance.cc
@@ -97,8 +97,8 @@
       plan.maps.push_back(before);
       continue;
     }
-    const ExpertMap filled = FillFreeSlots(before, loads[layer],
-                                           options.slots_per_rank, max_new);
+    const ExpertMap filled =
+        FillFreeSlots(before, loads[layer], options.slots_per_rank, max_new);
     placement::Improver improver(
         filled, {loads[layer]},
         placement::NewExpertLimit{.origin = before, .max_new = max_new});
@@ -150,8 +150,7 @@
 std::optional<Rebalance> PlanRebalance(const std::vector<ExpertMap>& current,
                                        const std::vector<Loads>& loads,
                                        const RebalanceOptions& options) {
-  const int most =
-      options.max_new_per_rank * static_cast<int>(current.size());
+  const int most = options.max_new_per_rank * static_cast<int>(current.size());
   Rebalance plan;
   for (int copies = std::min(kLeastCopies, most);;
        copies = std::min(copies * 2, most)) {
