Companion: read the engine of a companion that is gone; gateway: log unreadable entries

A coordinator that takes over knows no rank of a companion that does not answer, and read engines only of ranks it knew: a hold there stayed until that companion was back.

--- a/packages/common/event_log.cc
+++ b/packages/common/event_log.cc
@@ -77,6 +77,12 @@
         "Check the platform; see the outage table in docs/OPERATIONS.md."},
     EventSpec{EventId::kPlatformBack, Severity::kInfo, "platform back",
               "The platform answers again.", "None."},
+    EventSpec{EventId::kEntriesUnreadable, Severity::kWarning,
+              "endpoint entries unreadable",
+              "The number of entries in the platform's list that name no "
+              "endpoint changed; they are passed over.",
+              "Look at the entry that is named, if it is not another "
+              "writer's."},
     EventSpec{
         EventId::kCoordinatorTaken, Severity::kInfo, "coordinator taken over",
         "This companion now coordinates its group's expert maps.", "None."},
--- a/packages/common/event_log.h
+++ b/packages/common/event_log.h
@@ -30,6 +30,7 @@
   kOutcomeNotRecorded = 1402,
   kPlatformUnavailable = 1501,
   kPlatformBack = 1502,
+  kEntriesUnreadable = 1503,
   kCoordinatorTaken = 1601,
   kCoordinatorNotTaken = 1602,
   kCoordinatorSuperseded = 1603,
--- a/packages/daemon/companion/group_coordinator.cc
+++ b/packages/daemon/companion/group_coordinator.cc
@@ -116,6 +116,12 @@
   GiveOrders();
 }
 
+bool GroupCoordinator::HasFreshReport(const Peer& peer) const {
+  const auto found = reports_.find(peer.rank);
+  return found != reports_.end() &&
+         loop_.Now() - found->second.asked_at < options_.poll_timeout;
+}
+
 bool GroupCoordinator::IsSampled(const Peer& peer) const {
   return peer.rank >= 0 && peer.rank < sampled_ranks_;
 }
@@ -165,8 +171,8 @@
   const auto report = reports_.find(peer.rank);
   const auto known = experts_.find(peer.rank);
   return report == reports_.end() || known == experts_.end() ||
-         known->second.epoch != report->second.epoch ||
-         known->second.version != report->second.map_version;
+         known->second.epoch != report->second.report.epoch ||
+         known->second.version != report->second.report.map_version;
 }
 
 void GroupCoordinator::Poll(Peer& peer) {
@@ -213,7 +219,9 @@
   constexpr int kOk = 200;
   if (!result.ok()) {
     peer.unreachable = true;
-    if (decisions_.urgent() && peer.rank >= 0) {
+    // A rank whose companion is gone may hold the group, of which a coordinator
+    // that has just taken over knows nothing yet.
+    if (decisions_.urgent() || !HasFreshReport(peer)) {
       ReadEngineDirectly(peer);
     }
     return;
@@ -257,7 +265,7 @@
     return;
   }
   peer.rank = state.rank;
-  reports_[state.rank] = state.report;
+  reports_[state.rank] = {.report = state.report, .asked_at = asked_at};
   decisions_.OnReport(state.rank, state.report, asked_at);
   if (state.choices.has_value()) {
     demand_.OnChoices(*state.choices);
--- a/packages/daemon/companion/group_coordinator.h
+++ b/packages/daemon/companion/group_coordinator.h
@@ -89,6 +89,11 @@
     // Versions of maps that this companion has taken and may still know.
     std::set<uint64_t> known_maps;
   };
+  struct DatedReport {
+    map_coordinator::RankReport report;
+    // When it was asked for.
+    common::Time asked_at{};
+  };
   // The experts of one rank, by layer, and the map they are of.
   struct RankExperts {
     uint64_t epoch = 0;
@@ -110,6 +115,7 @@
   void OnPollResult(Peer& peer,
                     const http_channel::CallResult& result,
                     common::Time asked_at);
+  bool HasFreshReport(const Peer& peer) const;
   // Whether the rank's choices are asked for.
   bool IsSampled(const Peer& peer) const;
   // The readings of choices that were asked for together are all there.
@@ -149,7 +155,7 @@
   // By peer address.
   std::map<std::string, Peer> peers_;
   std::map<int, RankExperts> experts_;
-  std::map<int, map_coordinator::RankReport> reports_;
+  std::map<int, DatedReport> reports_;
   // Ranks whose choices are asked for.
   int sampled_ranks_;
   common::Time next_poll_{};
--- a/packages/daemon/gateway/store_watch.cc
+++ b/packages/daemon/gateway/store_watch.cc
@@ -136,6 +136,7 @@
       records_.push_back(*std::move(record));
     } else {
       ++unreadable_entries_;
+      unreadable_key_ = row.key;
     }
   }
   if (rows->has_more && !rows->rows.empty()) {
@@ -147,6 +148,12 @@
 }
 
 void StoreWatch::FinishEndpoints(common::Time asked_at) {
+  if (unreadable_entries_ != unreadable_entries_logged_) {
+    unreadable_entries_logged_ = unreadable_entries_;
+    common::LogEvent(common::EventId::kEntriesUnreadable,
+                     common::StrCat("entries=", unreadable_entries_,
+                                    " last=", unreadable_key_));
+  }
   const fleet::FleetChange change = fleet_.OnList(records_, asked_at);
   if (!change.empty()) {
     on_fleet_(change);
--- a/packages/daemon/gateway/store_watch.h
+++ b/packages/daemon/gateway/store_watch.h
@@ -87,7 +87,11 @@
   bool available_ = false;
   bool ever_available_ = false;
   uint64_t calls_ = 0;
+  // Entries of the list that name no endpoint: in this reading, when last
+  // logged, and the key of the last one.
   uint32_t unreadable_entries_ = 0;
+  uint32_t unreadable_entries_logged_ = 0;
+  std::string unreadable_key_;
 };
 
 }  // namespace wagtailshore::gateway
