Rebalance: leave layers within 1.25 of the mean as they are

Cause: the second plan after each shift copied 165 experts to bring the slowest rank from 1.4 to 1.11; copies cost and slow the steps while they last, and nobody's answer was late for the difference.

--- a/packages/state/expert_demand/rebalance.h
+++ b/packages/state/expert_demand/rebalance.h
@@ -14,7 +14,7 @@
   // Experts of one layer that a rank can take in at once.
   int max_new_per_rank = 1;
   // A layer whose slowest rank is this near to the mean is left as it is.
-  double good_enough = 1.12;
+  double good_enough = 1.25;
   // Ranks copy side by side, each for a time in proportion to its new experts:
   // the plan with the fewest for any rank is taken whose slowest ranks are
   // within this, over the mean.
