Store watch: read a storm of configurations together, the failing list less often

After a change the next wait begins 0.4 s later; a list that cannot be read is asked for after 0.5 to 1 s.

--- a/packages/daemon/gateway/store_watch.cc
+++ b/packages/daemon/gateway/store_watch.cc
@@ -40,10 +40,10 @@
        });
 }
 
-void StoreWatch::AwaitConfiguration() {
+void StoreWatch::AwaitConfiguration(common::Duration wait) {
   const common::Time asked_at = loop_.Now();
-  Call(platform::AwaitConfigurationCall(revision_, options_.configuration_wait),
-       options_.configuration_wait + options_.call_timeout,
+  Call(platform::AwaitConfigurationCall(revision_, wait),
+       wait + options_.call_timeout,
        [this, asked_at](const http_channel::CallResult& result) {
          OnConfigurationAnswer(asked_at, result);
        });
@@ -55,12 +55,14 @@
   if (!rows.ok()) {
     Note(rows.status());
     const bool history_gone = absl::IsFailedPrecondition(rows.status());
-    loop_.RunAfter(history_gone ? common::Duration::zero() : RetryDelay(),
+    loop_.RunAfter(history_gone
+                       ? common::Duration::zero()
+                       : Between(options_.retry_min, options_.retry_max),
                    [this, history_gone] {
                      if (history_gone || routes_ == nullptr) {
                        ReadConfiguration();
                      } else {
-                       AwaitConfiguration();
+                       AwaitConfiguration(options_.configuration_wait);
                      }
                    });
     return;
@@ -70,7 +72,8 @@
       clock_.AnsweredAfter(asked_at, loop_.Now(), rows->store_time);
   Adopt(*rows);
   if (routes_ == nullptr) {
-    loop_.RunAfter(RetryDelay(), [this] { ReadConfiguration(); });
+    loop_.RunAfter(Between(options_.retry_min, options_.retry_max),
+                   [this] { ReadConfiguration(); });
     return;
   }
   revision_ = rows->revision;
@@ -78,7 +81,13 @@
   if (!rows->has_more) {
     freshness_.OnConfirmed(answered_after);
   }
-  AwaitConfiguration();
+  if (rows->rows.empty() || rows->has_more) {
+    AwaitConfiguration(options_.configuration_wait);
+    return;
+  }
+  loop_.RunAfter(options_.change_pause, [this] {
+    AwaitConfiguration(options_.configuration_wait - options_.change_pause);
+  });
 }
 
 void StoreWatch::Adopt(const platform::Rows& rows) {
@@ -125,7 +134,8 @@
   if (!rows.ok()) {
     Note(rows.status());
     fleet_.OnListUnavailable();
-    loop_.RunAfter(RetryDelay(), [this] { ReadEndpoints({}); });
+    loop_.RunAfter(Between(options_.list_retry_min, options_.list_retry_max),
+                   [this] { ReadEndpoints({}); });
     return;
   }
   Note(absl::OkStatus());
@@ -180,9 +190,10 @@
   }
 }
 
-common::Duration StoreWatch::RetryDelay() {
-  std::uniform_int_distribution<common::Duration::rep> delay(
-      options_.retry_min.count(), options_.retry_max.count());
+common::Duration StoreWatch::Between(common::Duration least,
+                                     common::Duration most) {
+  std::uniform_int_distribution<common::Duration::rep> delay(least.count(),
+                                                             most.count());
   return common::Duration(delay(random_));
 }
 
--- a/packages/daemon/gateway/store_watch.h
+++ b/packages/daemon/gateway/store_watch.h
@@ -24,6 +24,10 @@
   // two thirds of the usual 5 s bound leave time to notice a lost answer and
   // ask again.
   common::Duration configuration_wait = common::milliseconds(3200);
+  // After a change the next wait begins this much later, and is shorter by as
+  // much: changes that come in quick succession are then read together. A
+  // fifth of the usual 2 s within which a change must be in force.
+  common::Duration change_pause = common::milliseconds(400);
   // Time between readings of the endpoint list.
   common::Duration endpoints_period = common::milliseconds(1000);
   // Longest wait for an answer that is due at once.
@@ -31,6 +35,9 @@
   // Time after a failed call before the next one, at least and at most.
   common::Duration retry_min = common::milliseconds(150);
   common::Duration retry_max = common::milliseconds(600);
+  // The same for the list, which counts only while the store is sound.
+  common::Duration list_retry_min = common::milliseconds(500);
+  common::Duration list_retry_max = common::milliseconds(1000);
 };
 
 // Keeps the configuration and the fleet up to date from the platform's store,
@@ -58,7 +65,7 @@
 
  private:
   void ReadConfiguration();
-  void AwaitConfiguration();
+  void AwaitConfiguration(common::Duration wait);
   void OnConfigurationAnswer(common::Time asked_at,
                              const http_channel::CallResult& result);
   void Adopt(const platform::Rows& rows);
@@ -67,7 +74,7 @@
                          const http_channel::CallResult& result);
   void FinishEndpoints(common::Time asked_at);
   void Note(const absl::Status& status);
-  common::Duration RetryDelay();
+  common::Duration Between(common::Duration least, common::Duration most);
   void Call(const http_channel::Call& call,
             common::Duration timeout,
             std::function<void(http_channel::CallResult)> done);
--- a/tests/unit/daemon/gateway/gateway_test.cc
+++ b/tests/unit/daemon/gateway/gateway_test.cc
@@ -8,6 +8,8 @@
 namespace wagtailshore::hosted_world {
 namespace {
 
+using nlohmann::json;
+
 // A caller's answer, and how often its request reached an endpoint, for one
 // behaviour of the first endpoint that gets it; all later attempts succeed.
 struct FaultCase {
@@ -290,5 +292,40 @@
   EXPECT_EQ(world.endpoint(0).received().size(), before);
 }
 
+// The load of operators that send one configuration after the other: each one
+// that is read costs a call of every gateway.
+TEST(ConfigurationTest, StormIsReadInFewCalls) {
+  constexpr int kVersions = 30;
+  HostedWorld world(1);
+  const int calls = world.store().calls();
+  int version = 1;
+  std::function<void()> change = [&] {
+    json configuration = HostedWorld::Configuration(++version);
+    configuration["routes"].push_back(
+        {{"name", "new"},
+         {"host", "h.example"},
+         {"prefix", common::StrCat("/v", version, "/")},
+         {"route_kind", "safe"},
+         {"timeout_ms", 2000},
+         {"service", "s"}});
+    world.store().SetConfiguration(configuration);
+    if (version < kVersions) {
+      world.loop().RunAfter(common::milliseconds(20), change);
+    }
+  };
+  change();
+  const std::string last = common::StrCat("/v", kVersions, "/x");
+  // Tries end with 404 until the last version is in force.
+  bool in_force = false;
+  for (int i = 0; i < 200 && !in_force; ++i) {
+    in_force = world.Ask({.path = last}).status == 200;
+    const common::Time next = common::Clock::now() + common::milliseconds(20);
+    world.RunUntil([&] { return common::Clock::now() >= next; });
+  }
+  EXPECT_TRUE(in_force);
+  EXPECT_EQ(version, kVersions);
+  EXPECT_LT(world.store().calls() - calls, kVersions / 2);
+}
+
 }  // namespace
 }  // namespace wagtailshore::hosted_world
