Fleet: an entry that was listed since an outage is gone as soon as it is missing

Cause, from the gateway's log: entries missing within 2.8 s of the store's return were kept as lapsed, also those listed since, and the end of that time was only noticed at the next reading, at 26.9 s. Now only entries not listed since the return are kept, for 2.2 s, and the list is read at the end of that.

--- a/packages/daemon/gateway/store_watch.cc
+++ b/packages/daemon/gateway/store_watch.cc
@@ -134,7 +134,7 @@
   if (!rows.ok()) {
     Note(rows.status());
     fleet_.OnListUnavailable();
-    loop_.RunAfter(Between(options_.list_retry_min, options_.list_retry_max),
+    loop_.RunAfter(Between(options_.retry_min, options_.retry_max),
                    [this] { ReadEndpoints({}); });
     return;
   }
@@ -168,7 +168,10 @@
   if (!change.empty()) {
     on_fleet_(change);
   }
-  const common::Time next = asked_at + options_.endpoints_period;
+  common::Time next = asked_at + options_.endpoints_period;
+  if (const auto lapses_end = fleet_.lapses_end_at()) {
+    next = std::min(next, *lapses_end);
+  }
   loop_.RunAt(std::max(next, loop_.Now()), [this] { ReadEndpoints({}); });
 }
 
--- a/packages/daemon/gateway/store_watch.h
+++ b/packages/daemon/gateway/store_watch.h
@@ -35,9 +35,6 @@
   // Time after a failed call before the next one, at least and at most.
   common::Duration retry_min = common::milliseconds(150);
   common::Duration retry_max = common::milliseconds(600);
-  // The same for the list, which counts only while the store is sound.
-  common::Duration list_retry_min = common::milliseconds(500);
-  common::Duration list_retry_max = common::milliseconds(1000);
 };
 
 // Keeps the configuration and the fleet up to date from the platform's store,
--- a/packages/state/fleet/fleet.cc
+++ b/packages/state/fleet/fleet.cc
@@ -32,21 +32,20 @@
       change.draining.push_back(record.id);
     }
   }
-  const bool lapses_possible =
-      was_unavailable_ && asked_at - *back_since_ < options_.relisting_time;
-  if (lapses_possible) {
-    FindReplaced();
-    return change;
-  }
-  was_unavailable_ = false;
+  const auto lapses_end = lapses_end_at();
+  const bool lapses_possible = lapses_end.has_value() && asked_at < *lapses_end;
+  was_unavailable_ = lapses_possible;
   std::erase_if(endpoints_, [&](const auto& item) {
-    if (listed.contains(item.first)) {
+    const bool may_be_back =
+        lapses_possible && !listed_since_.contains(item.first);
+    if (listed.contains(item.first) || may_be_back) {
       return false;
     }
     change.gone.push_back(item.first);
     replaced_.erase(item.first);
     return true;
   });
+  listed_since_.insert(listed.begin(), listed.end());
   FindReplaced();
   return change;
 }
@@ -76,6 +75,7 @@
 void Fleet::OnListUnavailable() {
   was_unavailable_ = true;
   back_since_.reset();
+  listed_since_.clear();
 }
 
 const EndpointRecord* Fleet::Find(const std::string& id) const {
--- a/packages/state/fleet/fleet.h
+++ b/packages/state/fleet/fleet.h
@@ -31,8 +31,8 @@
 struct FleetOptions {
   // An entry that lapsed while the list was unavailable is back this long after
   // the list is, if its endpoint lives. Source: the platform's contract, "about
-  // two seconds", and one reading interval.
-  common::Duration relisting_time = common::milliseconds(2800);
+  // two seconds"; the list is back a little before it is read first.
+  common::Duration relisting_time = common::milliseconds(2200);
 };
 
 // What changed with one reading of the list.
@@ -71,6 +71,13 @@
   }
   // Whether the list was ever read.
   bool known() const { return read_at_.has_value(); }
+  // Until then entries that are missing may have lapsed in an outage; nothing
+  // when none may have.
+  std::optional<common::Time> lapses_end_at() const {
+    return was_unavailable_ && back_since_.has_value()
+               ? std::optional(*back_since_ + options_.relisting_time)
+               : std::nullopt;
+  }
   // When the last successful reading was asked for.
   std::optional<common::Time> read_at() const { return read_at_; }
 
@@ -85,6 +92,8 @@
   // The list has been readable again since then; unset while it is not.
   std::optional<common::Time> back_since_;
   bool was_unavailable_ = false;
+  // Listed since the list was back: these did not lapse in the outage.
+  std::set<std::string> listed_since_;
 };
 
 }  // namespace wagtailshore::fleet
--- a/tests/unit/state/fleet/fleet_test.cc
+++ b/tests/unit/state/fleet/fleet_test.cc
@@ -88,6 +88,22 @@
 
 // After all endpoints restart, the entries of their former lives are listed
 // beside the new ones until they lapse.
+// An entry that is there after an outage and goes later did not lapse in it.
+TEST(FleetTest, EntrySeenSinceTheOutageIsGoneAtOnce) {
+  Fleet fleet({});
+  fleet.OnList({Record("a", "1"), Record("b", "2")}, At(0));
+  fleet.OnListUnavailable();
+  fleet.OnList({Record("a", "1")}, At(1000));
+  EXPECT_NE(fleet.FindUsable("b"), nullptr);
+  EXPECT_EQ(fleet.OnList({}, At(2000)).gone, std::vector<std::string>{"a"});
+  EXPECT_NE(fleet.FindUsable("b"), nullptr);
+  const auto end = fleet.lapses_end_at();
+  ASSERT_TRUE(end.has_value());
+  EXPECT_LE(*end, At(1000 + 2400));
+  EXPECT_EQ(fleet.OnList({}, *end).gone, std::vector<std::string>{"b"});
+  EXPECT_FALSE(fleet.lapses_end_at().has_value());
+}
+
 TEST(FleetTest, OfTwoAtOneAddressOnlyTheLaterIsUsable) {
   Fleet fleet({});
   fleet.OnList({Record("old", "1", 1), Record("young", "1", 2)}, At(0));
