--- a/packages/daemon/companion/group_coordinator.cc
+++ b/packages/daemon/companion/group_coordinator.cc
@@ -430,6 +430,9 @@
           std::get_if<map_coordinator::PrepareMap>(&order.body)) {
     if (outcome == OrderOutcome::kAccepted) {
       peer.known_maps.insert(prepare->version);
+      std::erase_if(peer.known_maps, [this](uint64_t version) {
+        return maps_.Find(version) == nullptr;
+      });
     } else if (outcome == OrderOutcome::kRefused) {
       // It may have started anew and lost what it knew.
       peer.known_maps.clear();
--- a/packages/protocol/companion_messages/companion_messages.cc
+++ b/packages/protocol/companion_messages/companion_messages.cc
@@ -273,7 +273,13 @@
   std::vector<int> experts;
   size_t slot = 0;
   size_t last = 0;
+  if (base.size() != map.size()) {
+    return {};
+  }
   for (size_t layer = 0; layer < map.size(); ++layer) {
+    if (base[layer].size() != map[layer].size()) {
+      return {};
+    }
     for (size_t rank = 0; rank < map[layer].size(); ++rank) {
       const std::vector<int>& before = base[layer][rank];
       const std::vector<int>& after = map[layer][rank];
--- a/packages/protocol/companion_messages/companion_messages.h
+++ b/packages/protocol/companion_messages/companion_messages.h
@@ -50,7 +50,7 @@
 std::string EncodeMap(const map_coordinator::GroupMap& map);
 // The same by what differs from a map that the receiver has, in about three
 // bytes an expert; both maps list each rank's experts in rising order. Empty
-// when a rank has more or fewer experts than before.
+// when the maps are of different shapes.
 std::string EncodeMapChanges(uint64_t base_version,
                              const map_coordinator::GroupMap& base,
                              const map_coordinator::GroupMap& map);
--- a/tests/unit/protocol/companion_messages/companion_messages_test.cc
+++ b/tests/unit/protocol/companion_messages/companion_messages_test.cc
@@ -99,6 +99,15 @@
   EXPECT_EQ(*std::get<map_coordinator::PrepareMap>(decoded->body).map, *map);
 }
 
+TEST(CompanionMessagesTest, MapsOfOtherShapesHaveNoChanges) {
+  const map_coordinator::GroupMap map = {{{0, 1}, {2, 3}}};
+  const std::vector<map_coordinator::GroupMap> others = {
+      {}, {{{0, 1}}}, {{{0, 1}, {2}}}, {{{0, 1}, {2, 3}}, {{0, 1}, {2, 3}}}};
+  for (const map_coordinator::GroupMap& base : others) {
+    EXPECT_EQ(EncodeMapChanges(1, base, map), "");
+  }
+}
+
 // A rank with another map than the others would break the group's steps.
 TEST(CompanionMessagesTest, ChangesOfAnotherMapAreRefused) {
   const map_coordinator::GroupMap base = LargeMap();
