--- a/packages/daemon/companion/companion.cc
+++ b/packages/daemon/companion/companion.cc
@@ -147,6 +147,7 @@
                  told.group = state->group;
                  told.rank = state->rank;
                  told.ranks = state->ranks;
+                 told.pace = state->pace;
                  told.report = state->report;
                  rank_ = state->rank;
                }
--- a/packages/daemon/companion/group_coordinator.cc
+++ b/packages/daemon/companion/group_coordinator.cc
@@ -45,6 +45,7 @@
                   .lead_steps = kLeadSteps}),
       demand_({.layers = options_.engine.layers,
                .experts = options_.engine.experts}),
+      paces_(options_.ranks, 1.0),
       sampled_ranks_(std::max(
           options_.least_sampled_ranks,
           options_.counters_per_round /
@@ -252,6 +253,7 @@
                                  {.group = state->group,
                                   .rank = state->rank,
                                   .ranks = state->ranks,
+                                  .pace = state->pace,
                                   .report = state->report},
                                  asked_at);
                        }
@@ -261,11 +263,13 @@
 void GroupCoordinator::OnState(Peer& peer,
                                const companion_messages::RankState& state,
                                common::Time asked_at) {
-  if (state.group != options_.group || state.ranks != options_.ranks) {
+  if (state.group != options_.group || state.ranks != options_.ranks ||
+      state.rank < 0 || state.rank >= options_.ranks) {
     return;
   }
   peer.rank = state.rank;
   reports_[state.rank] = {.report = state.report, .asked_at = asked_at};
+  paces_[state.rank] = state.pace;
   decisions_.OnReport(state.rank, state.report, asked_at);
   if (state.choices.has_value()) {
     demand_.OnChoices(*state.choices);
@@ -310,14 +314,15 @@
   if (!current.has_value() || demand_.total() < least_choices) {
     return;
   }
-  slowest_ = expert_demand::MeanSlowest(*current, demand_.loads());
+  slowest_ = expert_demand::MeanSlowest(*current, demand_.loads(), paces_);
   if (slowest_ < kLeastSlowest) {
     return;
   }
   const auto plan = expert_demand::PlanRebalance(
       *current, demand_.loads(),
       {.slots_per_rank = options_.engine.expert_slots,
-       .max_new_per_rank = options_.engine.spare_slots});
+       .max_new_per_rank = options_.engine.spare_slots,
+       .paces = paces_});
   if (!plan.has_value()) {
     return;
   }
--- a/packages/daemon/companion/group_coordinator.h
+++ b/packages/daemon/companion/group_coordinator.h
@@ -156,6 +156,8 @@
   std::map<std::string, Peer> peers_;
   std::map<int, RankExperts> experts_;
   std::map<int, DatedReport> reports_;
+  // By rank, as last reported.
+  std::vector<double> paces_;
   // Ranks whose choices are asked for.
   int sampled_ranks_;
   common::Time next_poll_{};
--- a/packages/protocol/companion_messages/companion_messages.cc
+++ b/packages/protocol/companion_messages/companion_messages.cc
@@ -236,6 +236,7 @@
   json value = {{"group", state.group},
                 {"rank", state.rank},
                 {"ranks", state.ranks},
+                {"pace", state.pace},
                 {"report", ToJson(state.report)}};
   if (state.choices.has_value()) {
     value["choices"] = *state.choices;
@@ -251,6 +252,7 @@
     RankState state{.group = value.at("group").get<std::string>(),
                     .rank = value.at("rank").get<int>(),
                     .ranks = value.at("ranks").get<int>(),
+                    .pace = value.at("pace").get<double>(),
                     .report = ReportOf(value.at("report"))};
     if (value.contains("choices")) {
       state.choices = value.at("choices").get<std::vector<uint64_t>>();
--- a/packages/protocol/companion_messages/companion_messages.h
+++ b/packages/protocol/companion_messages/companion_messages.h
@@ -28,6 +28,8 @@
   std::string group;
   int rank = 0;
   int ranks = 0;
+  // Times that its work takes longer than it should; 1 in health.
+  double pace = 1;
   map_coordinator::RankReport report;
   // Choices of each expert since they were last told, by layer and then expert.
   std::optional<std::vector<uint64_t>> choices;
--- a/packages/state/expert_demand/rebalance.cc
+++ b/packages/state/expert_demand/rebalance.cc
@@ -1,6 +1,7 @@
 #include "state/expert_demand/rebalance.h"
 
 #include <algorithm>
+#include <numeric>
 
 #include "state/placement/improver.h"
 
@@ -17,6 +18,9 @@
 // New experts per rank of the cheapest plan that is tried; each further one has
 // twice as many.
 constexpr int kLeastCopies = 3;
+// Pace from which on a rank is left without experts. Below it the rank's share
+// of the experts costs the group less than the copies.
+constexpr double kSlowPace = 1.8;
 
 bool Holds(const std::vector<int>& rank, int expert) {
   return std::find(rank.begin(), rank.end(), expert) != rank.end();
@@ -28,13 +32,110 @@
                     [&](int expert) { return !Holds(before, expert); }));
 }
 
+bool IsSlow(const RebalanceOptions& options, size_t rank) {
+  return rank < options.paces.size() && options.paces[rank] >= kSlowPace;
+}
+
+// The slowest rank's load, by its pace, over the mean load.
+double Slowest(const ExpertMap& map,
+               const Loads& loads,
+               const std::vector<double>& paces) {
+  const std::vector<double> rank_loads = placement::RankLoads(map, loads);
+  const double total = std::accumulate(loads.begin(), loads.end(), 0.0);
+  if (total <= 0) {
+    return 1;
+  }
+  double slowest = 0;
+  for (size_t rank = 0; rank < rank_loads.size(); ++rank) {
+    const double pace = rank < paces.size() ? paces[rank] : 1;
+    slowest = std::max(slowest, rank_loads[rank] * pace);
+  }
+  return slowest / (total / static_cast<double>(rank_loads.size()));
+}
+
+// Finds a place on another rank for an expert that only a slow rank holds: a
+// free slot, or that of an expert with other replicas, where the load rises
+// least. Returns whether there was one.
+bool MoveAway(int expert,
+              const ExpertMap& origin,
+              const Loads& loads,
+              const RebalanceOptions& options,
+              const std::vector<int>& max_new,
+              std::vector<int>& counts,
+              ExpertMap& map) {
+  const std::vector<double> rank_loads = placement::RankLoads(map, loads);
+  int best_rank = -1;
+  int best_slot = -1;
+  double best_load = 0;
+  for (size_t rank = 0; rank < map.ranks.size(); ++rank) {
+    const std::vector<int>& held = map.ranks[rank];
+    if (IsSlow(options, rank) || Holds(held, expert) ||
+        NewExperts(origin.ranks[rank], held) >= max_new[rank]) {
+      continue;
+    }
+    const auto offer = [&](int slot, double freed) {
+      const double load = rank_loads[rank] + loads[expert] - freed;
+      if (best_rank < 0 || load < best_load) {
+        best_rank = static_cast<int>(rank);
+        best_slot = slot;
+        best_load = load;
+      }
+    };
+    if (std::ssize(held) < options.slots_per_rank) {
+      offer(-1, 0);
+    }
+    for (int slot = 0; slot < std::ssize(held); ++slot) {
+      if (counts[held[slot]] > 1) {
+        offer(slot, loads[held[slot]] / counts[held[slot]]);
+      }
+    }
+  }
+  if (best_rank < 0) {
+    return false;
+  }
+  std::vector<int>& held = map.ranks[best_rank];
+  if (best_slot < 0) {
+    held.push_back(expert);
+  } else {
+    --counts[held[best_slot]];
+    held[best_slot] = expert;
+  }
+  ++counts[expert];
+  return true;
+}
+
+// Takes the experts off slow ranks that other ranks hold or can hold.
+ExpertMap RelieveSlowRanks(const ExpertMap& current,
+                           const Loads& loads,
+                           const RebalanceOptions& options,
+                           const std::vector<int>& max_new) {
+  ExpertMap map = current;
+  std::vector<int> counts = placement::ReplicaCounts(map, loads.size());
+  for (size_t rank = 0; rank < map.ranks.size(); ++rank) {
+    if (!IsSlow(options, rank)) {
+      continue;
+    }
+    const std::vector<int> held = map.ranks[rank];
+    for (const int expert : held) {
+      if (counts[expert] > 1 ||
+          MoveAway(expert, current, loads, options, max_new, counts, map)) {
+        std::erase(map.ranks[rank], expert);
+        --counts[expert];
+      }
+    }
+  }
+  return map;
+}
+
 // Fills free slots: each time the expert whose replicas carry most goes to the
-// least loaded rank that can take it. `max_new` is by rank.
+// least loaded rank that can take it. `max_new` is by rank and counts against
+// `current`.
 ExpertMap FillFreeSlots(const ExpertMap& current,
+                        const ExpertMap& relieved,
                         const Loads& loads,
                         int slots_per_rank,
                         const std::vector<int>& max_new) {
-  ExpertMap map = current;
+  ExpertMap map = relieved;
   std::vector<int> counts = placement::ReplicaCounts(map, loads.size());
   const auto may_take = [&](size_t rank, int expert) {
     return std::ssize(map.ranks[rank]) < slots_per_rank &&
@@ -77,7 +178,7 @@
                   const std::vector<Loads>& loads,
                   const RebalanceOptions& options,
                   int copies) {
-  Rebalance plan{.slowest_before = MeanSlowest(current, loads)};
+  Rebalance plan{.slowest_before = MeanSlowest(current, loads, options.paces)};
   const auto layers = static_cast<int>(current.size());
   const size_t ranks = current.front().ranks.size();
   std::vector<int> copied(ranks);
@@ -89,16 +190,18 @@
         (copies * (static_cast<int>(layer) + 1) + layers - 1) / layers;
     std::vector<int> max_new(ranks);
     for (size_t rank = 0; rank < ranks; ++rank) {
-      max_new[rank] =
-          std::min(options.max_new_per_rank, released - copied[rank]);
+      max_new[rank] = IsSlow(options, rank) ? 0
+                                            : std::min(options.max_new_per_rank,
+                                                       released - copied[rank]);
     }
-    const double layer_before = placement::SkewOf(before, loads[layer]).slowest;
+    const double layer_before = Slowest(before, loads[layer], options.paces);
     if (layer_before <= options.good_enough) {
       plan.maps.push_back(before);
       continue;
     }
-    const ExpertMap filled =
-        FillFreeSlots(before, loads[layer], options.slots_per_rank, max_new);
+    const ExpertMap filled = FillFreeSlots(
+        before, RelieveSlowRanks(before, loads[layer], options, max_new),
+        loads[layer], options.slots_per_rank, max_new);
     placement::Improver improver(
         filled, {loads[layer]},
         placement::NewExpertLimit{.origin = before, .max_new = max_new});
@@ -118,8 +221,8 @@
       }
     }
     const int moves = placement::CountMoves(before, best);
-    const double saving = (layer_before - best_slowest) /
-                          (layer_before + 1e-9) /
+    const double layer_after = Slowest(best, loads[layer], options.paces);
+    const double saving = (layer_before - layer_after) / (layer_before + 1e-9) /
                           static_cast<double>(current.size());
     if (saving <= moves * options.cost_per_move) {
       best = before;
@@ -132,17 +235,18 @@
     plan.copies = *std::max_element(copied.begin(), copied.end());
     plan.maps.push_back(std::move(best));
   }
-  plan.slowest_after = MeanSlowest(plan.maps, loads);
+  plan.slowest_after = MeanSlowest(plan.maps, loads, options.paces);
   return plan;
 }
 
 }  // namespace
 
 double MeanSlowest(const std::vector<ExpertMap>& maps,
-                   const std::vector<Loads>& loads) {
+                   const std::vector<Loads>& loads,
+                   const std::vector<double>& paces) {
   double sum = 0;
   for (size_t layer = 0; layer < maps.size(); ++layer) {
-    sum += placement::SkewOf(maps[layer], loads[layer]).slowest;
+    sum += Slowest(maps[layer], loads[layer], paces);
   }
   return maps.empty() ? 1 : sum / static_cast<double>(maps.size());
 }
@@ -161,7 +265,8 @@
   }
   const double saving =
       (plan.slowest_before - plan.slowest_after) / plan.slowest_before;
-  if (plan.moves == 0 || saving < options.least_saving) {
+  // A slow rank may be relieved without any copy.
+  if (saving < options.least_saving) {
     return std::nullopt;
   }
   return plan;
--- a/packages/state/expert_demand/rebalance.h
+++ b/packages/state/expert_demand/rebalance.h
@@ -26,6 +26,9 @@
   // time that a map serves. Source: the price of an expert's copy against the
   // worth of what a group answers in the seconds between two shifts.
   double cost_per_move = 0.0004;
+  // Times that a rank takes longer for the same load, by rank; 1 for all where
+  // it is empty. A rank that is much slower is left without experts.
+  std::vector<double> paces = {};
 };
 
 // A new map of all layers.
@@ -41,14 +44,16 @@
   double slowest_after = 1;
 };
 
-// The slowest rank's load over the mean, averaged over the layers.
+// The slowest rank's load, by its pace, over the mean load, averaged over the
+// layers.
 double MeanSlowest(const std::vector<placement::ExpertMap>& maps,
-                   const std::vector<placement::Loads>& loads);
+                   const std::vector<placement::Loads>& loads,
+                   const std::vector<double>& paces = {});
 
 // A better set of maps than the current ones for these loads, within what the
 // ranks can take in at once; nothing when none pays. Free slots are filled
 // first, as they cost no replica. Answers the load of requests that favour few
-// experts.
+// experts, and of ranks that turn slow, for which all others would wait.
 std::optional<Rebalance> PlanRebalance(
     const std::vector<placement::ExpertMap>& current,
     const std::vector<placement::Loads>& loads,
--- a/tests/unit/state/expert_demand/expert_demand_test.cc
+++ b/tests/unit/state/expert_demand/expert_demand_test.cc
@@ -221,6 +221,44 @@
                    .has_value());
 }
 
+// The load that it answers: one rank turns slow, and all others wait for it in
+// each step. Its experts go to others, and none is lost.
+class SlowRankTest : public testing::TestWithParam<double> {};
+
+TEST_P(SlowRankTest, SlowRankHoldsNothing) {
+  constexpr size_t kSlow = 3;
+  std::vector<ExpertMap> maps = {FirstMap(), FirstMap()};
+  const std::vector<Loads> loads = {SkewedLoads(1), SkewedLoads(2)};
+  if (const auto plan = PlanRebalance(maps, loads, kOptions)) {
+    maps = plan->maps;
+  }
+  RebalanceOptions options = kOptions;
+  options.paces.assign(kRanks, 1.0);
+  options.paces[kSlow] = GetParam();
+  for (int round = 0; round < 3; ++round) {
+    if (const auto plan = PlanRebalance(maps, loads, options)) {
+      maps = plan->maps;
+    }
+  }
+  EXPECT_LT(MeanSlowest(maps, loads, options.paces), 1.5);
+  for (const ExpertMap& map : maps) {
+    EXPECT_TRUE(map.ranks[kSlow].empty());
+    EXPECT_TRUE(placement::Check({.ranks = kRanks,
+                                  .experts = kExperts,
+                                  .slots_per_rank = kOptions.slots_per_rank},
+                                 map)
+                    .empty());
+  }
+  // It is used again once it is well.
+  if (const auto plan =
+          PlanRebalance(maps, {SkewedLoads(3), SkewedLoads(4)}, kOptions)) {
+    maps = plan->maps;
+  }
+  EXPECT_FALSE(maps.front().ranks[kSlow].empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(Paces, SlowRankTest, testing::Values(2.0, 4.0, 12.0));
+
 // The load that it answers: the popular experts change every few seconds. After
 // each change two switches must bring the slowest rank near the mean, and the
 // copies stay under those of a map made anew.
