Gateway: give slow engines no new work

Cause: a rank that is slow delays every step by its own requests too, also when it holds no experts, and gateways cannot tell it from the others, as all of the group are late alike.

--- a/packages/common/event_log.cc
+++ b/packages/common/event_log.cc
@@ -42,6 +42,11 @@
     EventSpec{EventId::kEndpointLeaving, Severity::kInfo, "endpoint leaving",
               "The endpoint announced that it stops; it gets no new work.",
               "None."},
+    EventSpec{
+        EventId::kSlowEndpoints, Severity::kWarning, "slow endpoints",
+        "The endpoints that slow their group's steps down are others than "
+        "before; they get no new work.",
+        "Look at the engines that are named, if they stay slow."},
     EventSpec{EventId::kPeerUnreachable, Severity::kWarning, "peer unreachable",
               "A process did not answer an exchange in time.",
               "If it persists, check the instance and the network."},
--- a/packages/common/event_log.h
+++ b/packages/common/event_log.h
@@ -20,6 +20,7 @@
   kManifestConflict = 1103,
   kEndpointListed = 1202,
   kEndpointLeaving = 1203,
+  kSlowEndpoints = 1204,
   kPeerUnreachable = 1204,
   kAttemptFailed = 1301,
   kRequestRefused = 1302,
--- a/packages/daemon/companion/companion.cc
+++ b/packages/daemon/companion/companion.cc
@@ -80,15 +80,24 @@
 void Companion::OnRequest(http_channel::CallerChannel& channel,
                           const http1::RequestHead& head,
                           std::string body) {
-  if (head.target == kPollPath) {
+  if (head.target == companion_messages::kPollPath) {
     OnPoll(channel, body);
-  } else if (head.target == kOrderPath) {
+  } else if (head.target == companion_messages::kOrderPath) {
     OnOrder(channel, body);
+  } else if (head.target == companion_messages::kSlowEnginesPath) {
+    OnSlowEngines(channel);
   } else {
     channel.Respond(kNotFound, {}, {});
   }
 }
 
+void Companion::OnSlowEngines(http_channel::CallerChannel& channel) {
+  const bool known = loop_.Now() - heard_at_ < kCoordinatorSilence;
+  channel.Respond(kOk, {},
+                  companion_messages::EncodeSlowEngines(
+                      known ? slow_engines_ : std::vector<std::string>()));
+}
+
 uint64_t Companion::Pend(http_channel::CallerChannel& channel) {
   const uint64_t id = next_pending_++;
   pending_channels_[id] = &channel;
@@ -123,7 +132,7 @@
 
 void Companion::OnPoll(http_channel::CallerChannel& channel,
                        const std::string& body) {
-  const auto poll = companion_messages::DecodePoll(body);
+  auto poll = companion_messages::DecodePoll(body);
   if (!poll.ok()) {
     channel.Respond(kBadRequest, {}, {});
     return;
@@ -134,6 +143,7 @@
   }
   generation_ = poll->generation;
   heard_at_ = loop_.Now();
+  slow_engines_ = std::move(poll->slow_engines);
   const uint64_t id = Pend(channel);
   PendingPoll& pending = pending_polls_[id];
   pending.readings_left =
--- a/packages/daemon/companion/companion.h
+++ b/packages/daemon/companion/companion.h
@@ -60,6 +60,8 @@
 
   void OnPoll(http_channel::CallerChannel& channel, const std::string& body);
   void OnOrder(http_channel::CallerChannel& channel, const std::string& body);
+  // Answers a gateway; nothing is known of a group without a coordinator.
+  void OnSlowEngines(http_channel::CallerChannel& channel);
   // Gives the engine an order, again when no answer comes, and answers the
   // coordinator's request `id`.
   void GiveOrder(uint64_t id, const http_channel::Call& order, int tries);
@@ -103,6 +105,8 @@
   uint64_t next_pending_ = 1;
   // Highest fencing number met.
   uint64_t generation_ = 0;
+  // Engines of the group that are slow, as the coordinator told last.
+  std::vector<std::string> slow_engines_;
   // Maps that this rank was told to prepare.
   map_coordinator::MapStock maps_;
   // Unknown until the engine was read.
--- a/packages/daemon/companion/group_coordinator.cc
+++ b/packages/daemon/companion/group_coordinator.cc
@@ -168,6 +168,16 @@
                                        : options_.time_per_rank);
 }
 
+std::vector<std::string> GroupCoordinator::SlowEngines() const {
+  std::vector<std::string> engines;
+  for (const auto& [address, peer] : peers_) {
+    if (peer.rank >= 0 && paces_[peer.rank] >= expert_demand::kSlowPace) {
+      engines.push_back(peer.entry.engine_address);
+    }
+  }
+  return engines;
+}
+
 bool GroupCoordinator::WantsMap(const Peer& peer) const {
   const auto report = reports_.find(peer.rank);
   const auto known = experts_.find(peer.rank);
@@ -181,12 +191,13 @@
   const companion_messages::Poll poll{
       .generation = options_.generation,
       .want_choices = !decisions_.urgent() && IsSampled(peer),
-      .want_map = WantsMap(peer)};
+      .want_map = WantsMap(peer),
+      .slow_engines = SlowEngines()};
   const std::string address = peer.entry.peer_address;
   const common::Time asked_at = loop_.Now();
   peer_caller_.Start(address,
                      {.method = "POST",
-                      .target = std::string(kPollPath),
+                      .target = std::string(companion_messages::kPollPath),
                       .body = companion_messages::EncodePoll(poll)},
                      options_.poll_timeout,
                      Guarded([this, address, asked_at](
@@ -392,7 +403,7 @@
   peer_caller_.Start(
       address,
       {.method = "POST",
-       .target = std::string(kOrderPath),
+       .target = std::string(companion_messages::kOrderPath),
        .body = companion_messages::EncodeOrder(order, encoded_map)},
       TimeoutOf(order),
       Guarded([this, address, order](const http_channel::CallResult& result) {
--- a/packages/daemon/companion/group_coordinator.h
+++ b/packages/daemon/companion/group_coordinator.h
@@ -20,9 +20,6 @@
 
 namespace wagtailshore::companion {
 
-// The paths that companions answer each other on.
-inline constexpr std::string_view kPollPath = "/rank";
-inline constexpr std::string_view kOrderPath = "/order";
 inline constexpr int kSupersededStatus = 409;
 
 struct GroupCoordinatorOptions {
@@ -136,6 +133,8 @@
   void PlanIfDue();
   std::optional<std::vector<placement::ExpertMap>> CurrentMaps() const;
   bool WantsMap(const Peer& peer) const;
+  // "IP:port" of engines that are left without experts.
+  std::vector<std::string> SlowEngines() const;
   // `least`, or the time that telling every rank takes when that is longer.
   common::Duration PeriodFor(common::Duration least) const;
   common::Duration TimeoutOf(const map_coordinator::RankOrder& order) const;
--- a/packages/daemon/gateway/gateway.cc
+++ b/packages/daemon/gateway/gateway.cc
@@ -96,19 +96,26 @@
     : loop_(loop),
       settings_(std::move(settings)),
       endpoint_pool_(loop, {.connect_timeout = kConnectTimeout}),
-      store_pool_(loop, {.connect_timeout = kConnectTimeout}),
-      store_caller_(loop, store_pool_),
+      call_pool_(loop, {.connect_timeout = kConnectTimeout}),
+      caller_(loop, call_pool_),
       freshness_({.revocation_bound = settings_.revocation_bound}),
       fleet_({}),
       router_(RouterOptionsOf(settings_)),
       store_(loop,
-             store_caller_,
+             caller_,
              {.store_address = settings_.store_address,
               .endpoints_period = std::chrono::duration_cast<common::Duration>(
                   settings_.drain_bound * kListShare)},
              freshness_,
              fleet_,
              [this](const fleet::FleetChange& change) { OnFleet(change); }),
+      slow_(loop,
+            caller_,
+            {.failure_domain = settings_.failure_domain,
+             .peer_port = settings_.peer_port},
+            fleet_,
+            store_,
+            router_),
       core_{.loop = loop_,
             .settings = settings_,
             .pool = endpoint_pool_,
@@ -141,6 +148,7 @@
   }
   listener_ = *std::move(listener);
   store_.Start();
+  slow_.Start();
   return absl::OkStatus();
 }
 
--- a/packages/daemon/gateway/gateway.h
+++ b/packages/daemon/gateway/gateway.h
@@ -8,6 +8,7 @@
 #include "absl/status/status.h"
 #include "daemon/gateway/gateway_core.h"
 #include "daemon/gateway/proxied_run.h"
+#include "daemon/gateway/slow_watch.h"
 #include "transport/http_channel/caller_channel.h"
 #include "transport/stream_socket/listener.h"
 
@@ -49,13 +50,15 @@
   event_loop::EventLoop& loop_;
   serving::HostedSettings settings_;
   http_channel::EndpointPool endpoint_pool_;
-  http_channel::EndpointPool store_pool_;
-  http_channel::HttpCaller store_caller_;
+  // For the store and the companions.
+  http_channel::EndpointPool call_pool_;
+  http_channel::HttpCaller caller_;
   freshness::Freshness freshness_;
   fleet::Fleet fleet_;
   routing::Router router_;
   metrics::GatewayMetrics metrics_;
   StoreWatch store_;
+  SlowWatch slow_;
   GatewayCore core_;
   std::unique_ptr<SideServer> side_server_;
   std::unique_ptr<stream_socket::Listener> listener_;
--- /dev/null
+++ b/packages/daemon/gateway/slow_watch.cc
@@ -0,0 +1,115 @@
+#include "daemon/gateway/slow_watch.h"
+
+#include <utility>
+#include <vector>
+
+#include "common/event_log.h"
+#include "common/strings.h"
+#include "protocol/companion_messages/companion_messages.h"
+
+namespace wagtailshore::gateway {
+namespace {
+
+constexpr int kOk = 200;
+
+}  // namespace
+
+SlowWatch::SlowWatch(event_loop::EventLoop& loop,
+                     http_channel::HttpCaller& caller,
+                     SlowWatchOptions options,
+                     const fleet::Fleet& fleet,
+                     const StoreWatch& store,
+                     routing::Router& router)
+    : loop_(loop),
+      caller_(caller),
+      options_(std::move(options)),
+      fleet_(fleet),
+      store_(store),
+      router_(router),
+      random_(std::random_device{}()) {}
+
+void SlowWatch::Start() {
+  if (options_.peer_port != 0) {
+    loop_.Every(options_.period, [this] { Ask(); });
+  }
+}
+
+std::string SlowWatch::ChooseCompanion() {
+  if (store_.routes() == nullptr) {
+    return {};
+  }
+  std::set<std::string> grouped;
+  for (const serving::Service& service :
+       store_.routes()->configuration().services) {
+    if (service.engine.has_value() && service.engine->layers > 0) {
+      grouped.insert(service.name);
+    }
+  }
+  std::vector<const std::string*> own;
+  std::vector<const std::string*> others;
+  for (const auto& [id, endpoint] : fleet_.endpoints()) {
+    if (grouped.contains(endpoint.service)) {
+      (endpoint.failure_domain == options_.failure_domain ? own : others)
+          .push_back(&endpoint.address);
+    }
+  }
+  const auto& candidates = own.empty() ? others : own;
+  if (candidates.empty()) {
+    return {};
+  }
+  std::uniform_int_distribution<size_t> index(0, candidates.size() - 1);
+  const std::string& address = *candidates[index(random_)];
+  return common::StrCat(address.substr(0, address.rfind(':')), ":",
+                        options_.peer_port);
+}
+
+void SlowWatch::Ask() {
+  if (!slow_.empty() && loop_.Now() - heard_at_ > options_.expiry) {
+    Tell({});
+  }
+  const std::string companion = ChooseCompanion();
+  if (companion.empty()) {
+    return;
+  }
+  caller_.Start(
+      companion,
+      {.method = "GET",
+       .target = std::string(companion_messages::kSlowEnginesPath)},
+      options_.timeout,
+      [this](const http_channel::CallResult& result) { OnAnswer(result); });
+}
+
+void SlowWatch::OnAnswer(const http_channel::CallResult& result) {
+  const auto engines = result.ok() && result->status == kOk
+                           ? companion_messages::DecodeSlowEngines(result->body)
+                           : absl::UnavailableError("no list of engines");
+  if (!engines.ok()) {
+    // Another companion is asked next, and routing goes on without: a line for
+    // each would only fill the log.
+    return;
+  }
+  heard_at_ = loop_.Now();
+  const std::set<std::string> addresses(engines->begin(), engines->end());
+  std::set<std::string> slow;
+  for (const auto& [id, endpoint] : fleet_.endpoints()) {
+    if (addresses.contains(endpoint.address)) {
+      slow.insert(id);
+    }
+  }
+  if (slow != slow_) {
+    Tell(slow);
+  }
+}
+
+void SlowWatch::Tell(const std::set<std::string>& endpoints) {
+  slow_ = endpoints;
+  router_.OnSlow(slow_);
+  std::string ids;
+  for (const std::string& id : slow_) {
+    common::StrAppend(&ids, ids.empty() ? "" : ",", id);
+  }
+  common::LogEvent(common::EventId::kSlowEndpoints,
+                   common::StrCat("endpoints=", ids.empty() ? "none" : ids));
+}
+
+}  // namespace wagtailshore::gateway
--- a/packages/protocol/companion_messages/companion_messages.cc
+++ b/packages/protocol/companion_messages/companion_messages.cc
@@ -221,14 +221,17 @@
 std::string EncodePoll(const Poll& poll) {
   return Pack({{"generation", poll.generation},
                {"choices", poll.want_choices},
-               {"map", poll.want_map}});
+               {"map", poll.want_map},
+               {"slow", poll.slow_engines}});
 }
 
 absl::StatusOr<Poll> DecodePoll(std::string_view text) {
   return Unpack(text, [](const json& value) {
-    return Poll{.generation = value.at("generation").get<uint64_t>(),
-                .want_choices = value.at("choices").get<bool>(),
-                .want_map = value.at("map").get<bool>()};
+    return Poll{
+        .generation = value.at("generation").get<uint64_t>(),
+        .want_choices = value.at("choices").get<bool>(),
+        .want_map = value.at("map").get<bool>(),
+        .slow_engines = value.at("slow").get<std::vector<std::string>>()};
   });
 }
 
@@ -264,6 +267,17 @@
   });
 }
 
+std::string EncodeSlowEngines(const std::vector<std::string>& engines) {
+  return Pack({{"slow", engines}});
+}
+
+absl::StatusOr<std::vector<std::string>> DecodeSlowEngines(
+    std::string_view text) {
+  return Unpack(text, [](const json& value) {
+    return value.at("slow").get<std::vector<std::string>>();
+  });
+}
+
 std::string EncodeMap(const GroupMap& map) {
   return Pack(map);
 }
--- a/packages/protocol/companion_messages/companion_messages.h
+++ b/packages/protocol/companion_messages/companion_messages.h
@@ -15,12 +15,20 @@
 // HTTP, all from the coordinator to a companion and back.
 namespace wagtailshore::companion_messages {
 
+// The paths that companions answer on: to the group's coordinator, and to
+// gateways that ask which engines are slow.
+inline constexpr std::string_view kPollPath = "/rank";
+inline constexpr std::string_view kOrderPath = "/order";
+inline constexpr std::string_view kSlowEnginesPath = "/slow";
+
 // Asks a companion for what its engine says.
 struct Poll {
   // Fencing number of the coordinator that asks.
   uint64_t generation = 0;
   bool want_choices = false;
   bool want_map = false;
+  // "IP:port" of the group's engines that are slow, for gateways that ask.
+  std::vector<std::string> slow_engines;
 };
 
 // What an engine says, read by the companion beside it.
@@ -48,6 +56,11 @@
 std::string EncodeRankState(const RankState& state);
 absl::StatusOr<RankState> DecodeRankState(std::string_view text);
 
+// What a companion answers to gateways: "IP:port" of engines.
+std::string EncodeSlowEngines(const std::vector<std::string>& engines);
+absl::StatusOr<std::vector<std::string>> DecodeSlowEngines(
+    std::string_view text);
+
 // A map as it stands in an order; encoded once for all ranks.
 std::string EncodeMap(const map_coordinator::GroupMap& map);
 // The same by what differs from a map that the receiver has, in about three
--- a/packages/state/expert_demand/rebalance.cc
+++ b/packages/state/expert_demand/rebalance.cc
@@ -18,9 +18,6 @@
 // New experts per rank of the cheapest plan that is tried; each further one has
 // twice as many.
 constexpr int kLeastCopies = 3;
-// Pace from which on a rank is left without experts. Below it the rank's share
-// of the experts costs the group less than the copies.
-constexpr double kSlowPace = 1.8;
 
 bool Holds(const std::vector<int>& rank, int expert) {
   return std::find(rank.begin(), rank.end(), expert) != rank.end();
--- a/packages/state/expert_demand/rebalance.h
+++ b/packages/state/expert_demand/rebalance.h
@@ -8,6 +8,10 @@
 
 namespace wagtailshore::expert_demand {
 
+// Pace from which on a rank is left without experts. Below it the rank's share
+// of the experts costs the group less than the copies.
+inline constexpr double kSlowPace = 1.8;
+
 struct RebalanceOptions {
   // Expert slots per rank and layer.
   int slots_per_rank = 1;
--- a/packages/state/routing/router.cc
+++ b/packages/state/routing/router.cc
@@ -108,6 +108,12 @@
   }
 }
 
+void Router::OnSlow(const std::set<std::string>& endpoints) {
+  for (auto& [name, candidate] : candidates_) {
+    candidate.slow = endpoints.contains(name);
+  }
+}
+
 void Router::OnLeaving(const std::string& endpoint) {
   Candidate* candidate = Find(endpoint);
   if (candidate != nullptr) {
@@ -228,7 +234,8 @@
                       const Pool& pool,
                       common::Time now) const {
   const uint32_t load = candidate.load();
-  double wait = options_.wait_per_running_ms * load;
+  double wait = options_.wait_per_running_ms * load +
+                (candidate.slow ? options_.slow_penalty_ms : 0);
   if (candidate.slots > 0 && load >= candidate.slots) {
     const double duration =
         candidate.duration_ms > 0 ? candidate.duration_ms : kDefaultDurationMs;
--- a/packages/state/routing/router.h
+++ b/packages/state/routing/router.h
@@ -51,6 +51,8 @@
   double error_share = 0;
   common::Time measured_at{};
   bool leaving = false;
+  // All endpoints of its group wait for it in each step.
+  bool slow = false;
   // After a failure, the endpoint gets no new work before this time.
   common::Time ejected_until{};
   uint32_t failures_in_a_row = 0;
@@ -82,6 +84,9 @@
   double error_penalty_ms = 1000;
   // What an endpoint in another failure domain has to be better by.
   double other_domain_penalty_ms = 20;
+  // Wait that an endpoint is taken to have when it slows its group down: it
+  // gets work when all others have more than that.
+  double slow_penalty_ms = 3000;
   size_t max_prefixes = 4096;
 };
 
@@ -122,6 +127,8 @@
                 LoadReport report,
                 common::Time now);
   void OnCacheEvent(const std::string& endpoint, const CacheEvent& event);
+  // These endpoints, and no others, slow their group's steps down.
+  void OnSlow(const std::set<std::string>& endpoints);
   // A leaving endpoint is never picked again.
   void OnLeaving(const std::string& endpoint);
   // The endpoint is a new process: it is not leaving any more.
--- a/tests/fuzz/companion_messages_fuzz.cc
+++ b/tests/fuzz/companion_messages_fuzz.cc
@@ -8,6 +8,7 @@
   namespace messages = wagtailshore::companion_messages;
   const std::string text(data, data + size);
   (void)messages::DecodePoll(text);
+  (void)messages::DecodeSlowEngines(text);
   (void)messages::DecodeRankState(text);
   wagtailshore::map_coordinator::MapStock known;
   known.Add(1, std::make_shared<const wagtailshore::map_coordinator::GroupMap>(
--- a/tests/unit/daemon/companion/companion_test.cc
+++ b/tests/unit/daemon/companion/companion_test.cc
@@ -55,18 +55,22 @@
 
   // Sends an order as a coordinator does and returns the companion's word.
   std::string Order(const RankOrder& order, const std::string& encoded_map) {
-    std::string outcome;
+    return Call(companion_messages::kOrderPath,
+                companion_messages::EncodeOrder(order, encoded_map));
+  }
+
+  // Returns the answer's body, whatever its status.
+  std::string Call(std::string_view path, const std::string& body) {
+    std::string answer;
     caller_.Start(common::StrCat("127.0.0.1:", companion_->peer_port()),
-                  {.method = "POST",
-                   .target = std::string(kOrderPath),
-                   .body = companion_messages::EncodeOrder(order, encoded_map)},
+                  {.method = "POST", .target = std::string(path), .body = body},
                   kPatience, [&](const http_channel::CallResult& result) {
-                    outcome =
+                    answer =
                         result.ok() ? result->body : result.status().ToString();
                     loop_.Stop();
                   });
     loop_.Run();
-    return outcome;
+    return answer;
   }
 
   event_loop::EventLoop loop_;
@@ -139,5 +143,17 @@
             std::string::npos);
 }
 
+// Gateways learn from any companion which engines the coordinator calls slow.
+TEST_F(CompanionTest, SlowEnginesArePassedOn) {
+  Start(kOnce);
+  const std::vector<std::string> slow = {"10.0.0.7:80"};
+  Call(companion_messages::kPollPath,
+       companion_messages::EncodePoll({.generation = 1, .slow_engines = slow}));
+  const auto told = companion_messages::DecodeSlowEngines(
+      Call(companion_messages::kSlowEnginesPath, {}));
+  ASSERT_TRUE(told.ok()) << told.status().message();
+  EXPECT_EQ(*told, slow);
+}
+
 }  // namespace
 }  // namespace wagtailshore::companion
--- a/tests/unit/protocol/companion_messages/companion_messages_test.cc
+++ b/tests/unit/protocol/companion_messages/companion_messages_test.cc
@@ -31,6 +31,16 @@
   EXPECT_EQ(decoded->experts, state.experts);
 }
 
+TEST(CompanionMessagesTest, SlowEnginesComeBack) {
+  const std::vector<std::string> engines = {"10.0.0.1:80", "10.0.0.2:80"};
+  const auto told = DecodeSlowEngines(EncodeSlowEngines(engines));
+  ASSERT_TRUE(told.ok()) << told.status().message();
+  EXPECT_EQ(*told, engines);
+  const auto poll = DecodePoll(EncodePoll({.slow_engines = engines}));
+  ASSERT_TRUE(poll.ok()) << poll.status().message();
+  EXPECT_EQ(poll->slow_engines, engines);
+}
+
 TEST(CompanionMessagesTest, EveryOrderComesBack) {
   using map_coordinator::OrderBody;
   const auto map = std::make_shared<const map_coordinator::GroupMap>(
@@ -133,6 +143,7 @@
     EXPECT_FALSE(DecodeOrder(text, {}).ok());
     EXPECT_FALSE(DecodeRankState(text).ok());
     EXPECT_FALSE(DecodePoll(text).ok());
+    EXPECT_FALSE(DecodeSlowEngines(text).ok());
     EXPECT_FALSE(DecodeEntry(text).ok());
     EXPECT_FALSE(DecodeCoordinator(text).ok());
   }
--- a/tests/unit/state/routing/router_test.cc
+++ b/tests/unit/state/routing/router_test.cc
@@ -64,6 +64,21 @@
   EXPECT_NE(router->Pick(request, kStart), first);
 }
 
+// The load of a group that one engine slows down: work for it delays everyone.
+TEST(RouterTest, SlowEndpointGetsWorkOnlyWhenNobodyElseCan) {
+  auto router = TwoDomains();
+  ReportAll(*router, "bcd", 0);
+  router->OnSlow({"a"});
+  for (int i = 0; i < 8; ++i) {
+    EXPECT_NE(router->Pick({.target = "model"}, kStart), "a");
+  }
+  EXPECT_EQ(router->Pick({.target = "model", .avoid = {"b", "c", "d"}}, kStart),
+            "a");
+  // It is well again.
+  router->OnSlow({});
+  EXPECT_EQ(router->Pick({.target = "model"}, kStart), "a");
+}
+
 TEST(RouterTest, SpillsWithHysteresis) {
   auto router = TwoDomains();
   const PickRequest request{.target = "model"};
