Http channel: one owner of a listener and its connections

The listener with its map of caller channels, and the posted removal of a closed one, stood in the gateway, its side server, the companion and the tests' store. ChannelServer owns both now; handlers of requests hear no more of closed channels, which each of them answered with the same line. Options are asked for at each accept, as the gateway needs them from the configuration in force. Ruled out: a base class of handlers, which would tie them to one server each.

--- a/packages/daemon/companion/companion.cc
+++ b/packages/daemon/companion/companion.cc
@@ -36,6 +36,7 @@
       options_(options),
       pool_(loop, {.connect_timeout = common::milliseconds(200)}),
       caller_(loop, pool_),
+      server_(loop, *this),
       heard_at_(loop.Now()),
       random_(std::random_device{}()) {}
 
@@ -46,16 +47,10 @@
 }
 
 absl::Status Companion::Start() {
-  auto listener = stream_socket::Listener::Open(
-      loop_, peer_address(), [this](int descriptor) {
-        auto channel = std::make_unique<http_channel::CallerChannel>(
-            loop_, descriptor, *this, http_channel::CallerChannelOptions{});
-        channels_.emplace(channel.get(), std::move(channel));
-      });
-  if (!listener.ok()) {
-    return listener.status();
+  absl::Status listening = server_.Listen(peer_address());
+  if (!listening.ok()) {
+    return listening;
   }
-  listener_ = *std::move(listener);
   Register();
   loop_.Every(kWatchPeriod, [this] { WatchCoordinator(); });
   return absl::OkStatus();
@@ -119,10 +114,6 @@
                 [&](const auto& item) { return item.second == &channel; });
 }
 
-void Companion::OnChannelClosed(http_channel::CallerChannel& channel) {
-  loop_.Post([this, gone = &channel] { channels_.erase(gone); });
-}
-
 void Companion::ReadEngine(
     const http_channel::Call& call,
     std::function<void(const http_channel::CallResult&)> done) {
--- a/packages/daemon/companion/companion.h
+++ b/packages/daemon/companion/companion.h
@@ -13,9 +13,8 @@
 #include "platform/store.h"
 #include "state/expert_demand/expert_demand.h"
 #include "state/serving/hosted_settings.h"
-#include "transport/http_channel/caller_channel.h"
+#include "transport/http_channel/channel_server.h"
 #include "transport/http_channel/endpoint_pool.h"
-#include "transport/stream_socket/listener.h"
 
 namespace wagtailshore::companion {
 
@@ -40,7 +39,7 @@
   // Opens the address for other companions; fails when it cannot be bound.
   absl::Status Start();
   // The port for other companions; only after Start().
-  uint16_t peer_port() const { return listener_->port(); }
+  uint16_t peer_port() const { return server_.port(); }
   // Leaves at once: the next companion takes the group over.
   void Drain() { loop_.Stop(); }
 
@@ -48,7 +47,6 @@
                  const http1::RequestHead& head,
                  std::string body) override;
   void OnCallerGone(http_channel::CallerChannel& channel) override;
-  void OnChannelClosed(http_channel::CallerChannel& channel) override;
 
  private:
   // A poll whose readings of the engine are under way.
@@ -95,10 +93,7 @@
   CompanionOptions options_;
   http_channel::EndpointPool pool_;
   http_channel::HttpCaller caller_;
-  std::unique_ptr<stream_socket::Listener> listener_;
-  std::map<http_channel::CallerChannel*,
-           std::unique_ptr<http_channel::CallerChannel>>
-      channels_;
+  http_channel::ChannelServer server_;
   // Channels that wait for an answer, by its number.
   std::map<uint64_t, http_channel::CallerChannel*> pending_channels_;
   std::map<uint64_t, PendingPoll> pending_polls_;
--- a/packages/daemon/gateway/gateway.cc
+++ b/packages/daemon/gateway/gateway.cc
@@ -51,21 +51,11 @@
 
 class Gateway::SideServer final : public http_channel::RequestHandler {
  public:
-  explicit SideServer(Gateway& gateway) : gateway_(gateway) {}
+  explicit SideServer(Gateway& gateway)
+      : gateway_(gateway), server_(gateway.loop_, *this) {}
 
   absl::Status Listen(const std::string& address) {
-    auto listener = stream_socket::Listener::Open(
-        gateway_.loop_, address, [this](int descriptor) {
-          auto channel = std::make_unique<http_channel::CallerChannel>(
-              gateway_.loop_, descriptor, *this,
-              http_channel::CallerChannelOptions{});
-          channels_.emplace(channel.get(), std::move(channel));
-        });
-    if (!listener.ok()) {
-      return listener.status();
-    }
-    listeners_.push_back(*std::move(listener));
-    return absl::OkStatus();
+    return server_.Listen(address);
   }
 
   void OnRequest(http_channel::CallerChannel& channel,
@@ -80,16 +70,10 @@
     }
   }
   void OnCallerGone(http_channel::CallerChannel&) override {}
-  void OnChannelClosed(http_channel::CallerChannel& channel) override {
-    gateway_.loop_.Post([this, gone = &channel] { channels_.erase(gone); });
-  }
 
  private:
   Gateway& gateway_;
-  std::vector<std::unique_ptr<stream_socket::Listener>> listeners_;
-  std::map<http_channel::CallerChannel*,
-           std::unique_ptr<http_channel::CallerChannel>>
-      channels_;
+  http_channel::ChannelServer server_;
 };
 
 Gateway::Gateway(event_loop::EventLoop& loop, serving::HostedSettings settings)
@@ -125,7 +109,8 @@
             .store = store_,
             .metrics = metrics_,
             .random = std::minstd_rand(std::random_device{}())},
-      side_server_(std::make_unique<SideServer>(*this)) {}
+      side_server_(std::make_unique<SideServer>(*this)),
+      callers_(loop, *this, [this] { return CallerOptions(); }) {}
 
 Gateway::~Gateway() = default;
 
@@ -140,30 +125,25 @@
       return listening;
     }
   }
-  auto listener = stream_socket::Listener::Open(
-      loop_, settings_.caller_address,
-      [this](int descriptor) { Accept(descriptor); });
-  if (!listener.ok()) {
-    return listener.status();
+  absl::Status listening = callers_.Listen(settings_.caller_address);
+  if (!listening.ok()) {
+    return listening;
   }
-  listener_ = *std::move(listener);
   store_.Start();
   slow_.Start();
   return absl::OkStatus();
 }
 
-void Gateway::Accept(int descriptor) {
-  http_channel::CallerChannelOptions options;
-  if (const auto& routes = store_.routes(); routes != nullptr) {
-    const serving::CallerLimits& limits = routes->configuration().limits;
-    options = {.max_header_bytes = limits.max_header_bytes,
-               .max_body_bytes = limits.max_body_bytes,
-               .header_timeout = limits.header_timeout,
-               .idle_timeout = limits.idle_timeout};
+http_channel::CallerChannelOptions Gateway::CallerOptions() const {
+  const auto& routes = store_.routes();
+  if (routes == nullptr) {
+    return {};
   }
-  auto channel = std::make_unique<http_channel::CallerChannel>(
-      loop_, descriptor, *this, options);
-  channels_.emplace(channel.get(), std::move(channel));
+  const serving::CallerLimits& limits = routes->configuration().limits;
+  return {.max_header_bytes = limits.max_header_bytes,
+          .max_body_bytes = limits.max_body_bytes,
+          .header_timeout = limits.header_timeout,
+          .idle_timeout = limits.idle_timeout};
 }
 
 void Gateway::OnRequest(http_channel::CallerChannel& channel,
@@ -203,10 +183,6 @@
   }
 }
 
-void Gateway::OnChannelClosed(http_channel::CallerChannel& channel) {
-  loop_.Post([this, gone = &channel] { channels_.erase(gone); });
-}
-
 void Gateway::OnFleet(const fleet::FleetChange& change) {
   std::set<std::string> known;
   for (const auto& [id, endpoint] : fleet_.endpoints()) {
@@ -247,7 +223,7 @@
   metrics_.SetGauge("wagtailshore_gateway_requests_in_flight",
                     static_cast<double>(runs_.size()));
   metrics_.SetGauge("wagtailshore_gateway_caller_connections",
-                    static_cast<double>(channels_.size()));
+                    static_cast<double>(callers_.size()));
   return metrics_.Format();
 }
 
@@ -261,16 +237,14 @@
     closing_ = true;
     // Connections that were not accepted are reset, which tells their callers
     // that nothing was read.
-    listener_.reset();
-    for (auto& [key, channel] : channels_) {
-      channel->CloseWhenIdle();
-    }
+    callers_.StopListening();
+    callers_.CloseWhenIdle();
     StopWhenIdle(latest);
   });
 }
 
 void Gateway::StopWhenIdle(common::Time latest) {
-  if ((runs_.empty() && channels_.empty()) || loop_.Now() >= latest) {
+  if ((runs_.empty() && callers_.size() == 0) || loop_.Now() >= latest) {
     loop_.Stop();
     return;
   }
--- a/packages/daemon/gateway/gateway.h
+++ b/packages/daemon/gateway/gateway.h
@@ -9,8 +9,7 @@
 #include "daemon/gateway/gateway_core.h"
 #include "daemon/gateway/proxied_run.h"
 #include "daemon/gateway/slow_watch.h"
-#include "transport/http_channel/caller_channel.h"
-#include "transport/stream_socket/listener.h"
+#include "transport/http_channel/channel_server.h"
 
 namespace wagtailshore::gateway {
 
@@ -25,7 +24,7 @@
   // Opens the addresses; fails when one cannot be bound.
   absl::Status Start(const std::string& metrics_address);
   // The port for callers; only after Start().
-  uint16_t caller_port() const { return listener_->port(); }
+  uint16_t caller_port() const { return callers_.port(); }
   // Whether the balancer may send callers here.
   bool IsReady() const;
   // Refuses readiness, lets what is in flight end, then stops the loop.
@@ -35,13 +34,13 @@
                  const http1::RequestHead& head,
                  std::string body) override;
   void OnCallerGone(http_channel::CallerChannel& channel) override;
-  void OnChannelClosed(http_channel::CallerChannel& channel) override;
 
  private:
   // Answers the balancer's probes and scrapes of the metrics.
   class SideServer;
 
-  void Accept(int descriptor);
+  // What callers may send, by the configuration in force.
+  http_channel::CallerChannelOptions CallerOptions() const;
   void OnFleet(const fleet::FleetChange& change);
   void EndRun(http_channel::CallerChannel& channel);
   std::string Metrics();
@@ -61,10 +60,7 @@
   SlowWatch slow_;
   GatewayCore core_;
   std::unique_ptr<SideServer> side_server_;
-  std::unique_ptr<stream_socket::Listener> listener_;
-  std::map<http_channel::CallerChannel*,
-           std::unique_ptr<http_channel::CallerChannel>>
-      channels_;
+  http_channel::ChannelServer callers_;
   std::map<http_channel::CallerChannel*, std::unique_ptr<ProxiedRun>> runs_;
   bool draining_ = false;
   // Callers' connections are closed after their answers.
--- a/packages/transport/http_channel/caller_channel.cc
+++ b/packages/transport/http_channel/caller_channel.cc
@@ -20,9 +20,11 @@
 CallerChannel::CallerChannel(event_loop::EventLoop& loop,
                              int descriptor,
                              RequestHandler& handler,
-                             const CallerChannelOptions& options)
+                             const CallerChannelOptions& options,
+                             OnChannelClosed on_closed)
     : loop_(loop),
       handler_(handler),
+      on_closed_(std::move(on_closed)),
       options_(options),
       socket_(loop, descriptor, *this, {}),
       reader_(ReaderOptionsOf(options)) {
@@ -151,7 +153,7 @@
   state_ = State::kClosing;
   socket_.Close(/*reset=*/true);
   loop_.Cancel(timer_);
-  handler_.OnChannelClosed(*this);
+  on_closed_(*this);
 }
 
 void CallerChannel::CloseWhenIdle() {
@@ -169,7 +171,7 @@
   if (was_answering) {
     handler_.OnCallerGone(*this);
   }
-  handler_.OnChannelClosed(*this);
+  on_closed_(*this);
 }
 
 void CallerChannel::ArmTimer() {
--- a/packages/transport/http_channel/caller_channel.h
+++ b/packages/transport/http_channel/caller_channel.h
@@ -1,6 +1,7 @@
 #ifndef TRANSPORT_HTTP_CHANNEL_CALLER_CHANNEL_H_
 #define TRANSPORT_HTTP_CHANNEL_CALLER_CHANNEL_H_
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -26,8 +27,6 @@
   // The caller went away before its answer was complete; the channel must not
   // be used for that answer any more.
   virtual void OnCallerGone(CallerChannel& channel) = 0;
-  // The last call for this channel.
-  virtual void OnChannelClosed(CallerChannel& channel) = 0;
 };
 
 struct CallerChannelOptions {
@@ -40,10 +39,14 @@
 // One caller's connection: reads a request at a time and writes its answer.
 class CallerChannel final : public stream_socket::StreamHandler {
  public:
+  // Called once, when the channel has closed; from within callbacks.
+  using OnChannelClosed = std::function<void(CallerChannel&)>;
+
   CallerChannel(event_loop::EventLoop& loop,
                 int descriptor,
                 RequestHandler& handler,
-                const CallerChannelOptions& options);
+                const CallerChannelOptions& options,
+                OnChannelClosed on_closed);
   ~CallerChannel() override;
   CallerChannel(const CallerChannel&) = delete;
   CallerChannel& operator=(const CallerChannel&) = delete;
@@ -84,6 +87,7 @@
 
   event_loop::EventLoop& loop_;
   RequestHandler& handler_;
+  OnChannelClosed on_closed_;
   CallerChannelOptions options_;
   stream_socket::StreamSocket socket_;
   State state_ = State::kReading;
--- /dev/null
+++ b/packages/transport/http_channel/channel_server.cc
@@ -0,0 +1,37 @@
+#include "transport/http_channel/channel_server.h"
+
+#include <utility>
+
+namespace wagtailshore::http_channel {
+
+ChannelServer::ChannelServer(event_loop::EventLoop& loop,
+                             RequestHandler& handler,
+                             OptionsSource options)
+    : loop_(loop), handler_(handler), options_(std::move(options)) {}
+
+absl::Status ChannelServer::Listen(const std::string& address) {
+  auto listener = stream_socket::Listener::Open(
+      loop_, address, [this](int descriptor) { Accept(descriptor); });
+  if (!listener.ok()) {
+    return listener.status();
+  }
+  listeners_.push_back(*std::move(listener));
+  return absl::OkStatus();
+}
+
+void ChannelServer::Accept(int descriptor) {
+  auto channel = std::make_unique<CallerChannel>(
+      loop_, descriptor, handler_, options_(), [this](CallerChannel& closed) {
+        // The channel is calling; it must outlive the call.
+        loop_.Post([this, gone = &closed] { channels_.erase(gone); });
+      });
+  channels_.emplace(channel.get(), std::move(channel));
+}
+
+void ChannelServer::CloseWhenIdle() {
+  for (auto& [key, channel] : channels_) {
+    channel->CloseWhenIdle();
+  }
+}
+
+}  // namespace wagtailshore::http_channel
--- a/tests/support/hosted_world.cc
+++ b/tests/support/hosted_world.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "absl/strings/escaping.h"
+#include "common/invariant.h"
 #include "common/strings.h"
 #include "protocol/http1/serialize.h"
 
@@ -18,23 +19,19 @@
 constexpr common::Duration kFeedWait = common::milliseconds(100);
 constexpr const char* kAnyPort = "127.0.0.1:0";
 
-std::string Loopback(const stream_socket::Listener& listener) {
-  return common::StrCat("127.0.0.1:", listener.port());
+std::string Loopback(uint16_t port) {
+  return common::StrCat("127.0.0.1:", port);
 }
 
 }  // namespace
 
-FakeStore::FakeStore(event_loop::EventLoop& loop) : loop_(loop) {
-  listener_ =
-      *stream_socket::Listener::Open(loop_, kAnyPort, [this](int descriptor) {
-        auto channel = std::make_unique<http_channel::CallerChannel>(
-            loop_, descriptor, *this, http_channel::CallerChannelOptions{});
-        channels_.emplace(channel.get(), std::move(channel));
-      });
+FakeStore::FakeStore(event_loop::EventLoop& loop)
+    : loop_(loop), server_(loop, *this) {
+  WS_INVARIANT(server_.Listen(kAnyPort).ok());
 }
 
 std::string FakeStore::address() const {
-  return Loopback(*listener_);
+  return Loopback(server_.port());
 }
 
 void FakeStore::SetConfiguration(const json& configuration) {
@@ -117,10 +114,6 @@
   waiting_.erase(&channel);
 }
 
-void FakeStore::OnChannelClosed(http_channel::CallerChannel& channel) {
-  loop_.Post([this, gone = &channel] { channels_.erase(gone); });
-}
-
 class FakeEndpoint::Connection final : public stream_socket::StreamHandler {
  public:
   Connection(FakeEndpoint& owner, int descriptor)
@@ -176,7 +169,7 @@
 FakeEndpoint::~FakeEndpoint() = default;
 
 std::string FakeEndpoint::address() const {
-  return Loopback(*listener_);
+  return Loopback(listener_->port());
 }
 
 json HostedWorld::Configuration(int version) {
--- a/tests/support/hosted_world.h
+++ b/tests/support/hosted_world.h
@@ -14,7 +14,7 @@
 #include "daemon/gateway/gateway.h"
 #include "protocol/http1/message_reader.h"
 #include "transport/event_loop/event_loop.h"
-#include "transport/http_channel/caller_channel.h"
+#include "transport/http_channel/channel_server.h"
 #include "transport/http_channel/endpoint_pool.h"
 #include "transport/stream_socket/listener.h"
 #include "transport/stream_socket/stream_socket.h"
@@ -40,18 +40,13 @@
                  const http1::RequestHead& head,
                  std::string body) override;
   void OnCallerGone(http_channel::CallerChannel& channel) override;
-  void OnChannelClosed(http_channel::CallerChannel& channel) override;
 
  private:
-  using Channels = std::map<http_channel::CallerChannel*,
-                            std::unique_ptr<http_channel::CallerChannel>>;
-
   std::string RowsOf(const std::string& table) const;
   void AnswerFeed(http_channel::CallerChannel& channel);
 
   event_loop::EventLoop& loop_;
-  std::unique_ptr<stream_socket::Listener> listener_;
-  Channels channels_;
+  http_channel::ChannelServer server_;
   std::set<http_channel::CallerChannel*> waiting_;
   nlohmann::json configuration_;
   std::map<std::string, nlohmann::json> endpoints_;
