Http1: one table of the statuses that hosted roles and their adapter use

Left alone: the own interface's roles, which speak through libcurl and libmicrohttpd and do not link this protocol, and the reasons in serialize.cc, which pair a number with its text.

--- a/packages/daemon/companion/companion.cc
+++ b/packages/daemon/companion/companion.cc
@@ -5,15 +5,11 @@
 
 #include "common/event_log.h"
 #include "common/strings.h"
+#include "protocol/http1/status.h"
 
 namespace wagtailshore::companion {
 namespace {
 
-constexpr int kOk = 200;
-constexpr int kBadRequest = 400;
-constexpr int kNotFound = 404;
-constexpr int kUnavailable = 503;
-
 // The engine is on the same instance and answers within a few milliseconds.
 constexpr common::Duration kEngineTimeout = common::milliseconds(120);
 constexpr common::Duration kStoreTimeout = common::seconds(1);
@@ -82,13 +78,13 @@
   } else if (head.target == companion_messages::kSlowEnginesPath) {
     OnSlowEngines(channel);
   } else {
-    channel.Respond(kNotFound, {}, {});
+    channel.Respond(http1::kNotFound, {}, {});
   }
 }
 
 void Companion::OnSlowEngines(http_channel::CallerChannel& channel) {
   const bool known = loop_.Now() - heard_at_ < kCoordinatorSilence;
-  channel.Respond(kOk, {},
+  channel.Respond(http1::kOk, {},
                   companion_messages::EncodeSlowEngines(
                       known ? slow_engines_ : std::vector<std::string>()));
 }
@@ -125,7 +121,7 @@
                        const std::string& body) {
   auto poll = companion_messages::DecodePoll(body);
   if (!poll.ok()) {
-    channel.Respond(kBadRequest, {}, {});
+    channel.Respond(http1::kBadRequest, {}, {});
     return;
   }
   if (poll->generation < generation_) {
@@ -187,9 +183,10 @@
   const PendingPoll finished = std::move(poll);
   pending_polls_.erase(found);
   if (finished.failed) {
-    Answer(poll_id, kUnavailable, {});
+    Answer(poll_id, http1::kUnavailable, {});
   } else {
-    Answer(poll_id, kOk, companion_messages::EncodeRankState(finished.state));
+    Answer(poll_id, http1::kOk,
+           companion_messages::EncodeRankState(finished.state));
   }
 }
 
@@ -201,15 +198,17 @@
   const auto order = companion_messages::DecodeOrder(body, maps_);
   if (absl::IsFailedPrecondition(order.status())) {
     // The coordinator sends the whole map then.
-    channel.Respond(kOk, {}, name_of(map_coordinator::OrderOutcome::kRefused));
+    channel.Respond(http1::kOk, {},
+                    name_of(map_coordinator::OrderOutcome::kRefused));
     return;
   }
   if (!order.ok()) {
-    channel.Respond(kBadRequest, {}, {});
+    channel.Respond(http1::kBadRequest, {}, {});
     return;
   }
   if (order->generation < generation_) {
-    channel.Respond(kOk, {}, name_of(map_coordinator::OrderOutcome::kFenced));
+    channel.Respond(http1::kOk, {},
+                    name_of(map_coordinator::OrderOutcome::kFenced));
     return;
   }
   generation_ = order->generation;
@@ -235,7 +234,7 @@
           GiveOrder(id, order, tries - 1);
           return;
         }
-        Answer(id, kOk,
+        Answer(id, http1::kOk,
                common::NameOf(map_coordinator::kOrderOutcomeNames, outcome));
       });
 }
--- a/packages/daemon/companion/group_coordinator.cc
+++ b/packages/daemon/companion/group_coordinator.cc
@@ -8,6 +8,7 @@
 #include "common/strings.h"
 #include "platform/engine.h"
 #include "platform/store.h"
+#include "protocol/http1/status.h"
 #include "state/expert_demand/rebalance.h"
 
 namespace wagtailshore::companion {
@@ -228,7 +229,6 @@
 void GroupCoordinator::OnPollResult(Peer& peer,
                                     const http_channel::CallResult& result,
                                     common::Time asked_at) {
-  constexpr int kOk = 200;
   if (!result.ok()) {
     peer.unreachable = true;
     // A rank whose companion is gone may hold the group, of which a coordinator
@@ -239,7 +239,7 @@
     return;
   }
   peer.unreachable = false;
-  if (result->status != kOk) {
+  if (result->status != http1::kOk) {
     return;
   }
   const auto state = companion_messages::DecodeRankState(result->body);
--- a/packages/daemon/gateway/gateway.cc
+++ b/packages/daemon/gateway/gateway.cc
@@ -5,14 +5,11 @@
 
 #include "common/event_log.h"
 #include "common/strings.h"
+#include "protocol/http1/status.h"
 
 namespace wagtailshore::gateway {
 namespace {
 
-constexpr int kOk = 200;
-constexpr int kNotFound = 404;
-constexpr int kUnavailable = 503;
-
 // The balancer asks every second and stops sending new connections after two
 // refusals; half a second more for the last ones under way.
 constexpr common::Duration kBalancerNotice = common::milliseconds(2500);
@@ -62,11 +59,12 @@
                  const http1::RequestHead& head,
                  std::string) override {
     if (platform::IsReadinessProbe(head)) {
-      channel.Respond(gateway_.IsReady() ? kOk : kUnavailable, {}, {});
+      channel.Respond(gateway_.IsReady() ? http1::kOk : http1::kUnavailable, {},
+                      {});
     } else if (head.target == "/metrics") {
-      channel.Respond(kOk, {}, gateway_.Metrics());
+      channel.Respond(http1::kOk, {}, gateway_.Metrics());
     } else {
-      channel.Respond(kNotFound, {}, {});
+      channel.Respond(http1::kNotFound, {}, {});
     }
   }
   void OnCallerGone(http_channel::CallerChannel&) override {}
@@ -153,7 +151,7 @@
     channel.CloseWhenIdle();
     const proxied::CallerRequest request =
         platform::DecodeCallerRequest(head, std::move(body));
-    channel.Respond(kUnavailable,
+    channel.Respond(http1::kUnavailable,
                     platform::OwnAnswerHeaders(request, kRetryElsewhere), {});
     return;
   }
--- a/packages/daemon/gateway/proxied_run.cc
+++ b/packages/daemon/gateway/proxied_run.cc
@@ -5,23 +5,11 @@
 
 #include "common/event_log.h"
 #include "common/strings.h"
+#include "protocol/http1/status.h"
 
 namespace wagtailshore::gateway {
 namespace {
 
-constexpr int kOk = 200;
-constexpr int kMultipleChoices = 300;
-constexpr int kBadRequest = 400;
-constexpr int kUnauthorized = 401;
-constexpr int kNotFound = 404;
-constexpr int kRequestTimeout = 408;
-constexpr int kMisdirected = 421;
-constexpr int kTooManyRequests = 429;
-constexpr int kInternalError = 500;
-constexpr int kBadGateway = 502;
-constexpr int kUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
-
 // The final answer leaves this long before the caller stops waiting, about a
 // round trip to it.
 constexpr common::Duration kAnswerMargin = common::milliseconds(10);
@@ -56,13 +44,13 @@
 constexpr size_t kMaxUnsentBytes = 1 << 20;
 
 bool IsSuccess(int status) {
-  return status >= kOk && status < kMultipleChoices;
+  return status >= http1::kOk && status < http1::kMultipleChoices;
 }
 
 // Whether callers take the status for a promise that the request did not run.
 bool PromisesNotRun(int status) {
-  return status == kRequestTimeout || status == kMisdirected ||
-         status == kTooManyRequests || status == kUnavailable;
+  return status == http1::kRequestTimeout || status == http1::kMisdirected ||
+         status == http1::kTooManyRequests || status == http1::kUnavailable;
 }
 
 }  // namespace
@@ -165,7 +153,7 @@
   route_ = routes_->FindRoute(request_.host, request_.target);
   if (route_ == nullptr) {
     if (current) {
-      AnswerItself(kNotFound, "no_route", std::nullopt);
+      AnswerItself(http1::kNotFound, "no_route", std::nullopt);
     } else {
       Refuse("configuration_too_old", kRetryWhenUninformed);
     }
@@ -182,7 +170,7 @@
   const serving::Customer* customer =
       request_.key.has_value() ? routes_->FindCustomer(*request_.key) : nullptr;
   if (customer == nullptr) {
-    AnswerItself(kUnauthorized, "unknown_key", std::nullopt);
+    AnswerItself(http1::kUnauthorized, "unknown_key", std::nullopt);
     return false;
   }
   customer_ = customer->name;
@@ -320,7 +308,7 @@
 
 void ProxiedRun::OnBufferedAnswer() {
   const proxied::EndpointAnswer& answer = *answer_;
-  if (answer.not_run && answer.status != kBadRequest) {
+  if (answer.not_run && answer.status != http1::kBadRequest) {
     OnRefusedByEndpoint();
     return;
   }
@@ -328,7 +316,7 @@
     RetryOrGiveUp("answer_spoilt");
     return;
   }
-  const bool failed = answer.status >= kInternalError;
+  const bool failed = answer.status >= http1::kInternalError;
   if (failed && !stream_begun_ && serving::MayRepeat(*route_) &&
       core_.router.CanPick({.target = service_, .avoid = tried_}) &&
       MayTryAgain()) {
@@ -354,7 +342,7 @@
 }
 
 void ProxiedRun::OnRefusedByEndpoint() {
-  const bool misdirected = answer_->status == kMisdirected;
+  const bool misdirected = answer_->status == http1::kMisdirected;
   // A refusal that names another endpoint comes from a group that cannot step
   // without it; the group's other ranks would refuse too.
   const bool group_stalled = !answer_->culprit_address.empty() && !misdirected;
@@ -420,7 +408,7 @@
   if (fate_ == Fate::kNotRun) {
     Refuse(cause, retry_after);
   } else {
-    AnswerItself(kBadGateway, cause, std::nullopt);
+    AnswerItself(http1::kBadGateway, cause, std::nullopt);
   }
 }
 
@@ -434,7 +422,7 @@
     channel_.Break();
     End("deadline");
   } else if (was_sent || fate_ == Fate::kMayHaveRun) {
-    AnswerItself(kGatewayTimeout, "deadline", std::nullopt);
+    AnswerItself(http1::kGatewayTimeout, "deadline", std::nullopt);
   } else {
     Refuse("deadline", kRetryWhenFull);
   }
@@ -478,7 +466,7 @@
 }
 
 void ProxiedRun::Refuse(std::string_view cause, common::Duration retry_after) {
-  AnswerItself(kUnavailable, cause, Jittered(retry_after));
+  AnswerItself(http1::kUnavailable, cause, Jittered(retry_after));
 }
 
 common::Duration ProxiedRun::Jittered(common::Duration mean) {
--- a/packages/daemon/gateway/slow_watch.cc
+++ b/packages/daemon/gateway/slow_watch.cc
@@ -6,14 +6,9 @@
 #include "common/event_log.h"
 #include "common/strings.h"
 #include "protocol/companion_messages/companion_messages.h"
+#include "protocol/http1/status.h"
 
 namespace wagtailshore::gateway {
-namespace {
-
-constexpr int kOk = 200;
-
-}  // namespace
-
 SlowWatch::SlowWatch(event_loop::EventLoop& loop,
                      http_channel::HttpCaller& caller,
                      SlowWatchOptions options,
@@ -80,7 +75,7 @@
 }
 
 void SlowWatch::OnAnswer(const http_channel::CallResult& result) {
-  const auto engines = result.ok() && result->status == kOk
+  const auto engines = result.ok() && result->status == http1::kOk
                            ? companion_messages::DecodeSlowEngines(result->body)
                            : absl::UnavailableError("no list of engines");
   if (!engines.ok()) {
--- a/packages/transport/http_channel/caller_channel.cc
+++ b/packages/transport/http_channel/caller_channel.cc
@@ -3,11 +3,11 @@
 #include <utility>
 
 #include "common/invariant.h"
+#include "protocol/http1/status.h"
 
 namespace wagtailshore::http_channel {
 namespace {
 
-constexpr int kRequestTimeout = 408;
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 http1::ReaderOptions ReaderOptionsOf(const CallerChannelOptions& options) {
@@ -193,7 +193,7 @@
   }
   keep_alive_ = false;
   state_ = State::kAnswering;
-  Respond(kRequestTimeout, {}, {});
+  Respond(http1::kRequestTimeout, {}, {});
 }
 
 }  // namespace wagtailshore::http_channel
