Placement: pace in SkewOf, and one count of a rank's new experts

The rebalancing of demand had written three of the placement's pieces again: the slowest rank over the mean (SkewOf, but for the pace), whether a rank holds an expert, and the experts that are new to one rank, which CountMoves sums up. SkewOf takes paces now, and Holds and CountNew are the placement's.

--- a/packages/state/expert_demand/rebalance.cc
+++ b/packages/state/expert_demand/rebalance.cc
@@ -1,7 +1,6 @@
 #include "state/expert_demand/rebalance.h"
 
 #include <algorithm>
-#include <numeric>
 
 #include "state/placement/improver.h"
 
@@ -19,37 +18,10 @@
 // twice as many.
 constexpr int kLeastCopies = 3;
 
-bool Holds(const std::vector<int>& rank, int expert) {
-  return std::find(rank.begin(), rank.end(), expert) != rank.end();
-}
-
-int NewExperts(const std::vector<int>& before, const std::vector<int>& now) {
-  return static_cast<int>(
-      std::count_if(now.begin(), now.end(),
-                    [&](int expert) { return !Holds(before, expert); }));
-}
-
 bool IsSlow(const RebalanceOptions& options, size_t rank) {
   return rank < options.paces.size() && options.paces[rank] >= kSlowPace;
 }
 
-// The slowest rank's load, by its pace, over the mean load.
-double Slowest(const ExpertMap& map,
-               const Loads& loads,
-               const std::vector<double>& paces) {
-  const std::vector<double> rank_loads = placement::RankLoads(map, loads);
-  const double total = std::accumulate(loads.begin(), loads.end(), 0.0);
-  if (total <= 0) {
-    return 1;
-  }
-  double slowest = 0;
-  for (size_t rank = 0; rank < rank_loads.size(); ++rank) {
-    const double pace = rank < paces.size() ? paces[rank] : 1;
-    slowest = std::max(slowest, rank_loads[rank] * pace);
-  }
-  return slowest / (total / static_cast<double>(rank_loads.size()));
-}
-
 // Finds a place on another rank for an expert that only a slow rank holds: a
 // free slot, or that of an expert with other replicas, where the load rises
 // least. Returns whether there was one.
@@ -66,8 +38,8 @@
   double best_load = 0;
   for (size_t rank = 0; rank < map.ranks.size(); ++rank) {
     const std::vector<int>& held = map.ranks[rank];
-    if (IsSlow(options, rank) || Holds(held, expert) ||
-        NewExperts(origin.ranks[rank], held) >= max_new[rank]) {
+    if (IsSlow(options, rank) || placement::Holds(held, expert) ||
+        placement::CountNew(origin.ranks[rank], held) >= max_new[rank]) {
       continue;
     }
     const auto offer = [&](int slot, double freed) {
@@ -136,8 +108,9 @@
   std::vector<int> counts = placement::ReplicaCounts(map, loads.size());
   const auto may_take = [&](size_t rank, int expert) {
     return std::ssize(map.ranks[rank]) < slots_per_rank &&
-           NewExperts(current.ranks[rank], map.ranks[rank]) < max_new[rank] &&
-           !Holds(map.ranks[rank], expert);
+           placement::CountNew(current.ranks[rank], map.ranks[rank]) <
+               max_new[rank] &&
+           !placement::Holds(map.ranks[rank], expert);
   };
   while (true) {
     std::vector<int> by_share(loads.size());
@@ -191,7 +164,8 @@
                                             : std::min(options.max_new_per_rank,
                                                        released - copied[rank]);
     }
-    const double layer_before = Slowest(before, loads[layer], options.paces);
+    const double layer_before =
+        placement::SkewOf(before, loads[layer], options.paces).slowest;
     if (layer_before <= options.good_enough) {
       plan.maps.push_back(before);
       continue;
@@ -218,7 +192,8 @@
       }
     }
     const int moves = placement::CountMoves(before, best);
-    const double layer_after = Slowest(best, loads[layer], options.paces);
+    const double layer_after =
+        placement::SkewOf(best, loads[layer], options.paces).slowest;
     const double saving = (layer_before - layer_after) / (layer_before + 1e-9) /
                           static_cast<double>(current.size());
     if (saving <= moves * options.cost_per_move) {
@@ -226,7 +201,8 @@
     } else {
       plan.moves += moves;
       for (size_t rank = 0; rank < ranks; ++rank) {
-        copied[rank] += NewExperts(before.ranks[rank], best.ranks[rank]);
+        copied[rank] +=
+            placement::CountNew(before.ranks[rank], best.ranks[rank]);
       }
     }
     plan.copies = *std::max_element(copied.begin(), copied.end());
@@ -243,7 +219,7 @@
                    const std::vector<double>& paces) {
   double sum = 0;
   for (size_t layer = 0; layer < maps.size(); ++layer) {
-    sum += Slowest(maps[layer], loads[layer], paces);
+    sum += placement::SkewOf(maps[layer], loads[layer], paces).slowest;
   }
   return maps.empty() ? 1 : sum / static_cast<double>(maps.size());
 }
--- a/packages/state/placement/expert_map.cc
+++ b/packages/state/placement/expert_map.cc
@@ -47,10 +47,6 @@
   return counts;
 }
 
-bool Holds(const std::vector<int>& slots, int expert) {
-  return std::find(slots.begin(), slots.end(), expert) != slots.end();
-}
-
 }  // namespace
 
 common::Findings Check(const GroupShape& shape, const ExpertMap& map) {
@@ -99,8 +95,13 @@
   return rank_loads;
 }
 
-Skew SkewOf(const ExpertMap& map, const Loads& loads) {
-  const std::vector<double> rank_loads = RankLoads(map, loads);
+Skew SkewOf(const ExpertMap& map,
+            const Loads& loads,
+            const std::vector<double>& paces) {
+  std::vector<double> rank_loads = RankLoads(map, loads);
+  for (size_t i = 0; i < std::min(paces.size(), rank_loads.size()); ++i) {
+    rank_loads[i] *= paces[i];
+  }
   const double mean = Mean(loads, map.ranks.size());
   if (mean <= 0) {
     return {};
@@ -161,12 +162,19 @@
   return map;
 }
 
+bool Holds(const std::vector<int>& slots, int expert) {
+  return std::find(slots.begin(), slots.end(), expert) != slots.end();
+}
+
+int CountNew(const std::vector<int>& from, const std::vector<int>& to) {
+  return static_cast<int>(std::count_if(
+      to.begin(), to.end(), [&](int expert) { return !Holds(from, expert); }));
+}
+
 int CountMoves(const ExpertMap& from, const ExpertMap& to) {
   int moves = 0;
   for (size_t rank = 0; rank < to.ranks.size(); ++rank) {
-    for (int expert : to.ranks[rank]) {
-      moves += Holds(from.ranks[rank], expert) ? 0 : 1;
-    }
+    moves += CountNew(from.ranks[rank], to.ranks[rank]);
   }
   return moves;
 }
--- a/packages/state/placement/expert_map.h
+++ b/packages/state/placement/expert_map.h
@@ -41,7 +41,11 @@
   double gap = 0;
 };
 
-Skew SkewOf(const ExpertMap& map, const Loads& loads);
+// `paces` tells how many times longer a rank takes for its load, by rank; 1
+// where it has none.
+Skew SkewOf(const ExpertMap& map,
+            const Loads& loads,
+            const std::vector<double>& paces = {});
 
 // No map of this shape has a `slowest` below it: the mean, or the least load
 // per replica that the slots allow for the experts in demand.
@@ -52,7 +56,13 @@
 // heaviest first.
 ExpertMap Pack(const GroupShape& shape, const Loads& loads);
 
-// Experts that a rank holds in `to` but not in `from`, over all ranks: what has
+// Whether a rank with these experts has that one.
+bool Holds(const std::vector<int>& slots, int expert);
+
+// Experts that one rank holds in `to` but not in `from`.
+int CountNew(const std::vector<int>& from, const std::vector<int>& to);
+
+// The same over all ranks: what has
 // to be fetched from the weight store.
 int CountMoves(const ExpertMap& from, const ExpertMap& to);
 
