Companion, gateway: drop what nothing uses; name the slow engines once a round

RetryDelay had become a general Between that three callers gave the same bounds. Nothing called the coordinator's decisions() and slowest(), StoreWatch::store_available(), EndpointPool::Forget() and the message Superseded; connections of an endpoint that is gone close when it does, as before.

--- a/packages/daemon/companion/group_coordinator.cc
+++ b/packages/daemon/companion/group_coordinator.cc
@@ -142,17 +142,19 @@
 }
 
 void GroupCoordinator::PollSampled() {
+  const std::vector<std::string> slow_engines = SlowEngines();
   for (auto& [address, peer] : peers_) {
     if (!peer.poll_in_flight && IsSampled(peer)) {
-      Poll(peer);
+      Poll(peer, slow_engines);
     }
   }
 }
 
 void GroupCoordinator::PollAll() {
+  const std::vector<std::string> slow_engines = SlowEngines();
   for (auto& [address, peer] : peers_) {
     if (!peer.poll_in_flight) {
-      Poll(peer);
+      Poll(peer, slow_engines);
     }
   }
 }
@@ -187,13 +189,14 @@
          known->second.version != report->second.report.map_version;
 }
 
-void GroupCoordinator::Poll(Peer& peer) {
+void GroupCoordinator::Poll(Peer& peer,
+                            const std::vector<std::string>& slow_engines) {
   peer.poll_in_flight = true;
   const companion_messages::Poll poll{
       .generation = options_.generation,
       .want_choices = !decisions_.urgent() && IsSampled(peer),
       .want_map = WantsMap(peer),
-      .slow_engines = SlowEngines()};
+      .slow_engines = slow_engines};
   const std::string address = peer.entry.peer_address;
   const common::Time asked_at = loop_.Now();
   peer_caller_.Start(address,
@@ -325,8 +328,8 @@
   if (!current.has_value() || demand_.total() < least_choices) {
     return;
   }
-  slowest_ = expert_demand::MeanSlowest(*current, demand_.loads(), paces_);
-  if (slowest_ < kLeastSlowest) {
+  if (expert_demand::MeanSlowest(*current, demand_.loads(), paces_) <
+      kLeastSlowest) {
     return;
   }
   const auto plan = expert_demand::PlanRebalance(
--- a/packages/daemon/companion/group_coordinator.h
+++ b/packages/daemon/companion/group_coordinator.h
@@ -70,12 +70,6 @@
   GroupCoordinator(const GroupCoordinator&) = delete;
   GroupCoordinator& operator=(const GroupCoordinator&) = delete;
 
-  const map_coordinator::MapCoordinator& decisions() const {
-    return decisions_;
-  }
-  // The slowest rank's expert load over the mean, as last looked at.
-  double slowest() const { return slowest_; }
-
  private:
   struct Peer {
     companion_messages::CompanionEntry entry;
@@ -104,7 +98,7 @@
   void PollAll();
   // Polls the ranks whose choices are asked for.
   void PollSampled();
-  void Poll(Peer& peer);
+  void Poll(Peer& peer, const std::vector<std::string>& slow_engines);
   // `asked_at` is when the poll was sent.
   void OnPolled(const std::string& address,
                 const http_channel::CallResult& result,
@@ -171,7 +165,6 @@
   uint64_t base_version_ = 0;
   std::string encoded_changes_;
   map_coordinator::MapStock maps_;
-  double slowest_ = 1;
   bool stopped_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/packages/daemon/gateway/store_watch.cc
+++ b/packages/daemon/gateway/store_watch.cc
@@ -55,9 +55,7 @@
   if (!rows.ok()) {
     Note(rows.status());
     const bool history_gone = absl::IsFailedPrecondition(rows.status());
-    loop_.RunAfter(history_gone
-                       ? common::Duration::zero()
-                       : Between(options_.retry_min, options_.retry_max),
+    loop_.RunAfter(history_gone ? common::Duration::zero() : RetryDelay(),
                    [this, history_gone] {
                      if (history_gone || routes_ == nullptr) {
                        ReadConfiguration();
@@ -72,8 +70,7 @@
       clock_.AnsweredAfter(asked_at, loop_.Now(), rows->store_time);
   Adopt(*rows);
   if (routes_ == nullptr) {
-    loop_.RunAfter(Between(options_.retry_min, options_.retry_max),
-                   [this] { ReadConfiguration(); });
+    loop_.RunAfter(RetryDelay(), [this] { ReadConfiguration(); });
     return;
   }
   revision_ = rows->revision;
@@ -134,8 +131,7 @@
   if (!rows.ok()) {
     Note(rows.status());
     fleet_.OnListUnavailable();
-    loop_.RunAfter(Between(options_.retry_min, options_.retry_max),
-                   [this] { ReadEndpoints({}); });
+    loop_.RunAfter(RetryDelay(), [this] { ReadEndpoints({}); });
     return;
   }
   Note(absl::OkStatus());
@@ -193,10 +189,9 @@
   }
 }
 
-common::Duration StoreWatch::Between(common::Duration least,
-                                     common::Duration most) {
-  std::uniform_int_distribution<common::Duration::rep> delay(least.count(),
-                                                             most.count());
+common::Duration StoreWatch::RetryDelay() {
+  std::uniform_int_distribution<common::Duration::rep> delay(
+      options_.retry_min.count(), options_.retry_max.count());
   return common::Duration(delay(random_));
 }
 
--- a/packages/daemon/gateway/store_watch.h
+++ b/packages/daemon/gateway/store_watch.h
@@ -57,7 +57,6 @@
   const std::shared_ptr<const serving::RouteTable>& routes() const {
     return routes_;
   }
-  bool store_available() const { return available_; }
   uint64_t calls() const { return calls_; }
 
  private:
@@ -71,7 +70,7 @@
                          const http_channel::CallResult& result);
   void FinishEndpoints(common::Time asked_at);
   void Note(const absl::Status& status);
-  common::Duration Between(common::Duration least, common::Duration most);
+  common::Duration RetryDelay();
   void Call(const http_channel::Call& call,
             common::Duration timeout,
             std::function<void(http_channel::CallResult)> done);
--- a/packages/protocol/companion_messages/companion_messages.h
+++ b/packages/protocol/companion_messages/companion_messages.h
@@ -45,11 +45,6 @@
   std::optional<std::vector<std::vector<int>>> experts;
 };
 
-// A companion's answer to a coordinator that a later one has replaced.
-struct Superseded {
-  uint64_t generation = 0;
-};
-
 std::string EncodePoll(const Poll& poll);
 absl::StatusOr<Poll> DecodePoll(std::string_view text);
 
--- a/packages/transport/http_channel/endpoint_pool.cc
+++ b/packages/transport/http_channel/endpoint_pool.cc
@@ -36,22 +36,6 @@
   return *channels.back();
 }
 
-void EndpointPool::Forget(const std::string& key) {
-  const auto found = channels_.find(key);
-  if (found == channels_.end()) {
-    return;
-  }
-  std::vector<EndpointChannel*> idle;
-  for (const auto& channel : found->second) {
-    if (channel->idle()) {
-      idle.push_back(channel.get());
-    }
-  }
-  for (EndpointChannel* channel : idle) {
-    channel->Abandon();
-  }
-}
-
 void EndpointPool::OnState(const std::string& key, EndpointChannel& channel) {
   if (!channel.open()) {
     // The channel is calling; it must outlive the call.
--- a/packages/transport/http_channel/endpoint_pool.h
+++ b/packages/transport/http_channel/endpoint_pool.h
@@ -23,8 +23,6 @@
   // A connection without an exchange to that endpoint, kept or new. `key` names
   // the endpoint's process; connections of another one are never used for it.
   EndpointChannel& Acquire(const std::string& key, const std::string& address);
-  // Closes the idle connections of an endpoint that is gone.
-  void Forget(const std::string& key);
 
   uint64_t opened() const { return opened_; }
 
