Gateway: log which content a request has and which process each attempt reached

A request's line named neither what it asks for, so that repeats of a caller could not be counted, nor the lifetime of the endpoints it met, and nothing counted what the retry budget granted and denied.

No decision changes.

--- a/packages/daemon/gateway/proxied_run.cc
+++ b/packages/daemon/gateway/proxied_run.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "common/digest.h"
 #include "common/event_log.h"
 #include "common/strings.h"
 #include "protocol/http1/status.h"
@@ -48,6 +49,20 @@
   return status >= http1::kOk && status < http1::kMultipleChoices;
 }
 
+// Identifies what the request asks for. It is the same for all repeats by the
+// request's customer, which have new attempt ids and may have another key.
+std::string ContentDigest(const proxied::CallerRequest& request,
+                          const std::optional<std::string>& customer) {
+  // 128 bits identify a content as well as the whole digest does.
+  constexpr size_t kDigits = 32;
+  // None of the parts before the body contains a line break.
+  return common::Sha256Hex(common::StrCat(customer.value_or(""), "\n",
+                                          request.method, "\n", request.host,
+                                          "\n", request.target, "\n",
+                                          request.body))
+      .substr(0, kDigits);
+}
+
 // Whether callers may conclude from the status that the request did not run.
 bool PromisesNotRun(int status) {
   return status == http1::kRequestTimeout || status == http1::kMisdirected ||
@@ -74,6 +89,7 @@
   if (!Authorize()) {
     return;
   }
+  content_ = ContentDigest(request_, customer_);
   deadline_ = arrived_at_ + route_->timeout;
   if (request_.time_left.has_value()) {
     deadline_ = std::min(deadline_, arrived_at_ + *request_.time_left);
@@ -195,6 +211,7 @@
 
 void ProxiedRun::SendTo(const fleet::EndpointRecord& endpoint) {
   endpoint_id_ = endpoint.id;
+  endpoint_process_ = fleet::ProcessName(endpoint);
   tried_endpoints_.insert(endpoint.id);
   attempt_started_at_ = now();
   attempt_first_event_.reset();
@@ -208,9 +225,7 @@
                                  .urgency = Urgency(),
                                  .resume_after = last_event_id_};
   ++attempts_;
-  exchange_ = &core_.pool.Acquire(
-      common::StrCat(endpoint.id, "@", endpoint.started_at_ms),
-      endpoint.address);
+  exchange_ = &core_.pool.Acquire(endpoint_process_, endpoint.address);
   exchange_->Send(platform::EncodeForwardedRequest(request_, forwarding), *this,
                   request_.method == "HEAD");
 }
@@ -399,9 +414,12 @@
 }
 
 bool ProxiedRun::TryTakeRetry() {
-  return attempts_ < route_->max_attempts &&
-         now() + kAnswerMargin < deadline_ &&
-         core_.retry_windows.at(service_).TryTake(now());
+  if (attempts_ >= route_->max_attempts || now() + kAnswerMargin >= deadline_) {
+    return false;
+  }
+  const bool granted = core_.retry_windows.at(service_).TryTake(now());
+  core_.metrics.OnRetry(service_, granted ? "granted" : "denied");
+  return granted;
 }
 
 void ProxiedRun::Fail(std::string_view cause, common::Duration retry_after) {
@@ -451,7 +469,7 @@
   exchange_ = nullptr;
   const common::Time ended = now();
   common::StrAppend(&attempt_log_, attempt_log_.empty() ? "" : ",",
-                    endpoint_id_, ":", result);
+                    endpoint_process_, ":", result);
   core_.metrics.OnAttempt(endpoint_id_, result);
   if (result == "complete") {
     const common::Duration total = ended - attempt_started_at_;
@@ -507,8 +525,9 @@
       common::StrCat(
           "request=", request_.attempt_id,
           " route=", route_ == nullptr ? "none" : route_->name,
-          " customer=", customer_.value_or("none"), " outcome=", outcome,
-          " took_ms=", common::ToMilliseconds(took),
+          " customer=", customer_.value_or("none"),
+          " content=", content_.empty() ? "none" : content_,
+          " outcome=", outcome, " took_ms=", common::ToMilliseconds(took),
           " attempts=", attempt_log_.empty() ? "none" : attempt_log_,
           " configuration=", routes_ == nullptr ? 0 : routes_->version(),
           " configuration_age_ms=",
--- a/packages/daemon/gateway/proxied_run.h
+++ b/packages/daemon/gateway/proxied_run.h
@@ -102,6 +102,8 @@
   const serving::Route* route_ = nullptr;
   std::optional<std::string> customer_;
   std::string service_;
+  // Digest of what the request asks for.
+  std::string content_;
   // From the customer, or else from the route; 0 is the most urgent.
   int priority_ = 0;
   common::Time deadline_{};
@@ -112,6 +114,8 @@
   // The attempt in progress.
   http_channel::EndpointChannel* exchange_ = nullptr;
   std::string endpoint_id_;
+  // Distinguishes the endpoint from an earlier or later process with its id.
+  std::string endpoint_process_;
   common::Time attempt_started_at_{};
   // Time to the attempt's first event.
   std::optional<common::Duration> attempt_first_event_;
--- a/packages/state/fleet/fleet.cc
+++ b/packages/state/fleet/fleet.cc
@@ -2,8 +2,14 @@
 
 #include <algorithm>
 
+#include "common/strings.h"
+
 namespace wagtailshore::fleet {
 
+std::string ProcessName(const EndpointRecord& endpoint) {
+  return common::StrCat(endpoint.id, "@", endpoint.started_at_ms);
+}
+
 FleetChange Fleet::OnList(const std::vector<EndpointRecord>& records,
                           common::Time requested_at) {
   if (!available_since_.has_value()) {
--- a/packages/state/fleet/fleet.h
+++ b/packages/state/fleet/fleet.h
@@ -29,6 +29,10 @@
   bool operator==(const EndpointRecord&) const = default;
 };
 
+// Returns "ID@START", which names one process of an endpoint: a restarted one
+// has another name.
+std::string ProcessName(const EndpointRecord& endpoint);
+
 struct FleetOptions {
   // Time after an outage of the list within which live endpoints are listed
   // again whose entries lapsed during it. The platform's contract says "about
--- a/packages/state/metrics/gateway_metrics.cc
+++ b/packages/state/metrics/gateway_metrics.cc
@@ -37,6 +37,11 @@
   ++attempts_[{std::string(endpoint), std::string(result)}];
 }
 
+void GatewayMetrics::OnRetry(std::string_view service,
+                             std::string_view decision) {
+  ++retries_[{std::string(service), std::string(decision)}];
+}
+
 void GatewayMetrics::OnFirstEvent(common::Duration since_arrival) {
   first_event_.Record(since_arrival);
 }
@@ -57,6 +62,7 @@
 std::string GatewayMetrics::Format() const {
   constexpr std::string_view kRequests = "wagtailshore_gateway_requests_total";
   constexpr std::string_view kAttempts = "wagtailshore_gateway_attempts_total";
+  constexpr std::string_view kRetries = "wagtailshore_gateway_retries_total";
   constexpr std::string_view kFirstEvent =
       "wagtailshore_gateway_first_event_seconds";
   constexpr std::string_view kAnswer = "wagtailshore_gateway_answer_seconds";
@@ -65,6 +71,9 @@
   AppendCounters(out, kRequests, "route", "outcome", requests_);
   AppendHeader(out, kAttempts, "counter", "Attempts that ended, by result.");
   AppendCounters(out, kAttempts, "endpoint", "result", attempts_);
+  AppendHeader(out, kRetries, "counter",
+               "Retries asked of the retry budget, by decision.");
+  AppendCounters(out, kRetries, "service", "decision", retries_);
   AppendHeader(out, kFirstEvent, "histogram",
                "From a request's arrival to its first event.");
   first_event_.AppendTo(out, kFirstEvent);
--- a/packages/state/metrics/gateway_metrics.h
+++ b/packages/state/metrics/gateway_metrics.h
@@ -19,6 +19,8 @@
   void OnRequest(std::string_view route, std::string_view outcome);
   // An attempt at that endpoint ended.
   void OnAttempt(std::string_view endpoint, std::string_view result);
+  // A request asked for a retry within the service's retry budget.
+  void OnRetry(std::string_view service, std::string_view decision);
   void OnFirstEvent(common::Duration since_arrival);
   void OnAnswer(common::Duration since_arrival);
 
@@ -33,6 +35,7 @@
 
   std::map<Labels, uint64_t> requests_;
   std::map<Labels, uint64_t> attempts_;
+  std::map<Labels, uint64_t> retries_;
   std::map<std::string, double, std::less<>> gauges_;
   DurationHistogram first_event_;
   DurationHistogram answer_;
