--- a/tests/support/hosted_world.cc
+++ b/tests/support/hosted_world.cc
@@ -23,6 +23,16 @@
   return common::StrCat("127.0.0.1:", port);
 }
 
+// The value of a field in a target's query; empty when it has none.
+std::string QueryField(std::string_view target, std::string_view name) {
+  const size_t at = target.find(common::StrCat(name, "="));
+  if (at == std::string_view::npos) {
+    return {};
+  }
+  const std::string_view value = target.substr(at + name.size() + 1);
+  return std::string(value.substr(0, value.find('&')));
+}
+
 }  // namespace
 
 FakeStore::FakeStore(event_loop::EventLoop& loop)
@@ -35,40 +45,62 @@
 }
 
 void FakeStore::SetConfiguration(const json& configuration) {
-  configuration_ = configuration;
-  ++revision_;
-  const auto waiting = std::exchange(waiting_, {});
-  for (http_channel::CallerChannel* channel : waiting) {
-    channel->Respond(200, {}, RowsOf("op"));
-  }
+  Put("op", "config", absl::Base64Escape(configuration.dump()));
+  AnswerChanged();
 }
 
 void FakeStore::SetEndpoint(const std::string& id, const json& entry) {
-  endpoints_[id] = entry;
-  ++revision_;
+  Put("servers", id, absl::Base64Escape(entry.dump()));
 }
 
 void FakeStore::RemoveEndpoint(const std::string& id) {
-  endpoints_.erase(id);
-  ++revision_;
+  Remove("servers", id);
+}
+
+size_t FakeStore::rows(const std::string& table) const {
+  return RowsOf(table, 0, /*with_deleted=*/false).size();
+}
+
+void FakeStore::Put(const std::string& table,
+                    const std::string& key,
+                    const std::string& value) {
+  tables_[table][key] = {.value = value, .revision = ++revision_};
+}
+
+void FakeStore::Remove(const std::string& table, const std::string& key) {
+  const auto found = tables_[table].find(key);
+  if (found != tables_[table].end()) {
+    found->second = {.revision = ++revision_, .deleted = true};
+  }
 }
 
-std::string FakeStore::RowsOf(const std::string& table) const {
+json FakeStore::RowsOf(const std::string& table,
+                       uint64_t after_revision,
+                       bool with_deleted) const {
   json rows = json::array();
-  const auto add = [&](const std::string& key, const json& value) {
-    rows.push_back({{"table", table},
-                    {"part", ""},
-                    {"key", key},
-                    {"value", absl::Base64Escape(value.dump())},
-                    {"row_version", revision_}});
-  };
-  if (table == "op") {
-    add("config", configuration_);
-  } else {
-    for (const auto& [id, entry] : endpoints_) {
-      add(id, entry);
+  const auto found = tables_.find(table);
+  if (found == tables_.end()) {
+    return rows;
+  }
+  for (const auto& [key, row] : found->second) {
+    if (row.revision <= after_revision || (row.deleted && !with_deleted)) {
+      continue;
+    }
+    json item = {{"table", table},
+                 {"part", ""},
+                 {"key", key},
+                 {"row_version", row.revision}};
+    if (row.deleted) {
+      item["deleted"] = true;
+    } else {
+      item["value"] = row.value;
     }
+    rows.push_back(std::move(item));
   }
+  return rows;
+}
+
+std::string FakeStore::AnswerWith(const json& rows) const {
   return json{
       {"rows", rows},
       {"row_version", revision_},
@@ -80,34 +112,73 @@
   if (waiting_.erase(&channel) == 0) {
     return;
   }
-  channel.Respond(
-      down_ ? 503 : 200, {},
-      json{{"rows", json::array()},
-           {"row_version", revision_},
-           {"now_ms", common::ToMilliseconds(loop_.Now().time_since_epoch())}}
-          .dump());
+  channel.Respond(down_ ? 503 : 200, {}, AnswerWith(json::array()));
+}
+
+void FakeStore::AnswerChanged() {
+  for (auto next = waiting_.begin(); next != waiting_.end();) {
+    const auto [channel, feed] = *next;
+    const json rows =
+        RowsOf(feed.table, feed.after_revision, /*with_deleted=*/true);
+    if (rows.empty()) {
+      ++next;
+      continue;
+    }
+    next = waiting_.erase(next);
+    channel->Respond(200, {}, AnswerWith(rows));
+  }
+}
+
+void FakeStore::OnTransaction(http_channel::CallerChannel& channel,
+                              const std::string& body) {
+  const json transaction = json::parse(body);
+  for (const json& expected : transaction.at("expected_revision")) {
+    const auto& table = tables_[expected.at("table")];
+    const auto found = table.find(expected.at("key"));
+    const uint64_t revision = found == table.end() || found->second.deleted
+                                  ? 0
+                                  : found->second.revision;
+    if (revision != expected.at("row_version").get<uint64_t>()) {
+      channel.Respond(412, {}, AnswerWith(json::array()));
+      return;
+    }
+  }
+  for (const json& put : transaction.at("puts")) {
+    Put(put.at("table"), put.at("key"), put.at("value"));
+  }
+  for (const json& removed : transaction.at("remove")) {
+    Remove(removed.at("table"), removed.at("key"));
+  }
+  channel.Respond(200, {}, AnswerWith(json::array()));
+  AnswerChanged();
 }
 
 void FakeStore::OnRequest(http_channel::CallerChannel& channel,
                           const http1::RequestHead& head,
-                          std::string) {
+                          std::string body) {
   ++calls_;
   if (down_) {
     channel.Respond(503, {}, {});
     return;
   }
-  const std::string table =
-      head.target.find("table=op") != std::string::npos ? "op" : "servers";
-  const bool is_feed = head.target.starts_with("/rows-feed");
-  const bool is_current =
-      head.target.find(common::StrCat("after_revision=", revision_, "&")) !=
-      std::string::npos;
-  if (is_feed && is_current) {
-    waiting_.insert(&channel);
-    loop_.RunAfter(kFeedWait, [this, &channel] { AnswerFeed(channel); });
+  if (head.target == "/rows-tx") {
+    OnTransaction(channel, body);
+    return;
+  }
+  const std::string table = QueryField(head.target, "table");
+  if (!head.target.starts_with("/rows-feed")) {
+    channel.Respond(200, {},
+                    AnswerWith(RowsOf(table, 0, /*with_deleted=*/false)));
+    return;
+  }
+  const uint64_t after = std::stoull(QueryField(head.target, "after_revision"));
+  const json rows = RowsOf(table, after, /*with_deleted=*/true);
+  if (!rows.empty()) {
+    channel.Respond(200, {}, AnswerWith(rows));
     return;
   }
-  channel.Respond(200, {}, RowsOf(table));
+  waiting_[&channel] = {.table = table, .after_revision = after};
+  loop_.RunAfter(kFeedWait, [this, &channel] { AnswerFeed(channel); });
 }
 
 void FakeStore::OnCallerGone(http_channel::CallerChannel& channel) {
@@ -150,6 +221,7 @@
     }
   }
   void OnClosed(stream_socket::CloseReason) override { ++owner_.closed_; }
+  void Reset() { socket_.Close(/*reset=*/true); }
 
  private:
   FakeEndpoint& owner_;
@@ -160,16 +232,34 @@
 
 FakeEndpoint::FakeEndpoint(event_loop::EventLoop& loop, Script script)
     : loop_(loop), script_(std::move(script)) {
-  listener_ =
-      *stream_socket::Listener::Open(loop_, kAnyPort, [this](int descriptor) {
-        connections_.push_back(std::make_unique<Connection>(*this, descriptor));
-      });
+  Listen(kAnyPort);
 }
 
 FakeEndpoint::~FakeEndpoint() = default;
 
+void FakeEndpoint::Listen(const std::string& address) {
+  auto listener =
+      stream_socket::Listener::Open(loop_, address, [this](int descriptor) {
+        connections_.push_back(std::make_unique<Connection>(*this, descriptor));
+      });
+  WS_INVARIANT(listener.ok()) << "the endpoint's address is free";
+  listener_ = *std::move(listener);
+  address_ = Loopback(listener_->port());
+}
+
 std::string FakeEndpoint::address() const {
-  return Loopback(listener_->port());
+  return address_;
+}
+
+void FakeEndpoint::Crash() {
+  listener_.reset();
+  for (const auto& connection : connections_) {
+    connection->Reset();
+  }
+}
+
+void FakeEndpoint::Restart() {
+  Listen(address_);
 }
 
 json HostedWorld::Configuration(int version) {
@@ -187,41 +277,74 @@
           {"tenants", {{{"name", "c"}, {"api_keys", {"key", "other"}}}}}};
 }
 
-HostedWorld::HostedWorld(int endpoints, common::Duration revocation_bound) {
-  store_ = std::make_unique<FakeStore>(loop_);
+HostedWorld::HostedWorld(int endpoints, common::Duration revocation_bound)
+    : HostedWorld(HostedWorldOptions{.endpoints = endpoints,
+                                     .revocation_bound = revocation_bound}) {}
+
+HostedWorld::HostedWorld(const HostedWorldOptions& options)
+    : options_(options), store_(std::make_unique<FakeStore>(loop_)) {
   store_->SetConfiguration(Configuration(1));
-  for (int i = 0; i < endpoints; ++i) {
+  for (int i = 0; i < options_.endpoints; ++i) {
     endpoints_.push_back(std::make_unique<FakeEndpoint>(
         loop_,
         [](const Received& request) { return Plain(request, 200, "ok"); }));
-    store_->SetEndpoint(common::StrCat("e", i),
-                        {{"service", "s"},
-                         {"address", endpoints_.back()->address()},
-                         {"zone", "z"},
-                         {"slots", 4},
-                         {"state", "ready"},
-                         {"born", i + 1}});
-  }
-  gateway_ = std::make_unique<gateway::Gateway>(
-      loop_, serving::HostedSettings{.name = "g",
-                                     .failure_domain = "z",
-                                     .ip = "127.0.0.1",
-                                     .caller_address = kAnyPort,
-                                     .store_address = store_->address(),
-                                     .revocation_bound = revocation_bound,
-                                     .retry_allowance = 100});
-  const absl::Status started = gateway_->Start("");
-  if (!started.ok()) {
-    std::abort();
+    ListEndpoint(i);
   }
   callers_ = std::make_unique<http_channel::EndpointPool>(
       loop_, stream_socket::StreamOptions{});
-  RunUntil([this] { return gateway_->IsReady(); });
+  for (int i = 0; i < options_.gateways; ++i) {
+    gateways_.push_back(StartGateway());
+  }
+  RunUntil([this] {
+    return std::all_of(gateways_.begin(), gateways_.end(),
+                       [](const auto& gateway) { return gateway->IsReady(); });
+  });
 }
 
 HostedWorld::~HostedWorld() {
   callers_.reset();
-  gateway_.reset();
+  gateways_.clear();
+  retired_.clear();
+}
+
+std::unique_ptr<gateway::Gateway> HostedWorld::StartGateway() {
+  auto gateway = std::make_unique<gateway::Gateway>(
+      loop_,
+      serving::HostedSettings{.name = "g",
+                              .failure_domain = "z",
+                              .ip = "127.0.0.1",
+                              .caller_address = kAnyPort,
+                              .store_address = store_->address(),
+                              .revocation_bound = options_.revocation_bound,
+                              .retry_allowance = 100});
+  WS_INVARIANT(gateway->Start("").ok()) << "the gateway starts";
+  return gateway;
+}
+
+void HostedWorld::RestartGateway(int index) {
+  std::swap(gateways_[index], retired_.emplace_back(StartGateway()));
+  RunUntil([&] { return gateways_[index]->IsReady(); });
+}
+
+void HostedWorld::ListEndpoint(int index) {
+  store_->SetEndpoint(
+      common::StrCat("e", index),
+      {{"service", "s"},
+       {"address", endpoints_[index]->address()},
+       {"zone", options_.failure_domains == 1
+                    ? "z"
+                    : common::StrCat("z", index % options_.failure_domains)},
+       {"slots", 4},
+       {"state", "ready"},
+       {"born", ++last_start_ms_}});
+}
+
+void HostedWorld::CrashEndpoint(int index, common::Duration down_for) {
+  loop_.Post([this, index] { endpoints_[index]->Crash(); });
+  loop_.RunAfter(down_for, [this, index] {
+    endpoints_[index]->Restart();
+    ListEndpoint(index);
+  });
 }
 
 void HostedWorld::Script(const FakeEndpoint::Script& script) {
@@ -281,10 +404,14 @@
 
 }  // namespace
 
+http_channel::EndpointChannel& HostedWorld::ConnectTo(int gateway) {
+  const std::string address = Loopback(gateways_[gateway]->caller_port());
+  return callers_->Acquire(address, address);
+}
+
 CallerAnswer HostedWorld::Ask(const CallerRequestOptions& options) {
   AnswerCollector collector;
-  http_channel::EndpointChannel& channel = callers_->Acquire(
-      "gateway", common::StrCat("127.0.0.1:", gateway_->caller_port()));
+  http_channel::EndpointChannel& channel = ConnectTo(options.gateway);
   channel.Send(Format(options), collector, false);
   if (!RunUntil([&] { return collector.ended; })) {
     channel.Abandon();
@@ -295,8 +422,7 @@
 void HostedWorld::AskAndDisconnect(const CallerRequestOptions& options,
                                    common::Duration delay) {
   AnswerCollector collector;
-  http_channel::EndpointChannel& channel = callers_->Acquire(
-      "gateway", common::StrCat("127.0.0.1:", gateway_->caller_port()));
+  http_channel::EndpointChannel& channel = ConnectTo(options.gateway);
   channel.Send(Format(options), collector, false);
   const common::Time disconnect_at = loop_.Now() + delay;
   RunUntil([&] { return loop_.Now() >= disconnect_at; });
--- a/tests/support/hosted_world.h
+++ b/tests/support/hosted_world.h
@@ -23,7 +23,8 @@
 // store, scripted endpoints, the gateway under test and its callers.
 namespace wagtailshore::hosted_world {
 
-// A fake of the platform's store with the operations that a gateway uses.
+// A fake of the platform's store: tables of rows with the operations that a
+// gateway uses.
 class FakeStore final : public http_channel::RequestHandler {
  public:
   explicit FakeStore(event_loop::EventLoop& loop);
@@ -35,6 +36,8 @@
   // Answers 503 while set.
   void set_down(bool down) { down_ = down; }
   int calls() const { return calls_; }
+  // Number of rows in the table.
+  size_t rows(const std::string& table) const;
 
   void OnRequest(http_channel::CallerChannel& channel,
                  const http1::RequestHead& head,
@@ -42,14 +45,37 @@
   void OnCallerGone(http_channel::CallerChannel& channel) override;
 
  private:
-  std::string RowsOf(const std::string& table) const;
+  struct StoredRow {
+    // In Base64, as on the wire.
+    std::string value;
+    uint64_t revision = 0;
+    bool deleted = false;
+  };
+  // A feed request that waits for a change.
+  struct Waiting {
+    std::string table;
+    uint64_t after_revision = 0;
+  };
+
+  void Put(const std::string& table,
+           const std::string& key,
+           const std::string& value);
+  void Remove(const std::string& table, const std::string& key);
+  // Rows changed after `after_revision`; deleted ones only for a feed.
+  nlohmann::json RowsOf(const std::string& table,
+                        uint64_t after_revision,
+                        bool with_deleted) const;
+  std::string AnswerWith(const nlohmann::json& rows) const;
   void AnswerFeed(http_channel::CallerChannel& channel);
+  // Answers the feed requests that a change has ended.
+  void AnswerChanged();
+  void OnTransaction(http_channel::CallerChannel& channel,
+                     const std::string& body);
 
   event_loop::EventLoop& loop_;
   http_channel::ChannelServer server_;
-  std::set<http_channel::CallerChannel*> waiting_;
-  nlohmann::json configuration_;
-  std::map<std::string, nlohmann::json> endpoints_;
+  std::map<http_channel::CallerChannel*, Waiting> waiting_;
+  std::map<std::string, std::map<std::string, StoredRow>> tables_;
   uint64_t revision_ = 1;
   bool down_ = false;
   int calls_ = 0;
@@ -83,12 +109,21 @@
   const std::vector<Received>& received() const { return received_; }
   // Number of connections that the peer has closed.
   int closed() const { return closed_; }
+  // Ends as a process that crashes does: resets every connection and refuses
+  // new ones until Restart(). Must not be called from a script.
+  void Crash();
+  // Listens again on the same address.
+  void Restart();
 
  private:
   class Connection;
 
+  void Listen(const std::string& address);
+
   event_loop::EventLoop& loop_;
   Script script_;
+  std::string address_;
+  // Null while the endpoint is down.
   std::unique_ptr<stream_socket::Listener> listener_;
   std::vector<std::unique_ptr<Connection>> connections_;
   std::vector<Received> received_;
@@ -112,19 +147,35 @@
   int time_left_ms = 3000;
   std::string method = "POST";
   std::string body = "hello";
+  // Index of the gateway that the caller connects to.
+  int gateway = 0;
+};
+
+struct HostedWorldOptions {
+  // Endpoints of service "s" with the ids "e0", "e1", ...
+  int endpoints = 1;
+  int gateways = 1;
+  // Endpoints are assigned to the failure domains "z0", "z1", ... in turn. With
+  // one, it is "z", which is also the gateways' own.
+  int failure_domains = 1;
+  common::Duration revocation_bound = common::seconds(5);
 };
 
 class HostedWorld {
  public:
-  // Starts `endpoints` endpoints of service "s" with the ids "e0", "e1", ...
-  // and one gateway.
   explicit HostedWorld(int endpoints,
                        common::Duration revocation_bound = common::seconds(5));
+  explicit HostedWorld(const HostedWorldOptions& options);
   ~HostedWorld();
 
   FakeStore& store() { return *store_; }
   FakeEndpoint& endpoint(int index) { return *endpoints_[index]; }
-  gateway::Gateway& gateway() { return *gateway_; }
+  gateway::Gateway& gateway(int index = 0) { return *gateways_[index]; }
+  // Replaces a gateway by a new process without memory.
+  void RestartGateway(int index);
+  // Crashes an endpoint after the callbacks in progress. It restarts after
+  // `down_for`, with the same id and a later start time.
+  void CrashEndpoint(int index, common::Duration down_for);
   event_loop::EventLoop& loop() { return loop_; }
   // Sets the same script for every endpoint.
   void Script(const FakeEndpoint::Script& script);
@@ -145,11 +196,19 @@
 
  private:
   std::string Format(const CallerRequestOptions& options) const;
+  std::unique_ptr<gateway::Gateway> StartGateway();
+  // Writes the endpoint's entry, with a later start time than before.
+  void ListEndpoint(int index);
+  http_channel::EndpointChannel& ConnectTo(int gateway);
 
+  HostedWorldOptions options_;
   event_loop::EventLoop loop_;
   std::unique_ptr<FakeStore> store_;
   std::vector<std::unique_ptr<FakeEndpoint>> endpoints_;
-  std::unique_ptr<gateway::Gateway> gateway_;
+  std::vector<std::unique_ptr<gateway::Gateway>> gateways_;
+  // Replaced gateways, which timers of the event loop still refer to.
+  std::vector<std::unique_ptr<gateway::Gateway>> retired_;
+  int64_t last_start_ms_ = 0;
   std::unique_ptr<http_channel::EndpointPool> callers_;
 };
 
