Quarantine: bounds that hold and that keep the contents which crash endpoints

Cause: the count of crashes had an entry for every endpoint process that ever got an attempt and was never trimmed. And when the record was full, the content that expires first was evicted, which is the quarantined one when innocent suspects follow it.

Change: a process has a count only while it crashed within the retention time; of the contents with the fewest crashes the one that expires first is evicted.

Both tests fail before (1,000 counts of 10 allowed; the quarantined content allowed again) and pass now.

--- a/packages/coordination/quarantine/quarantine.cc
+++ b/packages/coordination/quarantine/quarantine.cc
@@ -1,6 +1,7 @@
 #include "coordination/quarantine/quarantine.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "common/invariant.h"
 #include "common/strings.h"
@@ -66,9 +67,11 @@
     }
   }
   const uint64_t number = next_attempt_++;
-  in_flight_[number] = {.digest = digest,
-                        .endpoint = endpoint,
-                        .crash_count = crash_counts_[endpoint]};
+  const auto count = crash_counts_.find(endpoint);
+  in_flight_[number] = {
+      .digest = digest,
+      .endpoint = endpoint,
+      .crash_count = count == crash_counts_.end() ? 0 : count->second.crashes};
   return number;
 }
 
@@ -95,8 +98,12 @@
     }
     return false;
   }
-  uint64_t& crash_count = crash_counts_[ended.endpoint];
-  crash_count = std::max(crash_count, ended.crash_count + 1);
+  std::erase_if(crash_counts_, [&](const auto& item) {
+    return item.second.last + options_.retention <= now;
+  });
+  CrashCount& count = crash_counts_[ended.endpoint];
+  count = {.crashes = std::max(count.crashes, ended.crash_count + 1),
+           .last = now};
   Content& crashed_content = contents_[ended.digest];
   const bool is_new =
       crashed_content.crashes
@@ -163,10 +170,12 @@
 void Quarantine::TrimTo(size_t max_contents,
                         std::map<std::string, Content>& contents) {
   while (contents.size() > max_contents) {
+    const auto key = [](const auto& item) {
+      return std::pair(item.second.crashes.size(), item.second.until);
+    };
     contents.erase(std::min_element(contents.begin(), contents.end(),
-                                    [](const auto& left, const auto& right) {
-                                      return left.second.until <
-                                             right.second.until;
+                                    [&](const auto& left, const auto& right) {
+                                      return key(left) < key(right);
                                     }));
   }
 }
--- a/packages/coordination/quarantine/quarantine.h
+++ b/packages/coordination/quarantine/quarantine.h
@@ -19,8 +19,8 @@
 struct QuarantineOptions {
   // A content's record is dropped this long after its last crash.
   common::Duration retention = common::seconds(600);
-  // Most suspect contents that are recorded; the one that expires first is
-  // evicted. Also applies to the cleared ones.
+  // Most suspect contents that are recorded; of those with the fewest crashes
+  // the one that expires first is evicted. Also applies to the cleared ones.
   size_t max_contents = 1024;
   // Most known-good contents that are recorded; the oldest is evicted.
   size_t max_known_good = 4096;
@@ -79,6 +79,8 @@
   void Merge(const std::vector<SharedContent>& contents, common::Time now);
 
   size_t suspects() const { return contents_.size(); }
+  // Number of endpoint processes with a recorded crash.
+  size_t crashed_endpoints() const { return crash_counts_.size(); }
 
  private:
   struct InFlight {
@@ -110,8 +112,13 @@
   // were added, oldest first.
   std::set<std::string> known_good_;
   std::deque<std::string> known_good_order_;
-  // Number of crashes of each endpoint process that this entry saw.
-  std::map<std::string, uint64_t> crash_counts_;
+  // Number of crashes of each endpoint process that crashed within the
+  // retention time, and when it last did.
+  struct CrashCount {
+    uint64_t crashes = 0;
+    common::Time last{};
+  };
+  std::map<std::string, CrashCount> crash_counts_;
   uint64_t next_attempt_ = 1;
 };
 
--- a/tests/unit/coordination/quarantine/quarantine_test.cc
+++ b/tests/unit/coordination/quarantine/quarantine_test.cc
@@ -101,6 +101,32 @@
   EXPECT_EQ(second.suspects(), 0U);
 }
 
+TEST(QuarantineTest, ManyInnocentSuspectsDoNotEvictAQuarantinedContent) {
+  Quarantine quarantine({.max_contents = 8});
+  for (const char* endpoint : {"e/1", "f/1"}) {
+    quarantine.OnEnded(quarantine.OnSent("bad", endpoint), true, false, kStart);
+  }
+  for (int i = 0; i < 100; ++i) {
+    quarantine.OnEnded(quarantine.OnSent(common::StrCat("good", i), "g/1"),
+                       true, false, kStart + seconds(i));
+  }
+  EXPECT_LE(quarantine.suspects(), 8U);
+  EXPECT_TRUE(std::holds_alternative<Refused>(
+      quarantine.Check("bad", kStart + seconds(100))));
+}
+
+TEST(QuarantineTest, EndpointsThatCameAndWentAreNotKept) {
+  Quarantine quarantine({.retention = seconds(10)});
+  for (int i = 0; i < 1000; ++i) {
+    const common::Time now = kStart + seconds(i);
+    const std::string endpoint = common::StrCat("e/", i);
+    quarantine.OnEnded(quarantine.OnSent("good", endpoint), false, true, now);
+    quarantine.OnEnded(quarantine.OnSent(common::StrCat("lost", i), endpoint),
+                       true, false, now);
+  }
+  EXPECT_LE(quarantine.crashed_endpoints(), 10U);
+}
+
 // Scenario verbs: "send ENTRY CONTENT ENDPOINT [refused]", "end" (all in
 // flight), "tell FROM TO", "expect crashes N".
 class FleetWorld final : public scenario::World {
