--- a/packages/protocol/companion_messages/companion_messages.cc
+++ b/packages/protocol/companion_messages/companion_messages.cc
@@ -7,6 +7,7 @@
 
 #include "common/digest.h"
 #include "common/enum_names.h"
+#include "common/msgpack.h"
 #include "common/strings.h"
 
 namespace wagtailshore::companion_messages {
@@ -34,30 +35,6 @@
     {OrderKind::kRelease, "release"},
 }};
 
-std::string Pack(const json& value) {
-  std::string out;
-  json::to_msgpack(value, nlohmann::detail::output_adapter<char>(out));
-  return out;
-}
-
-// Decodes a MessagePack map and calls `read` on it. The exceptions that `read`
-// throws for a missing field or one of a wrong type become InvalidArgument.
-template <typename Read>
-auto Unpack(std::string_view text, Read read)
-    -> absl::StatusOr<decltype(read(json()))> {
-  const json value = json::from_msgpack(text.begin(), text.end(),
-                                        /*strict=*/true,
-                                        /*allow_exceptions=*/false);
-  if (!value.is_object()) {
-    return absl::InvalidArgumentError("not a MessagePack map");
-  }
-  try {
-    return read(value);
-  } catch (const json::exception& error) {
-    return absl::InvalidArgumentError(error.what());
-  }
-}
-
 json ToJson(const RankReport& report) {
   json value = {{"epoch", report.epoch},
                 {"open", report.open},
@@ -225,14 +202,14 @@
 }  // namespace
 
 std::string EncodePoll(const Poll& poll) {
-  return Pack({{"generation", poll.generation},
-               {"choices", poll.want_choices},
-               {"map", poll.want_map},
-               {"slow", poll.slow_engines}});
+  return common::PackMsgpack({{"generation", poll.generation},
+                              {"choices", poll.want_choices},
+                              {"map", poll.want_map},
+                              {"slow", poll.slow_engines}});
 }
 
 absl::StatusOr<Poll> DecodePoll(std::string_view text) {
-  return Unpack(text, [](const json& value) {
+  return common::UnpackMsgpack(text, [](const json& value) {
     return Poll{
         .generation = value.at("generation").get<uint64_t>(),
         .want_choices = value.at("choices").get<bool>(),
@@ -253,11 +230,11 @@
   if (state.experts.has_value()) {
     value["experts"] = *state.experts;
   }
-  return Pack(value);
+  return common::PackMsgpack(value);
 }
 
 absl::StatusOr<RankState> DecodeRankState(std::string_view text) {
-  return Unpack(text, [](const json& value) {
+  return common::UnpackMsgpack(text, [](const json& value) {
     RankState state{.group = value.at("group").get<std::string>(),
                     .rank = value.at("rank").get<int>(),
                     .ranks = value.at("ranks").get<int>(),
@@ -274,18 +251,18 @@
 }
 
 std::string EncodeSlowEngines(const std::vector<std::string>& engines) {
-  return Pack({{"slow", engines}});
+  return common::PackMsgpack({{"slow", engines}});
 }
 
 absl::StatusOr<std::vector<std::string>> DecodeSlowEngines(
     std::string_view text) {
-  return Unpack(text, [](const json& value) {
+  return common::UnpackMsgpack(text, [](const json& value) {
     return value.at("slow").get<std::vector<std::string>>();
   });
 }
 
 std::string EncodeMap(const GroupMap& map) {
-  return Pack(map);
+  return common::PackMsgpack(map);
 }
 
 std::string EncodeMapChanges(uint64_t base_version,
@@ -326,10 +303,10 @@
       }
     }
   }
-  return Pack({{"base", base_version},
-               {"digest", common::Sha256Hex(EncodeMap(map))},
-               {"gaps", gaps},
-               {"experts", experts}});
+  return common::PackMsgpack({{"base", base_version},
+                              {"digest", common::Sha256Hex(EncodeMap(map))},
+                              {"gaps", gaps},
+                              {"experts", experts}});
 }
 
 std::string EncodeOrder(const RankOrder& order,
@@ -339,21 +316,21 @@
   value["rank"] = order.rank;
   value["epoch"] = order.epoch;
   value["generation"] = order.generation;
-  return Pack(value);
+  return common::PackMsgpack(value);
 }
 
 absl::StatusOr<RankOrder> DecodeOrder(
     std::string_view text,
     const map_coordinator::MapHistory& known) {
-  auto body =
-      Unpack(text, [&](const json& value) { return DecodeBody(value, known); });
+  auto body = common::UnpackMsgpack(
+      text, [&](const json& value) { return DecodeBody(value, known); });
   if (!body.ok()) {
     return body.status();
   }
   if (!body->ok()) {
     return body->status();
   }
-  return Unpack(text, [&](const json& value) {
+  return common::UnpackMsgpack(text, [&](const json& value) {
     return RankOrder{.id = value.at("id").get<uint64_t>(),
                      .rank = value.at("rank").get<int>(),
                      .epoch = value.at("epoch").get<uint64_t>(),
@@ -363,13 +340,13 @@
 }
 
 std::string EncodeEntry(const CompanionEntry& entry) {
-  return Pack({{"peer", entry.peer_address},
-               {"engine", entry.engine_address},
-               {"service", entry.service}});
+  return common::PackMsgpack({{"peer", entry.peer_address},
+                              {"engine", entry.engine_address},
+                              {"service", entry.service}});
 }
 
 absl::StatusOr<CompanionEntry> DecodeEntry(std::string_view text) {
-  return Unpack(text, [](const json& value) {
+  return common::UnpackMsgpack(text, [](const json& value) {
     return CompanionEntry{
         .peer_address = value.at("peer").get<std::string>(),
         .engine_address = value.at("engine").get<std::string>(),
@@ -378,11 +355,12 @@
 }
 
 std::string EncodeCoordinator(const CoordinatorEntry& entry) {
-  return Pack({{"generation", entry.generation}, {"peer", entry.peer_address}});
+  return common::PackMsgpack(
+      {{"generation", entry.generation}, {"peer", entry.peer_address}});
 }
 
 absl::StatusOr<CoordinatorEntry> DecodeCoordinator(std::string_view text) {
-  return Unpack(text, [](const json& value) {
+  return common::UnpackMsgpack(text, [](const json& value) {
     return CoordinatorEntry{
         .generation = value.at("generation").get<uint64_t>(),
         .peer_address = value.at("peer").get<std::string>()};
