Quarantine: crashes that are found out later, withdrawn, or explained by an outage

OnUnanswered: an attempt whose endpoint may have crashed no longer restricts others until that is known. Withdraw: a crash that was none is taken back. OnEndpointLost: a crash does not count while two other endpoints of the same failure domain, none of which the content crashed, were lost within 2 s of it, so that a failure domain that goes down does not quarantine what it ran.

Entries never report losses, so nothing changes for them. With outage_losses out of reach, QuarantineOutageTest/DomainWentDown fails.

--- a/packages/coordination/quarantine/quarantine.cc
+++ b/packages/coordination/quarantine/quarantine.cc
@@ -1,6 +1,7 @@
 #include "coordination/quarantine/quarantine.h"
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 #include "common/invariant.h"
@@ -16,8 +17,33 @@
 // sending it back and forth.
 constexpr common::Duration kMinMergedLifetime = common::seconds(5);
 
+// The process of the crash "endpoint#number".
+std::string ProcessOfName(const std::string& crash) {
+  return crash.substr(0, crash.rfind('#'));
+}
+
+// Removes the entry with the smallest key while there are more than `max_size`.
+template <typename Map, typename Key>
+void TrimTo(size_t max_size, Map& entries, Key key) {
+  while (entries.size() > max_size) {
+    entries.erase(std::min_element(entries.begin(), entries.end(),
+                                   [&](const auto& left, const auto& right) {
+                                     return key(left.second) <
+                                            key(right.second);
+                                   }));
+  }
+}
+
 }  // namespace
 
+std::string ProcessOf(const Crash& crash) {
+  return ProcessOfName(crash.name);
+}
+
+std::string EndpointNameOf(const std::string& process) {
+  return process.substr(0, process.rfind('/'));
+}
+
 bool Quarantine::IsSuspect(const std::string& digest) const {
   return contents_.contains(digest);
 }
@@ -35,13 +61,51 @@
   return &found->second;
 }
 
+size_t Quarantine::CountCrashes(const Content& content) const {
+  return std::count_if(
+      content.crashes.begin(), content.crashes.end(),
+      [&](const std::string& crash) { return !IsOutage(content, crash); });
+}
+
+bool Quarantine::IsOutage(const Content& content,
+                          const std::string& crash) const {
+  const auto lost = losses_.find(ProcessOfName(crash));
+  if (lost == losses_.end()) {
+    return false;
+  }
+  // By endpoint and not by process: until a restart is listed, what the content
+  // does to the new process is attributed to the old one.
+  std::set<std::string> crashed;
+  for (const std::string& name : content.crashes) {
+    crashed.insert(EndpointNameOf(ProcessOfName(name)));
+  }
+  std::set<std::string> others;
+  for (const auto& [process, other] : losses_) {
+    const common::Duration apart = other.at - lost->second.at;
+    const std::string endpoint = EndpointNameOf(process);
+    if (other.failure_domain == lost->second.failure_domain &&
+        std::chrono::abs(apart) <= options_.outage_window &&
+        !crashed.contains(endpoint)) {
+      others.insert(endpoint);
+    }
+  }
+  return others.size() >= options_.outage_losses;
+}
+
 Verdict Quarantine::Check(const std::string& digest, common::Time now) {
   const Content* content = Find(digest, now);
-  if (content != nullptr && content->crashes.size() >= kMaxCrashes) {
+  const size_t crashes = content == nullptr ? 0 : CountCrashes(*content);
+  if (crashes >= kMaxCrashes) {
     return Refused{.ends_in = content->until - now};
   }
+  if (crashes == 0) {
+    content = nullptr;
+  }
   MayRun rules;
   for (const auto& [number, attempt] : in_flight_) {
+    if (attempt.unanswered) {
+      continue;
+    }
     if (attempt.digest == digest) {
       if (content != nullptr) {
         return MustWait{};
@@ -58,11 +122,12 @@
 
 uint64_t Quarantine::OnSent(const std::string& digest,
                             const std::string& endpoint) {
-  if (IsSuspect(digest)) {
-    WS_INVARIANT(contents_.at(digest).crashes.size() < kMaxCrashes)
-        << "a quarantined content is not sent";
+  if (const auto found = contents_.find(digest); found != contents_.end()) {
+    const size_t crashes = CountCrashes(found->second);
+    WS_INVARIANT(crashes < kMaxCrashes) << "a quarantined content is not sent";
     for (const auto& [number, attempt] : in_flight_) {
-      WS_INVARIANT(attempt.digest != digest)
+      WS_INVARIANT(crashes == 0 || attempt.unanswered ||
+                   attempt.digest != digest)
           << "a suspect has one attempt at a time";
     }
   }
@@ -75,6 +140,13 @@
   return number;
 }
 
+void Quarantine::OnUnanswered(uint64_t attempt) {
+  const auto found = in_flight_.find(attempt);
+  if (found != in_flight_.end()) {
+    found->second.unanswered = true;
+  }
+}
+
 bool Quarantine::OnEnded(uint64_t attempt,
                          bool crashed,
                          bool answered,
@@ -91,7 +163,7 @@
       MarkKnownGood(ended.digest);
     }
     const bool clears =
-        answered && content != nullptr && content->crashes.size() < kMaxCrashes;
+        answered && content != nullptr && CountCrashes(*content) < kMaxCrashes;
     if (clears) {
       cleared_[ended.digest] = std::move(*content);
       contents_.erase(ended.digest);
@@ -105,17 +177,71 @@
   count = {.crashes = std::max(count.crashes, ended.crash_count + 1),
            .last = now};
   Content& crashed_content = contents_[ended.digest];
-  const bool is_new =
-      crashed_content.crashes
-          .insert(common::StrCat(ended.endpoint, "#", ended.crash_count))
-          .second;
+  const size_t crashes_before = CountCrashes(crashed_content);
+  crashed_content.crashes.insert(
+      common::StrCat(ended.endpoint, "#", ended.crash_count));
   crashed_content.until = now + options_.retention;
-  const bool quarantined =
-      is_new && crashed_content.crashes.size() == kMaxCrashes;
+  const bool quarantined = crashes_before < kMaxCrashes &&
+                           CountCrashes(crashed_content) >= kMaxCrashes;
   TrimRecords();
   return quarantined;
 }
 
+void Quarantine::OnEndpointLost(const std::string& endpoint,
+                                const std::string& failure_domain,
+                                common::Time lost_at,
+                                common::Time now) {
+  std::erase_if(losses_, [&](const auto& item) {
+    return item.second.at + options_.retention <= now;
+  });
+  losses_.try_emplace(endpoint, Loss{failure_domain, lost_at});
+  TrimTo(options_.max_losses, losses_,
+         [](const Loss& loss) { return loss.at; });
+}
+
+std::vector<Crash> Quarantine::WithdrawEndpoint(const std::string& endpoint) {
+  std::vector<Crash> withdrawn;
+  for (const auto& [digest, content] : contents_) {
+    for (const std::string& crash : content.crashes) {
+      if (ProcessOfName(crash) == endpoint) {
+        withdrawn.push_back({.digest = digest, .name = crash});
+      }
+    }
+  }
+  for (const Crash& crash : withdrawn) {
+    Withdraw(crash);
+  }
+  crash_counts_.erase(endpoint);
+  losses_.erase(endpoint);
+  return withdrawn;
+}
+
+void Quarantine::Withdraw(const Crash& crash) {
+  const auto found = contents_.find(crash.digest);
+  if (found != contents_.end() && found->second.crashes.erase(crash.name) > 0 &&
+      found->second.crashes.empty()) {
+    contents_.erase(found);
+  }
+}
+
+std::set<std::string> Quarantine::CrashesOf(const std::string& digest) const {
+  const auto found = contents_.find(digest);
+  return found == contents_.end() ? std::set<std::string>()
+                                  : found->second.crashes;
+}
+
+std::string Quarantine::ContentOf(uint64_t attempt) const {
+  const auto found = in_flight_.find(attempt);
+  return found == in_flight_.end() ? std::string() : found->second.digest;
+}
+
+bool Quarantine::IsQuarantined(const std::string& digest,
+                               common::Time now) const {
+  const auto found = contents_.find(digest);
+  return found != contents_.end() && found->second.until > now &&
+         CountCrashes(found->second) >= kMaxCrashes;
+}
+
 std::vector<SharedContent> Quarantine::Export(common::Time now) const {
   std::vector<SharedContent> shared;
   for (const auto& [digest, content] : contents_) {
@@ -163,20 +289,9 @@
 
 void Quarantine::TrimRecords() {
   for (auto* contents : {&contents_, &cleared_}) {
-    TrimTo(options_.max_contents, *contents);
-  }
-}
-
-void Quarantine::TrimTo(size_t max_contents,
-                        std::map<std::string, Content>& contents) {
-  while (contents.size() > max_contents) {
-    const auto key = [](const auto& item) {
-      return std::pair(item.second.crashes.size(), item.second.until);
-    };
-    contents.erase(std::min_element(contents.begin(), contents.end(),
-                                    [&](const auto& left, const auto& right) {
-                                      return key(left) < key(right);
-                                    }));
+    TrimTo(options_.max_contents, *contents, [](const Content& content) {
+      return std::pair(content.crashes.size(), content.until);
+    });
   }
 }
 
--- a/packages/coordination/quarantine/quarantine.h
+++ b/packages/coordination/quarantine/quarantine.h
@@ -24,6 +24,13 @@
   size_t max_contents = 1024;
   // Most known-good contents that are recorded; the oldest is evicted.
   size_t max_known_good = 4096;
+  // Most lost endpoint processes that are recorded; the oldest is evicted.
+  size_t max_losses = 4096;
+  // A crash is not held against a content if this many other endpoints of the
+  // same failure domain, none of which it crashed, were lost within this time
+  // before or after it: the failure domain went down under it.
+  size_t outage_losses = 2;
+  common::Duration outage_window = common::seconds(2);
 };
 
 // The attempt may be sent, subject to these restrictions.
@@ -40,6 +47,18 @@
 // called again after it has ended.
 struct MustWait {};
 
+// One crash of a content.
+struct Crash {
+  std::string digest;
+  // "endpoint#number"
+  std::string name;
+};
+
+// Returns the endpoint process of a crash.
+std::string ProcessOf(const Crash& crash);
+// Returns the endpoint's name in the name of its process, "NAME/INCARNATION".
+std::string EndpointNameOf(const std::string& process);
+
 // The content has crashed two endpoints.
 struct Refused {
   common::Duration ends_in{};
@@ -64,15 +83,35 @@
   explicit Quarantine(QuarantineOptions options) : options_(options) {}
 
   Verdict Check(const std::string& digest, common::Time now);
-  // An attempt that Check() allowed is sent. `endpoint` names the endpoint
-  // process, so that a restarted process has another name. Returns the
-  // attempt's number.
+  // An attempt that Check() allowed is sent. `endpoint` names the endpoint's
+  // process, "NAME/INCARNATION". Returns the attempt's number.
   uint64_t OnSent(const std::string& digest, const std::string& endpoint);
+  // The attempt got no answer, and it is not known yet whether its endpoint
+  // crashed; OnEnded() follows. Until then other attempts are no longer
+  // restricted by it.
+  void OnUnanswered(uint64_t attempt);
   // The attempt ended. `crashed`: its connection broke after it was sent.
   // `answered`: its answer is complete. Returns whether this quarantines its
   // content.
   bool OnEnded(uint64_t attempt, bool crashed, bool answered, common::Time now);
 
+  // An endpoint process in the failure domain ended without being asked to.
+  void OnEndpointLost(const std::string& endpoint,
+                      const std::string& failure_domain,
+                      common::Time lost_at,
+                      common::Time now);
+  // The endpoint process has not ended after all. Drops its crashes and returns
+  // them.
+  std::vector<Crash> WithdrawEndpoint(const std::string& endpoint);
+  // Another entry has withdrawn the crash, or cleared the content of it.
+  void Withdraw(const Crash& crash);
+  // Names of the recorded crashes of a content.
+  std::set<std::string> CrashesOf(const std::string& digest) const;
+  // Content of an attempt that has not ended; empty when there is none.
+  std::string ContentOf(uint64_t attempt) const;
+  // Whether the content has crashed two endpoints.
+  bool IsQuarantined(const std::string& digest, common::Time now) const;
+
   // Returns the records to send to the other entries.
   std::vector<SharedContent> Export(common::Time now) const;
   // Merges the records that another entry sent.
@@ -88,6 +127,11 @@
     std::string endpoint;
     // Crashes of the endpoint before the attempt was sent.
     uint64_t crash_count = 0;
+    bool unanswered = false;
+  };
+  struct Loss {
+    std::string failure_domain;
+    common::Time at{};
   };
   struct Content {
     // A set, so that several attempts lost in one crash count once, also when
@@ -98,10 +142,12 @@
 
   bool IsSuspect(const std::string& digest) const;
   Content* Find(const std::string& digest, common::Time now);
+  // Number of the content's crashes that are held against it.
+  size_t CountCrashes(const Content& content) const;
+  // Whether the failure domain of the crashed endpoint went down.
+  bool IsOutage(const Content& content, const std::string& crash) const;
   void TrimRecords();
   void MarkKnownGood(const std::string& digest);
-  static void TrimTo(size_t max_contents,
-                     std::map<std::string, Content>& contents);
 
   QuarantineOptions options_;
   std::map<std::string, Content> contents_;
@@ -119,6 +165,8 @@
     common::Time last{};
   };
   std::map<std::string, CrashCount> crash_counts_;
+  // By endpoint process.
+  std::map<std::string, Loss> losses_;
   uint64_t next_attempt_ = 1;
 };
 
--- a/packages/daemon/entry/entry_control.cc
+++ b/packages/daemon/entry/entry_control.cc
@@ -19,10 +19,6 @@
   return common::StrCat(name, "/");
 }
 
-std::string EndpointNameOf(const std::string& process) {
-  return process.substr(0, process.rfind('/'));
-}
-
 }  // namespace
 
 std::optional<PickedEndpoint> EntryControl::Pick(
@@ -69,10 +65,10 @@
     return quarantine::MustWait{};
   }
   for (const std::string& process : rules->avoid) {
-    request.avoid.insert(EndpointNameOf(process));
+    request.avoid.insert(quarantine::EndpointNameOf(process));
   }
   if (rules->pinned_endpoint.has_value()) {
-    endpoint = EndpointNameOf(*rules->pinned_endpoint);
+    endpoint = quarantine::EndpointNameOf(*rules->pinned_endpoint);
     // On another endpoint the content could cause a second crash while its
     // attempt on the pinned endpoint is still in flight.
     if (!core_.router.IsEligible(*endpoint, request.avoid)) {
--- a/tests/unit/coordination/quarantine/quarantine_test.cc
+++ b/tests/unit/coordination/quarantine/quarantine_test.cc
@@ -127,6 +127,83 @@
   EXPECT_LE(quarantine.crashed_endpoints(), 10U);
 }
 
+// A content with one crash at "a/1" and, unless stated otherwise, losses of
+// other endpoints around it.
+struct OutageCase {
+  const char* name;
+  // Endpoint processes that are lost besides those that the content crashed,
+  // their failure domain and the time after the content's first crash.
+  std::vector<std::string> lost;
+  const char* failure_domain;
+  common::Duration after;
+  bool quarantined;
+};
+
+class QuarantineOutageTest : public testing::TestWithParam<OutageCase> {};
+
+TEST_P(QuarantineOutageTest, HoldsOnlyUnexplainedCrashesAgainstAContent) {
+  const OutageCase& param = GetParam();
+  Quarantine quarantine({});
+  const auto crash = [&](const std::string& endpoint, common::Time now) {
+    const uint64_t attempt = quarantine.OnSent("content", endpoint);
+    quarantine.OnEndpointLost(endpoint, "d1", now, now);
+    quarantine.OnEnded(attempt, true, false, now);
+  };
+  crash("a/1", kStart);
+  for (const std::string& endpoint : param.lost) {
+    quarantine.OnEndpointLost(endpoint, param.failure_domain,
+                              kStart + param.after, kStart + param.after);
+  }
+  crash("b/1", kStart + seconds(20));
+  EXPECT_EQ(quarantine.IsQuarantined("content", kStart + seconds(20)),
+            param.quarantined);
+  EXPECT_EQ(std::holds_alternative<Refused>(
+                quarantine.Check("content", kStart + seconds(20))),
+            param.quarantined);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Losses,
+    QuarantineOutageTest,
+    testing::Values(
+        OutageCase{"None", {}, "d1", {}, true},
+        OutageCase{"DomainWentDown", {"x/1", "y/1"}, "d1", seconds(1), false},
+        OutageCase{"OneOther", {"x/1"}, "d1", seconds(1), true},
+        OutageCase{"OtherDomain", {"x/1", "y/1"}, "d2", seconds(1), true},
+        OutageCase{"Later", {"x/1", "y/1"}, "d1", seconds(3), true},
+        // Processes of the endpoint that the content crashed, restarted before
+        // the list showed it.
+        OutageCase{"OwnEndpoints", {"a/2", "b/2"}, "d1", seconds(1), true}),
+    [](const auto& info) { return info.param.name; });
+
+TEST(QuarantineTest, AttemptOfUnknownFateDoesNotHoldUpRetries) {
+  Quarantine quarantine({});
+  const uint64_t lost = quarantine.OnSent("content", "e/1");
+  quarantine.OnUnanswered(lost);
+  const Verdict verdict = quarantine.Check("content", kStart);
+  ASSERT_TRUE(std::holds_alternative<MayRun>(verdict));
+  EXPECT_FALSE(std::get<MayRun>(verdict).pinned_endpoint.has_value());
+  const uint64_t retry = quarantine.OnSent("content", "f/1");
+  EXPECT_FALSE(quarantine.OnEnded(lost, true, false, kStart));
+  EXPECT_TRUE(quarantine.OnEnded(retry, true, false, kStart));
+}
+
+TEST(QuarantineTest, WithdrawnCrashesNoLongerCount) {
+  Quarantine quarantine({});
+  for (const char* endpoint : {"e/1", "f/1"}) {
+    quarantine.OnEnded(quarantine.OnSent("content", endpoint), true, false,
+                       kStart);
+  }
+  EXPECT_TRUE(quarantine.IsQuarantined("content", kStart));
+  const std::vector<Crash> withdrawn = quarantine.WithdrawEndpoint("e/1");
+  ASSERT_EQ(withdrawn.size(), 1U);
+  EXPECT_EQ(withdrawn[0].digest, "content");
+  EXPECT_EQ(ProcessOf(withdrawn[0]), "e/1");
+  EXPECT_FALSE(quarantine.IsQuarantined("content", kStart));
+  quarantine.Withdraw({.digest = "content", .name = "f/1#0"});
+  EXPECT_EQ(quarantine.suspects(), 0U);
+}
+
 // Scenario verbs: "send ENTRY CONTENT ENDPOINT [refused]", "end" (all in
 // flight), "tell FROM TO", "expect crashes N".
 class FleetWorld final : public scenario::World {
