Gateway: quarantine contents that crash endpoints, across gateways and restarts

What callers saw: a request that crashes each endpoint that runs it, sent again by its caller with new ids, ended endpoint after endpoint, and everybody else's requests on them; in a lock-step group each crash stalls all ranks.

Cause: a gateway decided about each request alone. Nothing remembered that the same content had ended endpoints before, here or at another gateway; the quarantine of entries was never wired into the hosted role.

Change: every attempt runs under the quarantine, by a digest of customer, method, host, target and body. An attempt without an answer counts as a crash once its endpoint refuses connections or the list shows that its process ended unannounced; a broken connection alone does not, as endpoints that go on running reset some. Crashes are rows of a table in the store, one for each crash, that all gateways follow: no gateway needs to reach another, and a restarted one reads them. While the store is away they wait in memory, within bounds. After two crashes the content is refused as not run for 10 minutes. A crash is withdrawn when the endpoint is still listed with its start time after three heartbeats, and a content is cleared by an answer.

Why it works: through gateways that share each crash before the next send a content costs two endpoints in all; without the store two for each gateway.

--- a/packages/common/event_log.cc
+++ b/packages/common/event_log.cc
@@ -54,6 +54,12 @@
     EventSpec{EventId::kPeerUnreachable, Severity::kWarning, "peer unreachable",
               "A process did not answer an exchange in time.",
               "If it persists, check the instance and the network."},
+    EventSpec{EventId::kEndpointLost, Severity::kWarning, "endpoint lost",
+              "An endpoint process ended without announcing it, with "
+              "unanswered attempts: it refuses connections, or the list shows "
+              "that it is gone.",
+              "Look for WS-1311 with the same endpoint: a content may have "
+              "crashed it."},
     EventSpec{
         EventId::kAttemptFailed, Severity::kWarning, "attempt failed",
         "An endpoint refused an attempt, its connection broke, or it sent "
@@ -72,6 +78,18 @@
               "Two endpoints crashed while they ran this content.",
               "Find the caller's request by its digest; it is refused until "
               "its quarantine expires."},
+    EventSpec{EventId::kContentSuspected, Severity::kWarning,
+              "content suspected",
+              "An endpoint crashed while it ran this content for this "
+              "process.",
+              "None; most suspects are innocent and are cleared by their next "
+              "answer."},
+    EventSpec{EventId::kContentCleared, Severity::kInfo, "content cleared",
+              "An endpoint answered a suspect content.", "None."},
+    EventSpec{EventId::kCrashWithdrawn, Severity::kInfo, "crash withdrawn",
+              "An endpoint that counted as crashed is still listed with the "
+              "same start time: it was cut off and has not ended.",
+              "If frequent, check the network to the endpoint."},
     EventSpec{EventId::kRequestEnded, Severity::kInfo, "request ended",
               "A gateway answered or abandoned a request; see its fields.",
               "Follow docs/OPERATIONS.md from the request's id."},
@@ -97,6 +115,20 @@
         "The number of entries in the platform's list that do not describe "
         "an endpoint changed; they are skipped.",
         "Check the named entry, unless another program wrote it."},
+    EventSpec{EventId::kCrashTableUnavailable, Severity::kWarning,
+              "crash reports unavailable",
+              "The table by which gateways share crashes does not respond; "
+              "each goes by its own observations.",
+              "Check the platform; until WS-1505 a content can crash two "
+              "endpoints for each gateway."},
+    EventSpec{
+        EventId::kCrashTableBack, Severity::kInfo, "crash reports available",
+        "The table by which gateways share crashes responds again.", "None."},
+    EventSpec{EventId::kCrashReportsDropped, Severity::kWarning,
+              "crash report dropped",
+              "Too many crash reports are waiting to be written to the table; "
+              "the other gateways do not get this one.",
+              "Check the platform and why so many endpoints crash."},
     EventSpec{
         EventId::kCoordinatorTaken, Severity::kInfo, "coordinator taken over",
         "This companion now coordinates its group's expert maps.", "None."},
--- /dev/null
+++ b/packages/daemon/gateway/crash_exchange.cc
@@ -0,0 +1,301 @@
+#include "daemon/gateway/crash_exchange.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "common/event_log.h"
+#include "common/strings.h"
+
+namespace wagtailshore::gateway {
+
+CrashExchange::CrashExchange(event_loop::EventLoop& loop,
+                             http_channel::HttpCaller& caller,
+                             CrashExchangeOptions options,
+                             OnReported on_reported,
+                             OnRemoved on_removed)
+    : loop_(loop),
+      caller_(caller),
+      options_(std::move(options)),
+      on_reported_(std::move(on_reported)),
+      on_removed_(std::move(on_removed)),
+      random_(std::random_device{}()) {}
+
+void CrashExchange::Start() {
+  Read({});
+  loop_.Every(options_.sweep_period, [this] { Sweep(); });
+}
+
+void CrashExchange::CallToRead(
+    const http_channel::Call& call,
+    common::Duration timeout,
+    void (CrashExchange::*done)(const http_channel::CallResult&)) {
+  caller_.Start(
+      options_.store_address, call, timeout,
+      [this, done, generation = generation_](http_channel::CallResult result) {
+        if (generation == generation_) {
+          (this->*done)(result);
+        }
+      });
+}
+
+void CrashExchange::Read(const std::string& start_key) {
+  if (start_key.empty()) {
+    ++generation_;
+    complete_ = false;
+    keys_read_.clear();
+  }
+  CallToRead(
+      platform::ReadTableCall(platform::SystemTable::kCrashes, start_key),
+      options_.call_timeout, &CrashExchange::OnPage);
+}
+
+void CrashExchange::OnPage(const http_channel::CallResult& result) {
+  const auto page = platform::DecodeRows(result);
+  UpdateAvailability(page.status());
+  if (!page.ok()) {
+    RetryLater();
+    return;
+  }
+  SetStoreTime(page->store_time);
+  if (keys_read_.empty()) {
+    // Changes after the first page was read are in the feed from there on.
+    revision_ = page->revision;
+  }
+  for (const platform::Row& row : page->rows) {
+    keys_read_.insert(row.key);
+    Apply(row);
+  }
+  if (page->has_more && !page->rows.empty()) {
+    // The smallest key after the last one.
+    Read(page->rows.back().key + '\0');
+    return;
+  }
+  complete_ = true;
+  std::vector<std::string> missing;
+  for (const auto& [key, store_time] : rows_) {
+    if (!keys_read_.contains(key)) {
+      missing.push_back(key);
+    }
+  }
+  for (const std::string& key : missing) {
+    RemoveRow(key);
+  }
+  AwaitChange();
+}
+
+void CrashExchange::AwaitChange() {
+  CallToRead(platform::AwaitTableCall(platform::SystemTable::kCrashes,
+                                      revision_, options_.feed_wait),
+             options_.feed_wait + options_.call_timeout,
+             &CrashExchange::OnFeed);
+}
+
+void CrashExchange::OnFeed(const http_channel::CallResult& result) {
+  const auto changes = platform::DecodeRows(result);
+  const bool history_gone = absl::IsFailedPrecondition(changes.status());
+  UpdateAvailability(history_gone ? absl::OkStatus() : changes.status());
+  if (history_gone) {
+    Read({});
+    return;
+  }
+  if (!changes.ok()) {
+    RetryLater();
+    return;
+  }
+  SetStoreTime(changes->store_time);
+  for (const platform::Row& row : changes->rows) {
+    if (row.deleted) {
+      RemoveRow(row.key);
+    } else {
+      Apply(row);
+    }
+  }
+  revision_ = changes->revision;
+  AwaitChange();
+}
+
+void CrashExchange::RetryLater() {
+  loop_.RunAfter(RandomRetryDelay(), [this, generation = generation_] {
+    if (generation != generation_) {
+      return;
+    }
+    if (complete_) {
+      AwaitChange();
+    } else {
+      Read({});
+    }
+  });
+}
+
+void CrashExchange::OnStoreBack() {
+  Read({});
+  ScheduleWrite(common::Duration::zero());
+}
+
+void CrashExchange::SetStoreTime(common::Duration store_time) {
+  const bool first = !store_epoch_.has_value();
+  store_epoch_ = loop_.Now() - store_time;
+  if (first) {
+    ScheduleWrite(common::Duration::zero());
+  }
+}
+
+void CrashExchange::Apply(const platform::Row& row) {
+  if (rows_.contains(row.key)) {
+    return;
+  }
+  const auto report = crash_report::DecodeRow(row.key, row.value);
+  if (!report.ok()) {
+    common::LogEvent(common::EventId::kEntriesUnreadable,
+                     common::StrCat("table=crashes last=", row.key,
+                                    " error=", report.status().message()));
+    return;
+  }
+  rows_[row.key] = report->store_time;
+  on_reported_(*report, *store_epoch_ + report->store_time);
+}
+
+void CrashExchange::RemoveRow(const std::string& key) {
+  if (rows_.erase(key) == 0) {
+    return;
+  }
+  const auto crash = crash_report::DecodeRowKey(key);
+  if (crash.ok()) {
+    on_removed_(*crash);
+  }
+}
+
+void CrashExchange::Report(const quarantine::Crash& crash,
+                           const std::string& failure_domain,
+                           common::Time detected_at) {
+  Enqueue(crash,
+          {.failure_domain = failure_domain, .detected_at = detected_at});
+}
+
+void CrashExchange::Remove(const quarantine::Crash& crash) {
+  Enqueue(crash, {});
+}
+
+void CrashExchange::Enqueue(const quarantine::Crash& crash, Change change) {
+  const std::string key = crash_report::RowKey(crash);
+  if (unwritten_.size() >= options_.max_unwritten &&
+      !unwritten_.contains(key)) {
+    common::LogEvent(
+        common::EventId::kCrashReportsDropped,
+        common::StrCat("content=", crash.digest, " endpoint=", ProcessOf(crash),
+                       " waiting=", unwritten_.size()));
+    return;
+  }
+  change.number = ++changes_;
+  unwritten_[key] = std::move(change);
+  ScheduleWrite(options_.batch_delay);
+}
+
+void CrashExchange::ScheduleWrite(common::Duration delay) {
+  if (writing_ || write_timer_ != event_loop::kNoTimer) {
+    return;
+  }
+  write_timer_ = loop_.RunAfter(delay, [this] {
+    write_timer_ = event_loop::kNoTimer;
+    Write();
+  });
+}
+
+void CrashExchange::Write() {
+  if (writing_ || unwritten_.empty() || !store_epoch_.has_value()) {
+    return;
+  }
+  std::vector<platform::Row> puts;
+  std::vector<std::string> removes;
+  std::map<std::string, uint64_t> numbers;
+  for (const auto& [key, change] : unwritten_) {
+    if (numbers.size() == platform::kMaxChanges) {
+      break;
+    }
+    numbers[key] = change.number;
+    if (!change.failure_domain.has_value()) {
+      removes.push_back(key);
+      continue;
+    }
+    puts.push_back({.key = key,
+                    .value = crash_report::EncodeRowValue(
+                        {.failure_domain = *change.failure_domain,
+                         .store_time = change.detected_at - *store_epoch_})});
+  }
+  writing_ = true;
+  caller_.Start(
+      options_.store_address,
+      platform::ChangeRowsCall(platform::SystemTable::kCrashes, puts, removes),
+      options_.call_timeout,
+      [this,
+       numbers = std::move(numbers)](const http_channel::CallResult& result) {
+        OnWritten(numbers, result);
+      });
+}
+
+void CrashExchange::OnWritten(const std::map<std::string, uint64_t>& written,
+                              const http_channel::CallResult& result) {
+  writing_ = false;
+  const absl::Status status = platform::DecodeWriteResult(result);
+  UpdateAvailability(status);
+  if (!status.ok()) {
+    // The call may have been executed; writing the same rows again is harmless.
+    ScheduleWrite(RandomRetryDelay());
+    return;
+  }
+  for (const auto& [key, number] : written) {
+    const auto found = unwritten_.find(key);
+    if (found != unwritten_.end() && found->second.number == number) {
+      unwritten_.erase(found);
+    }
+  }
+  if (!unwritten_.empty()) {
+    ScheduleWrite(common::Duration::zero());
+  }
+}
+
+void CrashExchange::Sweep() {
+  if (!store_epoch_.has_value()) {
+    return;
+  }
+  const common::Duration store_now = loop_.Now() - *store_epoch_;
+  std::vector<std::pair<common::Duration, std::string>> by_age;
+  for (const auto& [key, store_time] : rows_) {
+    by_age.emplace_back(store_time, key);
+  }
+  std::sort(by_age.begin(), by_age.end());
+  const size_t excess =
+      by_age.size() - std::min(by_age.size(), options_.max_rows);
+  for (size_t i = 0; i < by_age.size(); ++i) {
+    const auto& [store_time, key] = by_age[i];
+    if (i >= excess && store_time + options_.retention > store_now) {
+      break;
+    }
+    if (const auto crash = crash_report::DecodeRowKey(key); crash.ok()) {
+      Remove(*crash);
+    }
+  }
+}
+
+void CrashExchange::UpdateAvailability(const absl::Status& status) {
+  if (status.ok() == available_) {
+    return;
+  }
+  available_ = status.ok();
+  if (available_) {
+    common::LogEvent(common::EventId::kCrashTableBack,
+                     common::StrCat("rows=", rows_.size()));
+  } else {
+    common::LogEvent(common::EventId::kCrashTableUnavailable,
+                     common::StrCat("error=", status.message()));
+  }
+}
+
+common::Duration CrashExchange::RandomRetryDelay() {
+  std::uniform_int_distribution<common::Duration::rep> delay(
+      options_.retry_min.count(), options_.retry_max.count());
+  return common::Duration(delay(random_));
+}
+
+}  // namespace wagtailshore::gateway
--- /dev/null
+++ b/packages/daemon/gateway/crash_exchange.h
@@ -0,0 +1,132 @@
+#ifndef DAEMON_GATEWAY_CRASH_EXCHANGE_H_
+#define DAEMON_GATEWAY_CRASH_EXCHANGE_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+
+#include "absl/status/status.h"
+#include "platform/store.h"
+#include "protocol/crash_report/crash_report.h"
+#include "transport/event_loop/event_loop.h"
+#include "transport/http_channel/http_call.h"
+
+namespace wagtailshore::gateway {
+
+struct CrashExchangeOptions {
+  std::string store_address;
+  // Duration of one long poll for changes. A poll on a connection that went
+  // silent delays reports by this time at most.
+  common::Duration feed_wait = common::seconds(8);
+  // Timeout of calls that are not long polls; added to the wait of those that
+  // are.
+  common::Duration call_timeout = common::milliseconds(900);
+  // Reports wait this long to be written together: an endpoint that crashes
+  // ends several attempts.
+  common::Duration batch_delay = common::milliseconds(10);
+  // Range of the random delay before a failed call is repeated.
+  common::Duration retry_min = common::milliseconds(100);
+  common::Duration retry_max = common::milliseconds(400);
+  // Rows older than this are removed, on the store's clock.
+  common::Duration retention = common::seconds(600);
+  common::Duration sweep_period = common::seconds(60);
+  // Rows beyond this number are removed, oldest first.
+  size_t max_rows = 4000;
+  // Changes that wait to be written; further ones are dropped.
+  size_t max_unwritten = 2000;
+};
+
+// Shares crashes with the other gateways through a table of the store. Each
+// crash is a row, so no gateway needs to reach another one, and reports of the
+// same crash need no coordination. While the store is unavailable, reports wait
+// in memory.
+class CrashExchange {
+ public:
+  // Another gateway's report, or an own one that was written, and when the
+  // crash was detected on this process's clock.
+  using OnReported =
+      std::function<void(const crash_report::CrashReport&, common::Time)>;
+  // The crash's row was removed.
+  using OnRemoved = std::function<void(const quarantine::Crash&)>;
+
+  CrashExchange(event_loop::EventLoop& loop,
+                http_channel::HttpCaller& caller,
+                CrashExchangeOptions options,
+                OnReported on_reported,
+                OnRemoved on_removed);
+
+  void Start();
+  void Report(const quarantine::Crash& crash,
+              const std::string& failure_domain,
+              common::Time detected_at);
+  void Remove(const quarantine::Crash& crash);
+  // The store is available after an outage: reads the table at once, as the
+  // pending poll may wait on a connection that was lost.
+  void OnStoreBack();
+
+  // Number of rows in the table, as far as known.
+  size_t rows() const { return rows_.size(); }
+
+ private:
+  // A change that is not written yet. Without a failure domain, the row is
+  // removed.
+  struct Change {
+    std::optional<std::string> failure_domain;
+    common::Time detected_at{};
+    // Increases with each change of the row.
+    uint64_t number = 0;
+  };
+
+  void Read(const std::string& start_key);
+  void OnPage(const http_channel::CallResult& result);
+  void AwaitChange();
+  void OnFeed(const http_channel::CallResult& result);
+  void Apply(const platform::Row& row);
+  void RemoveRow(const std::string& key);
+  // Reads or polls again after a delay.
+  void RetryLater();
+  void SetStoreTime(common::Duration store_time);
+  void Enqueue(const quarantine::Crash& crash, Change change);
+  void ScheduleWrite(common::Duration delay);
+  void Write();
+  void OnWritten(const std::map<std::string, uint64_t>& written,
+                 const http_channel::CallResult& result);
+  // Removes rows that are too old or too many.
+  void Sweep();
+  void UpdateAvailability(const absl::Status& status);
+  common::Duration RandomRetryDelay();
+  // Starts a call whose result is dropped if the table is read anew meanwhile.
+  void CallToRead(const http_channel::Call& call,
+                  common::Duration timeout,
+                  void (CrashExchange::*done)(const http_channel::CallResult&));
+
+  event_loop::EventLoop& loop_;
+  http_channel::HttpCaller& caller_;
+  CrashExchangeOptions options_;
+  OnReported on_reported_;
+  OnRemoved on_removed_;
+  // Store times of the rows in the table, by key.
+  std::map<std::string, common::Duration> rows_;
+  // Changes that wait to be written, by key.
+  std::map<std::string, Change> unwritten_;
+  uint64_t changes_ = 0;
+  bool writing_ = false;
+  event_loop::TimerId write_timer_ = event_loop::kNoTimer;
+  // This process's clock minus the store's; unset before the first answer.
+  std::optional<common::Time> store_epoch_;
+  uint64_t revision_ = 0;
+  // Keys seen by the current read of the whole table, and whether it is done.
+  std::set<std::string> keys_read_;
+  bool complete_ = false;
+  uint64_t generation_ = 0;
+  bool available_ = true;
+  std::minstd_rand random_;
+};
+
+}  // namespace wagtailshore::gateway
+
+#endif  // DAEMON_GATEWAY_CRASH_EXCHANGE_H_
--- /dev/null
+++ b/packages/daemon/gateway/crash_watch.cc
@@ -0,0 +1,299 @@
+#include "daemon/gateway/crash_watch.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "common/event_log.h"
+#include "common/strings.h"
+
+namespace wagtailshore::gateway {
+namespace {
+
+// An entry lapses after this many heartbeats without a renewal.
+constexpr int kHeartbeatsToLapse = 3;
+// Added to the time within which the list shows that a process ended.
+constexpr common::Duration kListMargin = common::seconds(2);
+// Attempts at a lost process may still end this long after it was lost.
+constexpr common::Duration kLostRetention = common::seconds(30);
+
+// Time after which the list shows whether a process has ended.
+common::Duration ListDelay(const CrashWatchOptions& options) {
+  return kHeartbeatsToLapse * options.endpoint_heartbeat +
+         options.endpoints_period + kListMargin;
+}
+
+}  // namespace
+
+CrashWatch::CrashWatch(event_loop::EventLoop& loop,
+                       http_channel::HttpCaller& caller,
+                       const CrashWatchOptions& options,
+                       const fleet::Fleet& fleet)
+    : loop_(loop),
+      options_(options),
+      fleet_(fleet),
+      quarantine_({}),
+      exchange_(
+          loop,
+          caller,
+          {.store_address = options.store_address,
+           .retention = quarantine::QuarantineOptions{}.retention},
+          [this](const crash_report::CrashReport& report,
+                 common::Time detected_at) { OnReported(report, detected_at); },
+          [this](const quarantine::Crash& crash) {
+            quarantine_.Withdraw(crash);
+          }) {}
+
+quarantine::Verdict CrashWatch::Check(const std::string& content) {
+  return quarantine_.Check(content, loop_.Now());
+}
+
+uint64_t CrashWatch::OnSent(const std::string& content,
+                            const std::string& process) {
+  return quarantine_.OnSent(content, process);
+}
+
+void CrashWatch::OnAnswered(uint64_t attempt) {
+  const std::string content = quarantine_.ContentOf(attempt);
+  const std::set<std::string> crashes = quarantine_.CrashesOf(content);
+  quarantine_.OnEnded(attempt, /*crashed=*/false, /*answered=*/true,
+                      loop_.Now());
+  if (crashes.empty() || !quarantine_.CrashesOf(content).empty()) {
+    return;
+  }
+  common::LogEvent(
+      common::EventId::kContentCleared,
+      common::StrCat("content=", content, " crashes=", crashes.size()));
+  for (const std::string& name : crashes) {
+    exchange_.Remove({.digest = content, .name = name});
+  }
+}
+
+void CrashWatch::OnAbandoned(uint64_t attempt) {
+  quarantine_.OnEnded(attempt, /*crashed=*/false, /*answered=*/false,
+                      loop_.Now());
+}
+
+void CrashWatch::OnUnanswered(uint64_t attempt, const std::string& process) {
+  quarantine_.OnUnanswered(attempt);
+  if (const auto lost = lost_.find(process); lost != lost_.end()) {
+    RecordCrash(attempt, lost->second.failure_domain);
+    return;
+  }
+  const auto listed = listed_.find(quarantine::EndpointNameOf(process));
+  const bool may_have_crashed = listed != listed_.end() &&
+                                listed->second.process == process &&
+                                !listed->second.draining;
+  if (!may_have_crashed || unresolved_attempts_ >= options_.max_unresolved) {
+    OnAbandoned(attempt);
+    return;
+  }
+  ++unresolved_attempts_;
+  const common::Time until = loop_.Now() + ListDelay(options_);
+  unresolved_[process].attempts.push_back({.number = attempt, .until = until});
+  loop_.RunAt(until, [this, process, until] { Release(process, until); });
+  ScheduleProbe(process);
+}
+
+void CrashWatch::ScheduleProbe(const std::string& process) {
+  Unresolved& unresolved = unresolved_[process];
+  if (unresolved.probe_pending) {
+    return;
+  }
+  unresolved.probe_pending = true;
+  loop_.RunAfter(options_.probe_delay, [this, process] { Probe(process); });
+}
+
+void CrashWatch::Probe(const std::string& process) {
+  const fleet::EndpointRecord* endpoint =
+      fleet_.Find(quarantine::EndpointNameOf(process));
+  const auto found = unresolved_.find(process);
+  if (found == unresolved_.end() || endpoint == nullptr) {
+    return;
+  }
+  found->second.probe = std::make_unique<stream_socket::ConnectProbe>(
+      loop_, endpoint->address, options_.probe_timeout,
+      [this, process,
+       failure_domain = endpoint->failure_domain](bool accepted) {
+        // The probe calls this function, so it is destroyed after the call.
+        loop_.Post([this, process, failure_domain, accepted] {
+          OnProbed(process, failure_domain, accepted);
+        });
+      });
+}
+
+void CrashWatch::OnProbed(const std::string& process,
+                          const std::string& failure_domain,
+                          bool accepted) {
+  const auto found = unresolved_.find(process);
+  if (found == unresolved_.end()) {
+    return;
+  }
+  found->second.probe.reset();
+  found->second.probe_pending = false;
+  // If it accepts, it may still have restarted before the probe, which the list
+  // will show.
+  if (!accepted) {
+    OnProcessLost(process, failure_domain, "refuses_connections");
+  }
+}
+
+void CrashWatch::Release(const std::string& process, common::Time now) {
+  const auto found = unresolved_.find(process);
+  if (found == unresolved_.end()) {
+    return;
+  }
+  unresolved_attempts_ -=
+      std::erase_if(found->second.attempts, [&](const auto& attempt) {
+        if (attempt.until > now) {
+          return false;
+        }
+        OnAbandoned(attempt.number);
+        return true;
+      });
+  if (found->second.attempts.empty()) {
+    unresolved_.erase(found);
+  }
+}
+
+void CrashWatch::OnProcessLost(const std::string& process,
+                               const std::string& failure_domain,
+                               std::string_view evidence) {
+  const common::Time now = loop_.Now();
+  std::erase_if(lost_, [&](const auto& item) {
+    return item.second.at + kLostRetention <= now;
+  });
+  lost_[process] = {.failure_domain = failure_domain, .at = now};
+  quarantine_.OnEndpointLost(process, failure_domain, now, now);
+  const auto found = unresolved_.find(process);
+  if (found == unresolved_.end()) {
+    return;
+  }
+  const std::vector<UnansweredAttempt> attempts =
+      std::move(found->second.attempts);
+  unresolved_attempts_ -= attempts.size();
+  unresolved_.erase(found);
+  common::LogEvent(common::EventId::kEndpointLost,
+                   common::StrCat("endpoint=", process, " failure_domain=",
+                                  failure_domain, " evidence=", evidence,
+                                  " unanswered_attempts=", attempts.size()));
+  for (const UnansweredAttempt& attempt : attempts) {
+    RecordCrash(attempt.number, failure_domain);
+  }
+  loop_.RunAfter(ListDelay(options_),
+                 [this, process, now] { VerifyLoss(process, now); });
+}
+
+void CrashWatch::RecordCrash(uint64_t attempt,
+                             const std::string& failure_domain) {
+  const common::Time now = loop_.Now();
+  const std::string content = quarantine_.ContentOf(attempt);
+  const bool was_quarantined = quarantine_.IsQuarantined(content, now);
+  const std::set<std::string> before = quarantine_.CrashesOf(content);
+  quarantine_.OnEnded(attempt, /*crashed=*/true, /*answered=*/false, now);
+  for (const std::string& name : quarantine_.CrashesOf(content)) {
+    if (before.contains(name)) {
+      continue;
+    }
+    const quarantine::Crash crash{.digest = content, .name = name};
+    exchange_.Report(crash, failure_domain, now);
+    common::LogEvent(common::EventId::kContentSuspected, FieldsOf(crash));
+    LogIfQuarantined(crash, was_quarantined);
+  }
+}
+
+void CrashWatch::VerifyLoss(const std::string& process, common::Time lost_at) {
+  const auto read_at = fleet_.read_at();
+  const auto relisting_end = fleet_.relisting_ends_at();
+  const common::Time now = loop_.Now();
+  const bool list_is_current =
+      read_at.has_value() &&
+      *read_at >= lost_at + ListDelay(options_) - options_.endpoints_period &&
+      (!relisting_end.has_value() || *relisting_end < now);
+  if (!list_is_current) {
+    if (now < lost_at + kLostRetention) {
+      loop_.RunAfter(options_.endpoints_period, [this, process, lost_at] {
+        VerifyLoss(process, lost_at);
+      });
+    }
+    return;
+  }
+  const fleet::EndpointRecord* endpoint =
+      fleet_.Find(quarantine::EndpointNameOf(process));
+  // Without a start time a restarted process cannot be told from this one.
+  if (endpoint == nullptr || endpoint->started_at_ms == 0 ||
+      fleet::ProcessName(*endpoint) != process) {
+    return;
+  }
+  lost_.erase(process);
+  const std::vector<quarantine::Crash> withdrawn =
+      quarantine_.WithdrawEndpoint(process);
+  for (const quarantine::Crash& crash : withdrawn) {
+    exchange_.Remove(crash);
+  }
+  common::LogEvent(
+      common::EventId::kCrashWithdrawn,
+      common::StrCat("endpoint=", process, " contents=", withdrawn.size()));
+}
+
+void CrashWatch::OnFleetChange() {
+  std::vector<ListedProcess> ended;
+  for (const auto& [id, listed] : listed_) {
+    const fleet::EndpointRecord* endpoint = fleet_.Find(id);
+    if (endpoint == nullptr ||
+        fleet::ProcessName(*endpoint) != listed.process) {
+      ended.push_back(listed);
+    }
+  }
+  listed_.clear();
+  for (const auto& [id, endpoint] : fleet_.endpoints()) {
+    listed_[id] = {.process = fleet::ProcessName(endpoint),
+                   .failure_domain = endpoint.failure_domain,
+                   .draining = endpoint.draining};
+  }
+  for (const ListedProcess& process : ended) {
+    if (process.draining) {
+      Release(process.process, common::Time::max());
+    } else if (!lost_.contains(process.process)) {
+      OnProcessLost(process.process, process.failure_domain, "not_listed");
+    }
+  }
+}
+
+void CrashWatch::OnReported(const crash_report::CrashReport& report,
+                            common::Time detected_at) {
+  const common::Time now = loop_.Now();
+  const common::Duration retention = quarantine::QuarantineOptions{}.retention;
+  if (detected_at + retention <= now) {
+    return;
+  }
+  const quarantine::Crash& crash = report.crash;
+  const bool was_quarantined = quarantine_.IsQuarantined(crash.digest, now);
+  quarantine_.OnEndpointLost(ProcessOf(crash), report.failure_domain,
+                             detected_at, now);
+  if (quarantine_.CrashesOf(crash.digest).contains(crash.name)) {
+    return;
+  }
+  quarantine_.Merge({{.digest = crash.digest,
+                      .crashes = {crash.name},
+                      .ends_in = detected_at + retention - now}},
+                    now);
+  // Only a quarantine is logged: each gateway gets every report, and the one
+  // that observed the crash has logged it.
+  LogIfQuarantined(crash, was_quarantined);
+}
+
+void CrashWatch::LogIfQuarantined(const quarantine::Crash& crash,
+                                  bool was_quarantined) {
+  if (!was_quarantined &&
+      quarantine_.IsQuarantined(crash.digest, loop_.Now())) {
+    common::LogEvent(common::EventId::kContentQuarantined, FieldsOf(crash));
+  }
+}
+
+std::string CrashWatch::FieldsOf(const quarantine::Crash& crash) const {
+  return common::StrCat(
+      "content=", crash.digest, " endpoint=", ProcessOf(crash),
+      " crashes=", quarantine_.CrashesOf(crash.digest).size());
+}
+
+}  // namespace wagtailshore::gateway
--- a/packages/daemon/gateway/gateway.cc
+++ b/packages/daemon/gateway/gateway.cc
@@ -27,6 +27,11 @@
 // a draining endpoint must be known; the rest is for the read itself.
 constexpr double kListPeriodShare = 0.8;
 
+common::Duration EndpointsPeriod(const serving::HostedSettings& settings) {
+  return std::chrono::duration_cast<common::Duration>(settings.drain_bound *
+                                                      kListPeriodShare);
+}
+
 // About a tenth of the latency that callers expect, so that an unreachable
 // endpoint is detected early enough to try another one.
 constexpr common::Duration kConnectTimeout = common::milliseconds(250);
@@ -86,15 +91,22 @@
       freshness_({.revocation_bound = settings_.revocation_bound}),
       fleet_({}),
       router_(RouterOptionsOf(settings_)),
+      crash_watch_(loop,
+                   caller_,
+                   {.store_address = settings_.store_address,
+                    .endpoint_heartbeat = settings_.endpoint_heartbeat,
+                    .endpoints_period = EndpointsPeriod(settings_),
+                    .probe_timeout = kConnectTimeout},
+                   fleet_),
       store_watch_(
           loop,
           caller_,
           {.store_address = settings_.store_address,
-           .endpoints_period = std::chrono::duration_cast<common::Duration>(
-               settings_.drain_bound * kListPeriodShare)},
+           .endpoints_period = EndpointsPeriod(settings_)},
           freshness_,
           fleet_,
-          [this](const fleet::FleetChange& change) { OnFleetChange(change); }),
+          [this](const fleet::FleetChange& change) { OnFleetChange(change); },
+          [this] { crash_watch_.OnStoreBack(); }),
       slow_watch_(loop,
                   caller_,
                   {.failure_domain = settings_.failure_domain,
@@ -109,6 +121,7 @@
             .fleet = fleet_,
             .freshness = freshness_,
             .store = store_watch_,
+            .crashes = crash_watch_,
             .metrics = metrics_,
             .random = std::minstd_rand(std::random_device{}())},
       monitoring_server_(std::make_unique<MonitoringServer>(*this)),
@@ -132,6 +145,7 @@
     return listening;
   }
   store_watch_.Start();
+  crash_watch_.Start();
   slow_watch_.Start();
   return absl::OkStatus();
 }
@@ -193,6 +207,7 @@
     router_.Upsert(id, endpoint.failure_domain, endpoint.service);
   }
   router_.KeepOnly(known);
+  crash_watch_.OnFleetChange();
   for (const std::string& id : change.started) {
     router_.OnRestarted(id);
     const fleet::EndpointRecord* endpoint = fleet_.Find(id);
@@ -227,6 +242,10 @@
                     static_cast<double>(runs_.size()));
   metrics_.SetGauge("wagtailshore_gateway_caller_connections",
                     static_cast<double>(callers_.size()));
+  metrics_.SetGauge("wagtailshore_gateway_suspect_contents",
+                    static_cast<double>(crash_watch_.suspects()));
+  metrics_.SetGauge("wagtailshore_gateway_shared_crashes",
+                    static_cast<double>(crash_watch_.shared_crashes()));
   return metrics_.Format();
 }
 
--- a/packages/daemon/gateway/gateway.h
+++ b/packages/daemon/gateway/gateway.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "absl/status/status.h"
+#include "daemon/gateway/crash_watch.h"
 #include "daemon/gateway/gateway_core.h"
 #include "daemon/gateway/proxied_run.h"
 #include "daemon/gateway/slow_watch.h"
@@ -61,6 +62,7 @@
   fleet::Fleet fleet_;
   routing::Router router_;
   metrics::GatewayMetrics metrics_;
+  CrashWatch crash_watch_;
   StoreWatch store_watch_;
   SlowWatch slow_watch_;
   GatewayCore core_;
--- a/packages/daemon/gateway/gateway_core.h
+++ b/packages/daemon/gateway/gateway_core.h
@@ -9,6 +9,7 @@
 #include "coordination/admission/admission.h"
 #include "coordination/freshness/freshness.h"
 #include "coordination/retry_window/retry_window.h"
+#include "daemon/gateway/crash_watch.h"
 #include "daemon/gateway/store_watch.h"
 #include "state/fleet/fleet.h"
 #include "state/metrics/gateway_metrics.h"
@@ -28,6 +29,7 @@
   fleet::Fleet& fleet;
   const freshness::Freshness& freshness;
   const StoreWatch& store;
+  CrashWatch& crashes;
   metrics::GatewayMetrics& metrics;
   // By service.
   std::map<std::string, retry_window::RetryWindow> retry_windows;
--- a/packages/daemon/gateway/proxied_run.cc
+++ b/packages/daemon/gateway/proxied_run.cc
@@ -40,6 +40,9 @@
 constexpr int kMostUrgent = 1;
 constexpr int kLeastUrgent = 5;
 constexpr int kLateUrgencyStep = 4;
+// An attempt without any answer for this long may be at an endpoint that ended
+// without closing its connections.
+constexpr common::Duration kSilence = common::seconds(1);
 // Largest answer that is buffered before it is relayed.
 constexpr size_t kMaxAnswerBytes = 16 << 20;
 // Unsent stream data at which a caller that does not read is disconnected.
@@ -196,8 +199,21 @@
 }
 
 void ProxiedRun::Dispatch() {
-  while (const auto picked = core_.router.Pick(
-             {.target = service_, .avoid = tried_endpoints_}, now())) {
+  const quarantine::Verdict verdict = core_.crashes.Check(content_);
+  if (const auto* refused = std::get_if<quarantine::Refused>(&verdict)) {
+    if (execution_ == Execution::kNotRun) {
+      RespondLocally(http1::kUnavailable, "quarantined", refused->ends_in);
+    } else {
+      Fail("quarantined", refused->ends_in);
+    }
+    return;
+  }
+  const auto* rules = std::get_if<quarantine::MayRun>(&verdict);
+  if (rules == nullptr) {
+    Fail("suspect_in_progress", kRetryWhenFull);
+    return;
+  }
+  while (const auto picked = PickEndpoint(*rules)) {
     const fleet::EndpointRecord* endpoint = core_.fleet.FindUsable(*picked);
     if (endpoint != nullptr) {
       SendTo(*endpoint);
@@ -209,6 +225,31 @@
   Fail("no_endpoint", kRetryWhenFull);
 }
 
+std::optional<std::string> ProxiedRun::PickEndpoint(
+    const quarantine::MayRun& rules) {
+  if (rules.pinned_endpoint.has_value()) {
+    const std::string id = quarantine::EndpointNameOf(*rules.pinned_endpoint);
+    const fleet::EndpointRecord* pinned = core_.fleet.FindUsable(id);
+    if (pinned != nullptr && pinned->service == service_ &&
+        core_.router.IsEligible(id, tried_endpoints_)) {
+      core_.router.BeginAttempt(id, now());
+      return id;
+    }
+  }
+  routing::PickRequest request{.target = service_, .avoid = tried_endpoints_};
+  for (const std::string& process : rules.avoid) {
+    request.avoid.insert(quarantine::EndpointNameOf(process));
+  }
+  auto picked = core_.router.Pick(request, now());
+  if (!picked.has_value() && !rules.avoid.empty()) {
+    // Every endpoint that is left runs another suspect. Most suspects are
+    // innocent, so being served counts for more than being told apart.
+    picked = core_.router.Pick({.target = service_, .avoid = tried_endpoints_},
+                               now());
+  }
+  return picked;
+}
+
 void ProxiedRun::SendTo(const fleet::EndpointRecord& endpoint) {
   endpoint_id_ = endpoint.id;
   endpoint_process_ = fleet::ProcessName(endpoint);
@@ -225,6 +266,7 @@
                                  .urgency = Urgency(),
                                  .resume_after = last_event_id_};
   ++attempts_;
+  content_attempt_ = core_.crashes.OnSent(content_, endpoint_process_);
   exchange_ = &core_.pool.Acquire(endpoint_process_, endpoint.address);
   exchange_->Send(platform::EncodeForwardedRequest(request_, forwarding), *this,
                   request_.method == "HEAD");
@@ -467,10 +509,15 @@
     return;
   }
   exchange_ = nullptr;
-  const common::Time ended = now();
   common::StrAppend(&attempt_log_, attempt_log_.empty() ? "" : ",",
                     endpoint_process_, ":", result);
   core_.metrics.OnAttempt(endpoint_id_, result);
+  ReportToRouter(result);
+  ReportToQuarantine(result);
+}
+
+void ProxiedRun::ReportToRouter(std::string_view result) {
+  const common::Time ended = now();
   if (result == "complete") {
     const common::Duration total = ended - attempt_started_at_;
     core_.router.OnSuccess(
@@ -489,6 +536,24 @@
   }
 }
 
+void ProxiedRun::ReportToQuarantine(std::string_view result) {
+  const bool given_up = result == "caller_gone" || result == "deadline";
+  const bool silent =
+      !answer_.has_value() && now() - attempt_started_at_ >= kSilence;
+  // The endpoint works, whatever is wrong with its answer.
+  const bool endpoint_responds =
+      result == "busy" || result == "misdirected" || result == "unreachable" ||
+      result == "answer_spoilt" || result == "answer_too_large" ||
+      result == "caller_not_reading" || result == "event_missing";
+  if (result == "complete" || result.starts_with("status_")) {
+    core_.crashes.OnAnswered(content_attempt_);
+  } else if (endpoint_responds || (given_up && !silent)) {
+    core_.crashes.OnAbandoned(content_attempt_);
+  } else {
+    core_.crashes.OnUnanswered(content_attempt_, endpoint_process_);
+  }
+}
+
 void ProxiedRun::Refuse(std::string_view cause, common::Duration retry_after) {
   RespondLocally(http1::kUnavailable, cause, Jittered(retry_after));
 }
--- a/packages/daemon/gateway/proxied_run.h
+++ b/packages/daemon/gateway/proxied_run.h
@@ -53,6 +53,9 @@
   // the request is refused.
   bool Authorize();
   void Dispatch();
+  // Picks an endpoint for an attempt within the quarantine's rules and counts
+  // the attempt in the router.
+  std::optional<std::string> PickEndpoint(const quarantine::MayRun& rules);
   void SendTo(const fleet::EndpointRecord& endpoint);
   // Applies the service's admission control to streams with a latency
   // objective. Answers the caller and returns false when the request is
@@ -87,8 +90,11 @@
   void Refuse(std::string_view cause, common::Duration retry_after);
   // Ends the run: metrics, the log line with `outcome`, then `on_end`.
   void End(std::string_view outcome);
-  // Ends the attempt in progress and reports `result` to the router.
+  // Ends the attempt in progress and reports `result` to the router and to the
+  // quarantine.
   void EndAttempt(std::string_view result);
+  void ReportToRouter(std::string_view result);
+  void ReportToQuarantine(std::string_view result);
   common::Duration Jittered(common::Duration mean);
   common::Time now() const { return core_.loop.Now(); }
 
@@ -117,6 +123,8 @@
   // Distinguishes the endpoint from an earlier or later process with its id.
   std::string endpoint_process_;
   common::Time attempt_started_at_{};
+  // Its number in the quarantine.
+  uint64_t content_attempt_ = 0;
   // Time to the attempt's first event.
   std::optional<common::Duration> attempt_first_event_;
   std::optional<proxied::EndpointAnswer> answer_;
--- a/packages/daemon/gateway/store_watch.cc
+++ b/packages/daemon/gateway/store_watch.cc
@@ -11,13 +11,15 @@
                        StoreWatchOptions options,
                        freshness::Freshness& freshness,
                        fleet::Fleet& fleet,
-                       OnFleetChange on_fleet_change)
+                       OnFleetChange on_fleet_change,
+                       OnStoreBack on_store_back)
     : loop_(loop),
       caller_(caller),
       options_(std::move(options)),
       freshness_(freshness),
       fleet_(fleet),
       on_fleet_change_(std::move(on_fleet_change)),
+      on_store_back_(std::move(on_store_back)),
       random_(std::random_device{}()) {}
 
 void StoreWatch::Start() {
@@ -177,6 +179,7 @@
       available_ = true;
       if (ever_available_) {
         common::LogEvent(common::EventId::kPlatformBack, "");
+        on_store_back_();
       }
       ever_available_ = true;
     }
--- a/packages/daemon/gateway/store_watch.h
+++ b/packages/daemon/gateway/store_watch.h
@@ -44,13 +44,16 @@
  public:
   // Called after every change of the fleet.
   using OnFleetChange = std::function<void(const fleet::FleetChange&)>;
+  // Called when the store responds again after an outage.
+  using OnStoreBack = std::function<void()>;
 
   StoreWatch(event_loop::EventLoop& loop,
              http_channel::HttpCaller& caller,
              StoreWatchOptions options,
              freshness::Freshness& freshness,
              fleet::Fleet& fleet,
-             OnFleetChange on_fleet_change);
+             OnFleetChange on_fleet_change,
+             OnStoreBack on_store_back);
 
   void Start();
 
@@ -87,6 +90,7 @@
   freshness::Freshness& freshness_;
   fleet::Fleet& fleet_;
   OnFleetChange on_fleet_change_;
+  OnStoreBack on_store_back_;
   std::shared_ptr<const serving::RouteTable> routes_;
   uint64_t revision_ = 0;
   freshness::StoreClock clock_;
--- /dev/null
+++ b/packages/protocol/crash_report/crash_report.cc
@@ -0,0 +1,47 @@
+#include "protocol/crash_report/crash_report.h"
+
+#include <utility>
+
+#include "common/msgpack.h"
+#include "common/strings.h"
+
+namespace wagtailshore::crash_report {
+
+using nlohmann::json;
+
+std::string RowKey(const quarantine::Crash& crash) {
+  return common::StrCat(crash.digest, "/", crash.name);
+}
+
+absl::StatusOr<quarantine::Crash> DecodeRowKey(std::string_view key) {
+  const size_t slash = key.find('/');
+  if (slash == 0 || slash == std::string_view::npos ||
+      slash + 1 == key.size()) {
+    return absl::InvalidArgumentError("not the key of a crash");
+  }
+  return quarantine::Crash{.digest = std::string(key.substr(0, slash)),
+                           .name = std::string(key.substr(slash + 1))};
+}
+
+std::string EncodeRowValue(const CrashReport& report) {
+  return common::PackMsgpack(
+      {{"failure_domain", report.failure_domain},
+       {"store_time_ms", common::ToMilliseconds(report.store_time)}});
+}
+
+absl::StatusOr<CrashReport> DecodeRow(std::string_view key,
+                                      std::string_view value) {
+  auto crash = DecodeRowKey(key);
+  if (!crash.ok()) {
+    return crash.status();
+  }
+  return common::UnpackMsgpack(value, [&](const json& fields) {
+    return CrashReport{
+        .crash = *std::move(crash),
+        .failure_domain = fields.at("failure_domain").get<std::string>(),
+        .store_time =
+            common::milliseconds(fields.at("store_time_ms").get<int64_t>())};
+  });
+}
+
+}  // namespace wagtailshore::crash_report
--- a/packages/state/fleet/fleet.cc
+++ b/packages/state/fleet/fleet.cc
@@ -7,7 +7,7 @@
 namespace wagtailshore::fleet {
 
 std::string ProcessName(const EndpointRecord& endpoint) {
-  return common::StrCat(endpoint.id, "@", endpoint.started_at_ms);
+  return common::StrCat(endpoint.id, "/", endpoint.started_at_ms);
 }
 
 FleetChange Fleet::OnList(const std::vector<EndpointRecord>& records,
--- a/packages/state/fleet/fleet.h
+++ b/packages/state/fleet/fleet.h
@@ -29,7 +29,7 @@
   bool operator==(const EndpointRecord&) const = default;
 };
 
-// Returns "ID@START", which names one process of an endpoint: a restarted one
+// Returns "ID/START", which names one process of an endpoint: a restarted one
 // has another name.
 std::string ProcessName(const EndpointRecord& endpoint);
 
--- a/packages/state/serving/hosted_settings.h
+++ b/packages/state/serving/hosted_settings.h
@@ -29,6 +29,9 @@
   // Maximum time that a draining endpoint may get new work after the store has
   // recorded the draining.
   common::Duration drain_bound = common::seconds(2);
+  // How often an endpoint renews its entry in the platform's list. The entry of
+  // one that ended is removed after three such times.
+  common::Duration endpoint_heartbeat = common::milliseconds(1200);
   // Time between the stop signal and the kill.
   common::Duration stop_grace = common::seconds(8);
   // Retry budget of all processes together.
--- a/tests/support/hosted_world.cc
+++ b/tests/support/hosted_world.cc
@@ -258,6 +258,10 @@
   }
 }
 
+void FakeEndpoint::GoSilent() {
+  listener_.reset();
+}
+
 void FakeEndpoint::Restart() {
   Listen(address_);
 }
@@ -316,6 +320,7 @@
                               .caller_address = kAnyPort,
                               .store_address = store_->address(),
                               .revocation_bound = options_.revocation_bound,
+                              .endpoint_heartbeat = options_.endpoint_heartbeat,
                               .retry_allowance = 100});
   WS_INVARIANT(gateway->Start("").ok()) << "the gateway starts";
   return gateway;
@@ -339,9 +344,21 @@
        {"born", ++last_start_ms_}});
 }
 
-void HostedWorld::CrashEndpoint(int index, common::Duration down_for) {
-  loop_.Post([this, index] { endpoints_[index]->Crash(); });
+void HostedWorld::EndEndpoint(int index,
+                              common::Duration down_for,
+                              EndpointEnd end) {
+  if (!ended_.insert(index).second) {
+    return;
+  }
+  loop_.Post([this, index, end] {
+    if (end == EndpointEnd::kCrash) {
+      endpoints_[index]->Crash();
+    } else {
+      endpoints_[index]->GoSilent();
+    }
+  });
   loop_.RunAfter(down_for, [this, index] {
+    ended_.erase(index);
     endpoints_[index]->Restart();
     ListEndpoint(index);
   });
@@ -410,13 +427,30 @@
 }
 
 CallerAnswer HostedWorld::Ask(const CallerRequestOptions& options) {
-  AnswerCollector collector;
-  http_channel::EndpointChannel& channel = ConnectTo(options.gateway);
-  channel.Send(Format(options), collector, false);
-  if (!RunUntil([&] { return collector.ended; })) {
-    channel.Abandon();
+  return AskAll({options}).front();
+}
+
+std::vector<CallerAnswer> HostedWorld::AskAll(
+    const std::vector<CallerRequestOptions>& requests) {
+  std::vector<AnswerCollector> collectors(requests.size());
+  std::vector<http_channel::EndpointChannel*> channels;
+  for (size_t i = 0; i < requests.size(); ++i) {
+    channels.push_back(&ConnectTo(requests[i].gateway));
+    channels.back()->Send(Format(requests[i]), collectors[i], false);
+  }
+  RunUntil([&] {
+    return std::all_of(
+        collectors.begin(), collectors.end(),
+        [](const AnswerCollector& collector) { return collector.ended; });
+  });
+  std::vector<CallerAnswer> answers;
+  for (size_t i = 0; i < requests.size(); ++i) {
+    if (!collectors[i].ended) {
+      channels[i]->Abandon();
+    }
+    answers.push_back(collectors[i].answer);
   }
-  return collector.answer;
+  return answers;
 }
 
 void HostedWorld::AskAndDisconnect(const CallerRequestOptions& options,
--- a/tests/support/hosted_world.h
+++ b/tests/support/hosted_world.h
@@ -112,6 +112,9 @@
   // Ends as a process that crashes does: resets every connection and refuses
   // new ones until Restart(). Must not be called from a script.
   void Crash();
+  // Ends without closing its connections, which go silent, and refuses new ones
+  // until Restart().
+  void GoSilent();
   // Listens again on the same address.
   void Restart();
 
@@ -159,8 +162,12 @@
   // one, it is "z", which is also the gateways' own.
   int failure_domains = 1;
   common::Duration revocation_bound = common::seconds(5);
+  common::Duration endpoint_heartbeat = common::milliseconds(1200);
 };
 
+// How an endpoint ends.
+enum class EndpointEnd { kCrash, kSilence };
+
 class HostedWorld {
  public:
   explicit HostedWorld(int endpoints,
@@ -173,9 +180,12 @@
   gateway::Gateway& gateway(int index = 0) { return *gateways_[index]; }
   // Replaces a gateway by a new process without memory.
   void RestartGateway(int index);
-  // Crashes an endpoint after the callbacks in progress. It restarts after
-  // `down_for`, with the same id and a later start time.
-  void CrashEndpoint(int index, common::Duration down_for);
+  // Ends an endpoint after the callbacks in progress, unless it has ended
+  // already. It restarts after `down_for`, with the same id and a later start
+  // time.
+  void EndEndpoint(int index,
+                   common::Duration down_for,
+                   EndpointEnd end = EndpointEnd::kCrash);
   event_loop::EventLoop& loop() { return loop_; }
   // Sets the same script for every endpoint.
   void Script(const FakeEndpoint::Script& script);
@@ -184,6 +194,9 @@
 
   // Sends a request and runs the event loop until it has ended.
   CallerAnswer Ask(const CallerRequestOptions& options);
+  // Sends the requests at once and runs the event loop until all have ended.
+  std::vector<CallerAnswer> AskAll(
+      const std::vector<CallerRequestOptions>& requests);
   // Sends a request and closes its connection after `delay`.
   void AskAndDisconnect(const CallerRequestOptions& options,
                         common::Duration delay);
@@ -205,6 +218,8 @@
   event_loop::EventLoop loop_;
   std::unique_ptr<FakeStore> store_;
   std::vector<std::unique_ptr<FakeEndpoint>> endpoints_;
+  // Endpoints that have ended and not restarted yet.
+  std::set<int> ended_;
   std::vector<std::unique_ptr<gateway::Gateway>> gateways_;
   // Replaced gateways, which timers of the event loop still refer to.
   std::vector<std::unique_ptr<gateway::Gateway>> retired_;
--- a/tests/unit/platform/store_test.cc
+++ b/tests/unit/platform/store_test.cc
@@ -37,6 +37,28 @@
   EXPECT_EQ(FindConfiguration(*rows)->value, "new");
 }
 
+TEST(StoreTest, OneCallWritesAndRemovesRowsOfATable) {
+  const http_channel::Call call = ChangeRowsCall(
+      SystemTable::kCrashes, {{.key = "new", .value = "text"}}, {"old"});
+  EXPECT_EQ(call.target, "/rows-tx");
+  const json body = json::parse(call.body);
+  EXPECT_EQ(body.at("expected_revision"), json::array());
+  EXPECT_EQ(body.at("puts"), json::array({{{"table", "crashes"},
+                                           {"part", ""},
+                                           {"key", "new"},
+                                           {"value", "dGV4dA=="}}}));
+  EXPECT_EQ(
+      body.at("remove"),
+      json::array({{{"table", "crashes"}, {"part", ""}, {"key", "old"}}}));
+}
+
+TEST(StoreTest, TableIsReadByPagesAndAwaited) {
+  EXPECT_EQ(ReadTableCall(SystemTable::kCrashes, "a/b#0").target,
+            "/rows-get?table=crashes&part=&limit=500&start_key=a%2fb%230");
+  EXPECT_EQ(AwaitTableCall(SystemTable::kCrashes, 7, common::seconds(8)).target,
+            "/rows-feed?table=crashes&after_revision=7&wait_ms=8000");
+}
+
 TEST(StoreTest, UnreadableRowsAreLeftOut) {
   json malformed = RowOf("a", "x", 1);
   malformed["value"] = "%%%";
