--- a/packages/daemon/gateway/crash_exchange.cc
+++ b/packages/daemon/gateway/crash_exchange.cc
@@ -30,13 +30,13 @@
     const http_channel::Call& call,
     common::Duration timeout,
     void (CrashExchange::*done)(const http_channel::CallResult&)) {
-  caller_.Start(
-      options_.store_address, call, timeout,
-      [this, done, generation = generation_](http_channel::CallResult result) {
-        if (generation == generation_) {
-          (this->*done)(result);
-        }
-      });
+  caller_.Start(options_.store_address, call, timeout,
+                [this, done, generation = generation_](
+                    const http_channel::CallResult& result) {
+                  if (generation == generation_) {
+                    (this->*done)(result);
+                  }
+                });
 }
 
 void CrashExchange::Read(const std::string& start_key) {
--- a/tests/unit/daemon/gateway/crashing_content_test.cc
+++ b/tests/unit/daemon/gateway/crashing_content_test.cc
@@ -76,9 +76,9 @@
     int turn = 0;
     while (world_.loop().Now() < end) {
       const common::Time next = world_.loop().Now() + interval;
-      std::vector<CallerRequestOptions> requests;
-      for (int i = 0; i < at_once; ++i) {
-        requests.push_back(Crashing(path, turn++ % options_.gateways));
+      std::vector<CallerRequestOptions> requests(at_once);
+      for (CallerRequestOptions& request : requests) {
+        request = Crashing(path, turn++ % options_.gateways);
       }
       world_.AskAll(requests);
       world_.RunUntil([&] { return world_.loop().Now() >= next; });
@@ -199,9 +199,10 @@
 }
 
 TEST(InnocentContentTest, RequestsBesideACrashingOneAreServedWhenRepeated) {
+  constexpr int kRequests = 16;
   CrashingWorld crashing({.endpoints = 4, .gateways = 2});
   std::vector<CallerRequestOptions> requests;
-  for (int i = 0; i < 16; ++i) {
+  for (int i = 0; i < kRequests; ++i) {
     const std::string body = common::StrCat("innocent", i);
     crashing.Hold(body);
     requests.push_back(crashing.Request("/once/x", body, i % 2));
@@ -212,7 +213,8 @@
   crashing.Unhold();
   crashing.Run(kDownTime + kSharingTime);
   std::vector<CallerRequestOptions> repeats;
-  for (int i = 0; i < 16; ++i) {
+  repeats.reserve(kRequests);
+  for (int i = 0; i < kRequests; ++i) {
     repeats.push_back(crashing.Request("/once/x", common::StrCat("innocent", i),
                                        (i + 1) % 2));
   }
@@ -241,6 +243,7 @@
         });
   }
   std::vector<CallerRequestOptions> requests;
+  requests.reserve(kRequests);
   for (int i = 0; i < kRequests; ++i) {
     requests.push_back(crashing.Request("/safe/x", bodies[i], i % 2));
   }
@@ -253,6 +256,7 @@
   crashing.Unhold();
   crashing.Run(kDownTime + kSharingTime);
   std::vector<CallerRequestOptions> repeats;
+  repeats.reserve(kRequests);
   for (int i = 0; i < kRequests; ++i) {
     repeats.push_back(crashing.Request("/safe/x", bodies[i], (i + 1) % 2));
   }
