Quarantine: contents that are often asked for are not taken for crashing ones

Cause: found by the soak, which now sends a content that crashes endpoints. Contents that many callers ask for are in flight at most endpoints that end for any reason.

Change: a content that was answered within 10 s before a crash is no suspect of it; a gateway that knows of such an answer removes the other gateways' report. An answer clears a quarantined content too, as one that crashes endpoints is never answered. Outages excuse crashes only up to the fourth.

The soak checks two promises: the content no longer reaches endpoints after the recovery time, and crashes at most four endpoints for each gateway process. Endpoints that ended stay until the run is over, as timers refer to them; their destruction crashed the soak once they end often.

--- a/packages/coordination/quarantine/quarantine.cc
+++ b/packages/coordination/quarantine/quarantine.cc
@@ -12,6 +12,10 @@
 
 // Endpoint crashes after which a content is quarantined.
 constexpr size_t kMaxCrashes = 2;
+// The same for crashes of every kind, also those that an outage explains.
+// Several contents that crash endpoints at the same time look like an outage to
+// each other, and an innocent content is answered or given up before.
+constexpr size_t kMaxCrashesWithOutages = 4;
 // Records of other entries that expire sooner are not merged. Longer than a
 // message takes to arrive, so that entries cannot extend a record's life by
 // sending it back and forth.
@@ -61,6 +65,11 @@
   return &found->second;
 }
 
+bool Quarantine::HasTooManyCrashes(const Content& content) const {
+  return content.crashes.size() >= kMaxCrashesWithOutages ||
+         CountCrashes(content) >= kMaxCrashes;
+}
+
 size_t Quarantine::CountCrashes(const Content& content) const {
   return std::count_if(
       content.crashes.begin(), content.crashes.end(),
@@ -94,11 +103,10 @@
 
 Verdict Quarantine::Check(const std::string& digest, common::Time now) {
   const Content* content = Find(digest, now);
-  const size_t crashes = content == nullptr ? 0 : CountCrashes(*content);
-  if (crashes >= kMaxCrashes) {
+  if (content != nullptr && HasTooManyCrashes(*content)) {
     return Refused{.ends_in = content->until - now};
   }
-  if (crashes == 0) {
+  if (content != nullptr && CountCrashes(*content) == 0) {
     content = nullptr;
   }
   MayRun rules;
@@ -123,8 +131,9 @@
 uint64_t Quarantine::OnSent(const std::string& digest,
                             const std::string& endpoint) {
   if (const auto found = contents_.find(digest); found != contents_.end()) {
+    WS_INVARIANT(!HasTooManyCrashes(found->second))
+        << "a quarantined content is not sent";
     const size_t crashes = CountCrashes(found->second);
-    WS_INVARIANT(crashes < kMaxCrashes) << "a quarantined content is not sent";
     for (const auto& [number, attempt] : in_flight_) {
       WS_INVARIANT(crashes == 0 || attempt.unanswered ||
                    attempt.digest != digest)
@@ -160,16 +169,19 @@
   Content* content = Find(ended.digest, now);
   if (!crashed) {
     if (answered) {
-      MarkKnownGood(ended.digest);
+      MarkKnownGood(ended.digest, now);
     }
-    const bool clears =
-        answered && content != nullptr && CountCrashes(*content) < kMaxCrashes;
-    if (clears) {
+    // A content that crashes endpoints is never answered, so an answer clears
+    // also one that was quarantined while this attempt was in flight.
+    if (answered && content != nullptr) {
       cleared_[ended.digest] = std::move(*content);
       contents_.erase(ended.digest);
     }
     return false;
   }
+  if (WasAnswered(ended.digest, now)) {
+    return false;
+  }
   std::erase_if(crash_counts_, [&](const auto& item) {
     return item.second.last + options_.retention <= now;
   });
@@ -177,12 +189,12 @@
   count = {.crashes = std::max(count.crashes, ended.crash_count + 1),
            .last = now};
   Content& crashed_content = contents_[ended.digest];
-  const size_t crashes_before = CountCrashes(crashed_content);
+  const bool was_quarantined = HasTooManyCrashes(crashed_content);
   crashed_content.crashes.insert(
       common::StrCat(ended.endpoint, "#", ended.crash_count));
   crashed_content.until = now + options_.retention;
-  const bool quarantined = crashes_before < kMaxCrashes &&
-                           CountCrashes(crashed_content) >= kMaxCrashes;
+  const bool quarantined =
+      !was_quarantined && HasTooManyCrashes(crashed_content);
   TrimRecords();
   return quarantined;
 }
@@ -239,7 +251,7 @@
                                common::Time now) const {
   const auto found = contents_.find(digest);
   return found != contents_.end() && found->second.until > now &&
-         CountCrashes(found->second) >= kMaxCrashes;
+         HasTooManyCrashes(found->second);
 }
 
 std::vector<SharedContent> Quarantine::Export(common::Time now) const {
@@ -276,8 +288,9 @@
   TrimRecords();
 }
 
-void Quarantine::MarkKnownGood(const std::string& digest) {
-  if (!known_good_.insert(digest).second) {
+void Quarantine::MarkKnownGood(const std::string& digest, common::Time now) {
+  const auto [found, is_new] = known_good_.insert_or_assign(digest, now);
+  if (!is_new) {
     return;
   }
   known_good_order_.push_back(digest);
@@ -287,6 +300,13 @@
   }
 }
 
+bool Quarantine::WasAnswered(const std::string& digest,
+                             common::Time crashed_at) const {
+  const auto answered = known_good_.find(digest);
+  return answered != known_good_.end() &&
+         answered->second + options_.innocence_time >= crashed_at;
+}
+
 void Quarantine::TrimRecords() {
   for (auto* contents : {&contents_, &cleared_}) {
     TrimTo(options_.max_contents, *contents, [](const Content& content) {
--- a/packages/coordination/quarantine/quarantine.h
+++ b/packages/coordination/quarantine/quarantine.h
@@ -31,6 +31,10 @@
   // before or after it: the failure domain went down under it.
   size_t outage_losses = 2;
   common::Duration outage_window = common::seconds(2);
+  // A content that was answered within this time before an endpoint crashed did
+  // not crash it. Contents that many callers ask for are in flight at most
+  // endpoints that crash.
+  common::Duration innocence_time = common::seconds(10);
 };
 
 // The attempt may be sent, subject to these restrictions.
@@ -59,7 +63,7 @@
 // Returns the endpoint's name in the name of its process, "NAME/INCARNATION".
 std::string EndpointNameOf(const std::string& process);
 
-// The content has crashed two endpoints.
+// The content has crashed as many endpoints as it may.
 struct Refused {
   common::Duration ends_in{};
 };
@@ -109,7 +113,10 @@
   std::set<std::string> CrashesOf(const std::string& digest) const;
   // Content of an attempt that has not ended; empty when there is none.
   std::string ContentOf(uint64_t attempt) const;
-  // Whether the content has crashed two endpoints.
+  // Whether an answer shows that the content did not crash an endpoint at
+  // `crashed_at`.
+  bool WasAnswered(const std::string& digest, common::Time crashed_at) const;
+  // Whether the content has crashed as many endpoints as it may.
   bool IsQuarantined(const std::string& digest, common::Time now) const;
 
   // Returns the records to send to the other entries.
@@ -142,21 +149,22 @@
 
   bool IsSuspect(const std::string& digest) const;
   Content* Find(const std::string& digest, common::Time now);
+  bool HasTooManyCrashes(const Content& content) const;
   // Number of the content's crashes that are held against it.
   size_t CountCrashes(const Content& content) const;
   // Whether the failure domain of the crashed endpoint went down.
   bool IsOutage(const Content& content, const std::string& crash) const;
   void TrimRecords();
-  void MarkKnownGood(const std::string& digest);
+  void MarkKnownGood(const std::string& digest, common::Time now);
 
   QuarantineOptions options_;
   std::map<std::string, Content> contents_;
   std::map<uint64_t, InFlight> in_flight_;
   // Crashes that contents were cleared of; other entries may still report them.
   std::map<std::string, Content> cleared_;
-  // Contents of which an attempt was answered. The order is that in which they
-  // were added, oldest first.
-  std::set<std::string> known_good_;
+  // Contents of which an attempt was answered, and when one last was. The order
+  // is that in which they were added, oldest first.
+  std::map<std::string, common::Time> known_good_;
   std::deque<std::string> known_good_order_;
   // Number of crashes of each endpoint process that crashed within the
   // retention time, and when it last did.
--- a/packages/daemon/gateway/crash_watch.cc
+++ b/packages/daemon/gateway/crash_watch.cc
@@ -270,6 +270,10 @@
   const bool was_quarantined = quarantine_.IsQuarantined(crash.digest, now);
   quarantine_.OnEndpointLost(ProcessOf(crash), report.failure_domain,
                              detected_at, now);
+  if (quarantine_.WasAnswered(crash.digest, detected_at)) {
+    exchange_.Remove(crash);
+    return;
+  }
   if (quarantine_.CrashesOf(crash.digest).contains(crash.name)) {
     return;
   }
--- a/tests/soak/hosted_soak.cc
+++ b/tests/soak/hosted_soak.cc
@@ -36,8 +36,16 @@
 constexpr int kGraceSeconds = 4;
 // Deadline of the callers' requests.
 constexpr int kTimeLeftMs = 2500;
-// After the faults have ended, requests must succeed again within this time.
+// After the faults have ended, requests must succeed again within this time,
+// and the crashing content must not reach endpoints any more.
 constexpr common::Duration kRecovery = common::seconds(8);
+// Callers send this body now and then; it crashes every endpoint that runs it.
+constexpr char kCrashingBody[] = "crash";
+constexpr int kCrashingPercent = 2;
+// Endpoints that the content may crash for each gateway process that was
+// started: a gateway that is cut off from the store knows only its own crashes,
+// and other endpoints that end at the same time look like an outage.
+constexpr int kMaxCrashesPerGateway = 4;
 
 int FreePort(event_loop::EventLoop& loop) {
   const auto listener =
@@ -120,7 +128,17 @@
     faults_ended_ = true;
     RunFor(kRecovery);
     const int before = ledger_.complete();
+    const int crashes_before = ledger_.content_crashes();
     RunFor(common::seconds(2));
+    if (ledger_.content_crashes() > crashes_before) {
+      ledger_.OnViolation(
+          "the crashing content reached an endpoint after the recovery time");
+    }
+    if (ledger_.content_crashes() > kMaxCrashesPerGateway * settings_made_) {
+      ledger_.OnViolation(common::StrCat(
+          "the crashing content crashed ", ledger_.content_crashes(),
+          " endpoints through ", settings_made_, " gateway processes"));
+    }
     if (ledger_.complete() < before + 20) {
       ledger_.OnViolation(
           "fewer than 20 complete answers in 2 s after the faults ended");
@@ -160,11 +178,15 @@
     EndpointProcess& endpoint = endpoints_[index];
     if (!endpoint.id.empty()) {
       store_.RemoveEndpoint(endpoint.id);
+      endpoint.server->Crash();
+      endpoint.link->Stop();
+      ended_endpoints_.push_back(std::move(endpoint.server));
+      ended_links_.push_back(std::move(endpoint.link));
     }
     endpoint.id = common::StrCat("e", index, "-", ++endpoint.incarnation);
     endpoint.server = std::make_unique<FakeEndpoint>(
-        loop_, [this, id = endpoint.id](const Received& request) {
-          return Serve(id, request);
+        loop_, [this, index, id = endpoint.id](const Received& request) {
+          return Serve(index, id, request);
         });
     endpoint.link =
         std::make_unique<TcpProxy>(loop_, endpoint.server->address());
@@ -197,7 +219,20 @@
     gateway.paused = false;
   }
 
-  Reply Serve(const std::string& endpoint_id, const Received& request) {
+  // Crashes the endpoint after the callbacks in progress, unless it has been
+  // replaced meanwhile.
+  void CrashEndpoint(int index, const std::string& id) {
+    loop_.Post([this, index, id] {
+      if (endpoints_[index].id == id) {
+        ledger_.OnContentCrash();
+        StartEndpoint(index);
+      }
+    });
+  }
+
+  Reply Serve(int index,
+              const std::string& endpoint_id,
+              const Received& request) {
     const std::string* id =
         request.head.headers.Find("X-Wagtailshore-Attempt-Id");
     const std::string* expected =
@@ -211,6 +246,10 @@
       return hosted_world::Refusal(request);
     }
     ledger_.OnRun(*id, loop_.Now());
+    if (request.body == kCrashingBody) {
+      CrashEndpoint(index, endpoint_id);
+      return {};
+    }
     if (chance <= 6) {
       return {.reset = true};
     }
@@ -298,8 +337,9 @@
         &pool_.Acquire(gateway.caller_address, gateway.caller_address);
     caller.channel->SetIdleLimit(common::seconds(10));
     caller.channel->Send(
-        http1::FormatRequest("POST", kPaths.at(static_cast<size_t>(kind)),
-                             headers, "body"),
+        http1::FormatRequest(
+            "POST", kPaths.at(static_cast<size_t>(kind)), headers,
+            Happens(kCrashingPercent) ? kCrashingBody : "body"),
         caller, false);
   }
 
@@ -425,6 +465,10 @@
   hosted_world::FakeStore store_;
   http_channel::EndpointPool pool_;
   std::vector<EndpointProcess> endpoints_;
+  // Ended endpoints and their links, which timers of the event loop still refer
+  // to.
+  std::vector<std::unique_ptr<FakeEndpoint>> ended_endpoints_;
+  std::vector<std::unique_ptr<TcpProxy>> ended_links_;
   std::vector<GatewayProcess> gateways_;
   std::vector<Caller> callers_;
   SoakLedger ledger_{kRevocationBound};
--- a/tests/soak/tcp_proxy.cc
+++ b/tests/soak/tcp_proxy.cc
@@ -119,6 +119,15 @@
   return common::StrCat("127.0.0.1:", listener_->port());
 }
 
+void TcpProxy::Stop() {
+  listener_.reset();
+  for (const auto& link : links_) {
+    if (!link->ended()) {
+      link->Reset();
+    }
+  }
+}
+
 void TcpProxy::SetFault(LinkFault fault) {
   fault_ = fault;
   for (const auto& link : links_) {
--- a/tests/soak/tcp_proxy.h
+++ b/tests/soak/tcp_proxy.h
@@ -34,6 +34,8 @@
 
   std::string address() const;
   void SetFault(LinkFault fault);
+  // Resets every connection and refuses new ones from now on.
+  void Stop();
 
  private:
   class Link;
--- a/tests/unit/coordination/quarantine/quarantine_test.cc
+++ b/tests/unit/coordination/quarantine/quarantine_test.cc
@@ -176,6 +176,28 @@
         OutageCase{"OwnEndpoints", {"a/2", "b/2"}, "d1", seconds(1), true}),
     [](const auto& info) { return info.param.name; });
 
+// Each of three contents crashes endpoints while the others do.
+TEST(QuarantineTest, ContentsThatCrashEndpointsTogetherAreNoOutage) {
+  Quarantine quarantine({});
+  int crashes = 0;
+  for (int round = 0; round < 20; ++round) {
+    const common::Time now = kStart + milliseconds(100 * round);
+    for (int content = 0; content < 3; ++content) {
+      const std::string digest = common::StrCat("bad", content);
+      if (std::holds_alternative<Refused>(quarantine.Check(digest, now))) {
+        continue;
+      }
+      const std::string endpoint =
+          common::StrCat("e", content, "-", round, "/1");
+      const uint64_t attempt = quarantine.OnSent(digest, endpoint);
+      quarantine.OnEndpointLost(endpoint, "d1", now, now);
+      quarantine.OnEnded(attempt, true, false, now);
+      ++crashes;
+    }
+  }
+  EXPECT_LE(crashes, 3 * 4);
+}
+
 TEST(QuarantineTest, AttemptOfUnknownFateDoesNotHoldUpRetries) {
   Quarantine quarantine({});
   const uint64_t lost = quarantine.OnSent("content", "e/1");
@@ -188,6 +210,36 @@
   EXPECT_TRUE(quarantine.OnEnded(retry, true, false, kStart));
 }
 
+// A content that many callers ask for is in flight at most endpoints that
+// crash.
+TEST(QuarantineTest, ContentThatWasJustAnsweredIsNoSuspect) {
+  Quarantine quarantine({.innocence_time = seconds(10)});
+  quarantine.OnEnded(quarantine.OnSent("content", "e/1"), false, true, kStart);
+  const auto crash_all = [&](common::Time now) {
+    for (const char* endpoint : {"e/1", "f/1", "g/1", "h/1", "i/1"}) {
+      if (!quarantine.IsQuarantined("content", now)) {
+        quarantine.OnEnded(quarantine.OnSent("content", endpoint), true, false,
+                           now);
+      }
+    }
+    return quarantine.IsQuarantined("content", now);
+  };
+  EXPECT_FALSE(crash_all(kStart + seconds(10)));
+  EXPECT_TRUE(quarantine.WasAnswered("content", kStart + seconds(10)));
+  EXPECT_TRUE(crash_all(kStart + seconds(11)));
+}
+
+TEST(QuarantineTest, AnswerClearsAContentThatWasQuarantinedMeanwhile) {
+  Quarantine quarantine({});
+  const uint64_t in_flight = quarantine.OnSent("content", "h/1");
+  const uint64_t first = quarantine.OnSent("content", "e/1");
+  const uint64_t second = quarantine.OnSent("content", "f/1");
+  quarantine.OnEnded(first, true, false, kStart);
+  EXPECT_TRUE(quarantine.OnEnded(second, true, false, kStart));
+  quarantine.OnEnded(in_flight, false, true, kStart);
+  EXPECT_FALSE(quarantine.IsQuarantined("content", kStart));
+}
+
 TEST(QuarantineTest, WithdrawnCrashesNoLongerCount) {
   Quarantine quarantine({});
   for (const char* endpoint : {"e/1", "f/1"}) {
