Gateway: an error response does not clear a content that crashes endpoints

Cause, found by reading: any answer with a status counted as proof that the content had run and is harmless. An endpoint that fails part of its requests answers 500 without running them, so one such answer cleared a content of its crashes and made it no suspect for 10 s.

Change: only a complete success clears. The test fails before (a third crash, 502 where 503 is due) and passes now.

--- a/packages/daemon/gateway/crash_watch.h
+++ b/packages/daemon/gateway/crash_watch.h
@@ -52,9 +52,10 @@
   // An attempt that Check() allowed is sent to this process of an endpoint.
   // Returns the attempt's number. One of the next three calls ends it.
   uint64_t OnSent(const std::string& content, const std::string& process);
-  // The endpoint answered the attempt after it had run.
+  // The endpoint answered the attempt with success.
   void OnAnswered(uint64_t attempt);
-  // The attempt did not run, or ended for a reason other than the endpoint's.
+  // The attempt did not run, failed at an endpoint that goes on working, or was
+  // given up.
   void OnAbandoned(uint64_t attempt);
   // The connection broke, or nothing arrived for a long time.
   void OnUnanswered(uint64_t attempt, const std::string& process);
--- a/packages/daemon/gateway/proxied_run.cc
+++ b/packages/daemon/gateway/proxied_run.cc
@@ -540,12 +540,14 @@
   const bool given_up = result == "caller_gone" || result == "deadline";
   const bool silent =
       !answer_.has_value() && now() - attempt_started_at_ >= kSilence;
-  // The endpoint works, whatever is wrong with its answer.
+  // The endpoint works, whatever is wrong with its answer. An error response is
+  // no proof that the request ran.
   const bool endpoint_responds =
-      result == "busy" || result == "misdirected" || result == "unreachable" ||
+      result.starts_with("status_") || result == "busy" ||
+      result == "misdirected" || result == "unreachable" ||
       result == "answer_spoilt" || result == "answer_too_large" ||
       result == "caller_not_reading" || result == "event_missing";
-  if (result == "complete" || result.starts_with("status_")) {
+  if (result == "complete") {
     core_.crashes.OnAnswered(content_attempt_);
   } else if (endpoint_responds || (given_up && !silent)) {
     core_.crashes.OnAbandoned(content_attempt_);
--- a/tests/unit/daemon/gateway/crashing_content_test.cc
+++ b/tests/unit/daemon/gateway/crashing_content_test.cc
@@ -41,6 +41,11 @@
   // Endpoints do not answer requests with this body until Unhold().
   void Hold(const std::string& body) { held_.insert(body); }
   void Unhold() { held_.clear(); }
+  // While set, endpoints answer the crashing content with an error instead of
+  // running it.
+  void set_error_response(bool error_response) {
+    error_response_ = error_response;
+  }
   // Endpoints that received the body, in order.
   const std::vector<int>& EndpointsOf(const std::string& body) {
     return endpoints_by_body_[body];
@@ -99,6 +104,9 @@
  private:
   Reply Serve(int index, const Received& request) {
     endpoints_by_body_[request.body].push_back(index);
+    if (request.body == kCrashingBody && error_response_) {
+      return Plain(request, 500, "error");
+    }
     if (request.body == kCrashingBody) {
       arrivals_.push_back(world_.loop().Now());
       world_.EndEndpoint(index, kDownTime, end_);
@@ -117,6 +125,7 @@
   HostedWorld world_;
   std::vector<common::Time> arrivals_;
   std::set<std::string> held_;
+  bool error_response_ = false;
   std::map<std::string, std::vector<int>> endpoints_by_body_;
   int requests_ = 0;
 };
@@ -173,6 +182,23 @@
   EXPECT_NE(answer.headers.Find("Retry-After"), nullptr);
 }
 
+TEST(CrashingContentSharingTest, ErrorResponseDoesNotClearAContent) {
+  CrashingWorld crashing({.endpoints = 6, .gateways = 2});
+  const auto send = [&] {
+    const int status =
+        crashing.world().Ask(crashing.Crashing("/once/x")).status;
+    crashing.Run(kSharingTime);
+    return status;
+  };
+  EXPECT_EQ(send(), 502);
+  crashing.set_error_response(true);
+  EXPECT_EQ(send(), 500);
+  crashing.set_error_response(false);
+  EXPECT_EQ(send(), 502);
+  EXPECT_EQ(send(), 503);
+  EXPECT_EQ(crashing.arrivals().size(), kMaxCrashes);
+}
+
 TEST(CrashingContentSharingTest, RestartedGatewayKnowsEarlierCrashes) {
   CrashingWorld crashing({.endpoints = 6, .gateways = 2});
   crashing.Repeat("/once/x", 1, kSharingTime, common::seconds(2));
