Gateway: one source of random retry delays; log reads and writes of crash reports apart

The store's watch and the crash exchange had the same delay twice. Reads and writes of the table can fail separately, and one flag for both logged every alternation. A loss keeps its endpoint's name instead of computing it for each comparison. Found by reading the change; no decision changes.

--- a/packages/coordination/quarantine/quarantine.cc
+++ b/packages/coordination/quarantine/quarantine.cc
@@ -21,7 +21,7 @@
 // sending it back and forth.
 constexpr common::Duration kMinMergedLifetime = common::seconds(5);
 
-// The process of the crash "endpoint#number".
+// The process of the crash "PROCESS#NUMBER".
 std::string ProcessOfName(const std::string& crash) {
   return crash.substr(0, crash.rfind('#'));
 }
@@ -91,11 +91,10 @@
   std::set<std::string> others;
   for (const auto& [process, other] : losses_) {
     const common::Duration apart = other.at - lost->second.at;
-    const std::string endpoint = EndpointNameOf(process);
     if (other.failure_domain == lost->second.failure_domain &&
         std::chrono::abs(apart) <= options_.outage_window &&
-        !crashed.contains(endpoint)) {
-      others.insert(endpoint);
+        !crashed.contains(other.endpoint)) {
+      others.insert(other.endpoint);
     }
   }
   return others.size() >= options_.outage_losses;
@@ -206,7 +205,9 @@
   std::erase_if(losses_, [&](const auto& item) {
     return item.second.at + options_.retention <= now;
   });
-  losses_.try_emplace(endpoint, Loss{failure_domain, lost_at});
+  losses_.try_emplace(endpoint, Loss{.endpoint = EndpointNameOf(endpoint),
+                                     .failure_domain = failure_domain,
+                                     .at = lost_at});
   TrimTo(options_.max_losses, losses_,
          [](const Loss& loss) { return loss.at; });
 }
--- a/packages/coordination/quarantine/quarantine.h
+++ b/packages/coordination/quarantine/quarantine.h
@@ -54,7 +54,8 @@
 // One crash of a content.
 struct Crash {
   std::string digest;
-  // "endpoint#number"
+  // "PROCESS#NUMBER": the endpoint process that crashed, and its earlier
+  // crashes.
   std::string name;
 };
 
@@ -73,15 +74,15 @@
 // A content's record, as entries exchange it.
 struct SharedContent {
   std::string digest;
-  // The crashes during which it was in flight, each as "endpoint#number".
+  // The crashes during which it was in flight, by name.
   std::set<std::string> crashes;
   common::Duration ends_in{};
 };
 
-// One entry's record of contents that were in flight when an endpoint crashed.
-// Each of them is a suspect. A suspect has one attempt at a time, on an
-// endpoint that runs no other suspect. If the attempt is answered, the content
-// is cleared; if the endpoint crashes, the content is quarantined.
+// One entry's or gateway's record of contents that were in flight when an
+// endpoint crashed. Each of them is a suspect. A suspect has one attempt at a
+// time, on an endpoint that runs no other suspect. If the attempt is answered,
+// the content is cleared; if the endpoint crashes, the content is quarantined.
 class Quarantine {
  public:
   explicit Quarantine(QuarantineOptions options) : options_(options) {}
@@ -137,6 +138,7 @@
     bool unanswered = false;
   };
   struct Loss {
+    std::string endpoint;
     std::string failure_domain;
     common::Time at{};
   };
--- a/packages/daemon/gateway/crash_exchange.cc
+++ b/packages/daemon/gateway/crash_exchange.cc
@@ -19,7 +19,7 @@
       options_(std::move(options)),
       on_reported_(std::move(on_reported)),
       on_removed_(std::move(on_removed)),
-      random_(std::random_device{}()) {}
+      retry_delay_(options_.retry_min, options_.retry_max) {}
 
 void CrashExchange::Start() {
   Read({});
@@ -52,7 +52,7 @@
 
 void CrashExchange::OnPage(const http_channel::CallResult& result) {
   const auto page = platform::DecodeRows(result);
-  UpdateAvailability(page.status());
+  UpdateAvailability(reads_available_, "read", page.status());
   if (!page.ok()) {
     RetryLater();
     return;
@@ -94,7 +94,8 @@
 void CrashExchange::OnFeed(const http_channel::CallResult& result) {
   const auto changes = platform::DecodeRows(result);
   const bool history_gone = absl::IsFailedPrecondition(changes.status());
-  UpdateAvailability(history_gone ? absl::OkStatus() : changes.status());
+  UpdateAvailability(reads_available_, "read",
+                     history_gone ? absl::OkStatus() : changes.status());
   if (history_gone) {
     Read({});
     return;
@@ -116,7 +117,7 @@
 }
 
 void CrashExchange::RetryLater() {
-  loop_.RunAfter(RandomRetryDelay(), [this, generation = generation_] {
+  loop_.RunAfter(retry_delay_.Next(), [this, generation = generation_] {
     if (generation != generation_) {
       return;
     }
@@ -238,10 +239,10 @@
                               const http_channel::CallResult& result) {
   writing_ = false;
   const absl::Status status = platform::DecodeWriteResult(result);
-  UpdateAvailability(status);
+  UpdateAvailability(writes_available_, "write", status);
   if (!status.ok()) {
     // The call may have been executed; writing the same rows again is harmless.
-    ScheduleWrite(RandomRetryDelay());
+    ScheduleWrite(retry_delay_.Next());
     return;
   }
   for (const auto& [key, number] : written) {
@@ -278,24 +279,23 @@
   }
 }
 
-void CrashExchange::UpdateAvailability(const absl::Status& status) {
-  if (status.ok() == available_) {
+void CrashExchange::UpdateAvailability(bool& available,
+                                       std::string_view calls,
+                                       const absl::Status& status) {
+  if (status.ok() == available) {
     return;
   }
-  available_ = status.ok();
-  if (available_) {
+  available = status.ok();
+  if (available) {
     common::LogEvent(common::EventId::kCrashTableBack,
-                     common::StrCat("rows=", rows_.size()));
+                     common::StrCat("calls=", calls, " rows=", rows_.size(),
+                                    " unwritten=", unwritten_.size()));
   } else {
-    common::LogEvent(common::EventId::kCrashTableUnavailable,
-                     common::StrCat("error=", status.message()));
+    common::LogEvent(
+        common::EventId::kCrashTableUnavailable,
+        common::StrCat("calls=", calls, " unwritten=", unwritten_.size(),
+                       " error=", status.message()));
   }
 }
 
-common::Duration CrashExchange::RandomRetryDelay() {
-  std::uniform_int_distribution<common::Duration::rep> delay(
-      options_.retry_min.count(), options_.retry_max.count());
-  return common::Duration(delay(random_));
-}
-
 }  // namespace wagtailshore::gateway
--- a/packages/daemon/gateway/crash_exchange.h
+++ b/packages/daemon/gateway/crash_exchange.h
@@ -5,11 +5,12 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <random>
 #include <set>
 #include <string>
+#include <string_view>
 
 #include "absl/status/status.h"
+#include "common/random_delay.h"
 #include "platform/store.h"
 #include "protocol/crash_report/crash_report.h"
 #include "transport/event_loop/event_loop.h"
@@ -97,8 +98,10 @@
                  const http_channel::CallResult& result);
   // Removes rows that are too old or too many.
   void Sweep();
-  void UpdateAvailability(const absl::Status& status);
-  common::Duration RandomRetryDelay();
+  // Logs when `available` changes, which is that of the reads or of the writes.
+  void UpdateAvailability(bool& available,
+                          std::string_view calls,
+                          const absl::Status& status);
   // Starts a call whose result is dropped if the table is read anew meanwhile.
   void CallToRead(const http_channel::Call& call,
                   common::Duration timeout,
@@ -116,15 +119,16 @@
   uint64_t changes_ = 0;
   bool writing_ = false;
   event_loop::TimerId write_timer_ = event_loop::kNoTimer;
-  // This process's clock minus the store's; unset before the first answer.
+  // Zero of the store's clock on this process's; unset before the first answer.
   std::optional<common::Time> store_epoch_;
   uint64_t revision_ = 0;
   // Keys seen by the current read of the whole table, and whether it is done.
   std::set<std::string> keys_read_;
   bool complete_ = false;
   uint64_t generation_ = 0;
-  bool available_ = true;
-  std::minstd_rand random_;
+  bool reads_available_ = true;
+  bool writes_available_ = true;
+  common::RandomDelay retry_delay_;
 };
 
 }  // namespace wagtailshore::gateway
--- a/packages/daemon/gateway/store_watch.cc
+++ b/packages/daemon/gateway/store_watch.cc
@@ -20,7 +20,7 @@
       fleet_(fleet),
       on_fleet_change_(std::move(on_fleet_change)),
       on_store_back_(std::move(on_store_back)),
-      random_(std::random_device{}()) {}
+      retry_delay_(options_.retry_min, options_.retry_max) {}
 
 void StoreWatch::Start() {
   ReadConfiguration();
@@ -57,14 +57,15 @@
   if (!rows.ok()) {
     UpdateAvailability(rows.status());
     const bool history_gone = absl::IsFailedPrecondition(rows.status());
-    loop_.RunAfter(history_gone ? common::Duration::zero() : RandomRetryDelay(),
-                   [this, history_gone] {
-                     if (history_gone || routes_ == nullptr) {
-                       ReadConfiguration();
-                     } else {
-                       AwaitConfiguration(options_.configuration_wait);
-                     }
-                   });
+    loop_.RunAfter(
+        history_gone ? common::Duration::zero() : retry_delay_.Next(),
+        [this, history_gone] {
+          if (history_gone || routes_ == nullptr) {
+            ReadConfiguration();
+          } else {
+            AwaitConfiguration(options_.configuration_wait);
+          }
+        });
     return;
   }
   UpdateAvailability(absl::OkStatus());
@@ -72,7 +73,7 @@
       clock_.EarliestAnswerTime(requested_at, loop_.Now(), rows->store_time);
   ApplyConfiguration(*rows);
   if (routes_ == nullptr) {
-    loop_.RunAfter(RandomRetryDelay(), [this] { ReadConfiguration(); });
+    loop_.RunAfter(retry_delay_.Next(), [this] { ReadConfiguration(); });
     return;
   }
   revision_ = rows->revision;
@@ -133,7 +134,7 @@
   if (!rows.ok()) {
     UpdateAvailability(rows.status());
     fleet_.OnListUnavailable();
-    loop_.RunAfter(RandomRetryDelay(), [this] { ReadEndpoints({}); });
+    loop_.RunAfter(retry_delay_.Next(), [this] { ReadEndpoints({}); });
     return;
   }
   UpdateAvailability(absl::OkStatus());
@@ -192,10 +193,4 @@
   }
 }
 
-common::Duration StoreWatch::RandomRetryDelay() {
-  std::uniform_int_distribution<common::Duration::rep> delay(
-      options_.retry_min.count(), options_.retry_max.count());
-  return common::Duration(delay(random_));
-}
-
 }  // namespace wagtailshore::gateway
--- a/packages/daemon/gateway/store_watch.h
+++ b/packages/daemon/gateway/store_watch.h
@@ -3,11 +3,11 @@
 
 #include <functional>
 #include <memory>
-#include <random>
 #include <string>
 #include <vector>
 
 #include "absl/status/status.h"
+#include "common/random_delay.h"
 #include "coordination/freshness/freshness.h"
 #include "platform/store.h"
 #include "state/fleet/fleet.h"
@@ -79,7 +79,6 @@
   void FinishEndpoints(common::Time requested_at);
   // Records whether the store is available and logs each change.
   void UpdateAvailability(const absl::Status& status);
-  common::Duration RandomRetryDelay();
   void Call(const http_channel::Call& call,
             common::Duration timeout,
             std::function<void(http_channel::CallResult)> done);
@@ -98,7 +97,7 @@
   // requested.
   std::vector<fleet::EndpointRecord> records_;
   common::Time list_requested_at_{};
-  std::minstd_rand random_;
+  common::RandomDelay retry_delay_;
   bool available_ = false;
   bool ever_available_ = false;
   uint64_t calls_ = 0;
