Gateway: fewer calls to the store, and no pinning, for contents that crash endpoints

The unit tests of the quarantine and the gateway pass; contents that are sent many times at once may now end as many endpoints as they meet before the first crash is known.

--- a/packages/coordination/quarantine/quarantine.cc
+++ b/packages/coordination/quarantine/quarantine.cc
@@ -248,6 +248,13 @@
   return found == in_flight_.end() ? std::string() : found->second.digest;
 }
 
+bool Quarantine::Counts(const Crash& crash) const {
+  const auto found = contents_.find(crash.digest);
+  return found != contents_.end() &&
+         found->second.crashes.contains(crash.name) &&
+         !IsOutage(found->second, crash.name);
+}
+
 bool Quarantine::IsQuarantined(const std::string& digest,
                                common::Time now) const {
   const auto found = contents_.find(digest);
--- a/packages/coordination/quarantine/quarantine.h
+++ b/packages/coordination/quarantine/quarantine.h
@@ -117,6 +117,8 @@
   // Whether an answer shows that the content did not crash an endpoint at
   // `crashed_at`.
   bool WasAnswered(const std::string& digest, common::Time crashed_at) const;
+  // Whether the crash is recorded and held against its content.
+  bool Counts(const Crash& crash) const;
   // Whether the content has crashed as many endpoints as it may.
   bool IsQuarantined(const std::string& digest, common::Time now) const;
 
--- a/packages/daemon/gateway/crash_exchange.cc
+++ b/packages/daemon/gateway/crash_exchange.cc
@@ -42,6 +42,7 @@
 void CrashExchange::Read(const std::string& start_key) {
   if (start_key.empty()) {
     ++generation_;
+    last_read_at_ = loop_.Now();
     complete_ = false;
     keys_read_.clear();
   }
@@ -57,6 +58,7 @@
     RetryLater();
     return;
   }
+  read_failures_ = 0;
   SetStoreTime(page->store_time);
   if (keys_read_.empty()) {
     // Changes after the first page was read are in the feed from there on.
@@ -97,13 +99,18 @@
   UpdateAvailability(reads_available_, "read",
                      history_gone ? absl::OkStatus() : changes.status());
   if (history_gone) {
-    Read({});
+    // Reads may be behind the history that is left, so that the next poll finds
+    // it gone again.
+    const common::Duration delay = NextRetryDelay(history_failures_);
+    ReadLater(history_failures_ == 1 ? common::Duration::zero() : delay);
     return;
   }
   if (!changes.ok()) {
     RetryLater();
     return;
   }
+  read_failures_ = 0;
+  history_failures_ = 0;
   SetStoreTime(changes->store_time);
   for (const platform::Row& row : changes->rows) {
     if (row.deleted) {
@@ -113,24 +120,50 @@
     }
   }
   revision_ = changes->revision;
-  AwaitChange();
+  if (changes->rows.empty()) {
+    AwaitChange();
+  } else {
+    AwaitChangeLater(options_.change_pause);
+  }
 }
 
-void CrashExchange::RetryLater() {
-  loop_.RunAfter(retry_delay_.Next(), [this, generation = generation_] {
-    if (generation != generation_) {
-      return;
+common::Duration CrashExchange::NextRetryDelay(int& failures) {
+  const int doublings = std::min(failures++, options_.max_retry_doublings);
+  return retry_delay_.Next() * (1 << doublings);
+}
+
+void CrashExchange::ReadLater(common::Duration delay) {
+  loop_.RunAfter(delay, [this, generation = generation_] {
+    if (generation == generation_) {
+      Read({});
     }
-    if (complete_) {
+  });
+}
+
+void CrashExchange::RetryLater() {
+  if (!complete_) {
+    ReadLater(NextRetryDelay(read_failures_));
+    return;
+  }
+  AwaitChangeLater(NextRetryDelay(read_failures_));
+}
+
+void CrashExchange::AwaitChangeLater(common::Duration delay) {
+  loop_.RunAfter(delay, [this, generation = generation_] {
+    if (generation == generation_) {
       AwaitChange();
-    } else {
-      Read({});
     }
   });
 }
 
 void CrashExchange::OnStoreBack() {
+  if (loop_.Now() < last_read_at_ + options_.min_read_interval) {
+    return;
+  }
+  read_failures_ = 0;
   Read({});
+  loop_.Cancel(write_timer_);
+  write_timer_ = event_loop::kNoTimer;
   ScheduleWrite(common::Duration::zero());
 }
 
@@ -242,9 +275,10 @@
   UpdateAvailability(writes_available_, "write", status);
   if (!status.ok()) {
     // The call may have been executed; writing the same rows again is harmless.
-    ScheduleWrite(retry_delay_.Next());
+    ScheduleWrite(NextRetryDelay(write_failures_));
     return;
   }
+  write_failures_ = 0;
   for (const auto& [key, number] : written) {
     const auto found = unwritten_.find(key);
     if (found != unwritten_.end() && found->second.number == number) {
--- a/packages/daemon/gateway/crash_exchange.h
+++ b/packages/daemon/gateway/crash_exchange.h
@@ -28,10 +28,18 @@
   common::Duration call_timeout = common::milliseconds(900);
   // Reports wait this long to be written together: an endpoint that crashes
   // ends several attempts.
-  common::Duration batch_delay = common::milliseconds(10);
-  // Range of the random delay before a failed call is repeated.
-  common::Duration retry_min = common::milliseconds(100);
-  common::Duration retry_max = common::milliseconds(400);
+  common::Duration batch_delay = common::milliseconds(50);
+  // After a change the next long poll starts this much later, so that the
+  // reports of many gateways are read together.
+  common::Duration change_pause = common::milliseconds(500);
+  // Range of the random delay before a failed call is repeated. Doubles with
+  // each failure in a row, as calls that the store rejects cost it too; the end
+  // of an outage that other calls detect ends the delay.
+  common::Duration retry_min = common::milliseconds(150);
+  common::Duration retry_max = common::milliseconds(600);
+  int max_retry_doublings = 4;
+  // Least time between reads of the whole table for the end of an outage.
+  common::Duration min_read_interval = common::seconds(2);
   // Rows older than this are removed, on the store's clock.
   common::Duration retention = common::seconds(600);
   common::Duration sweep_period = common::seconds(60);
@@ -90,6 +98,11 @@
   void RemoveRow(const std::string& key);
   // Reads or polls again after a delay.
   void RetryLater();
+  // Reads the whole table after a delay, unless it is read anew before.
+  void ReadLater(common::Duration delay);
+  void AwaitChangeLater(common::Duration delay);
+  // Returns the delay after one more failure, and counts it in `failures`.
+  common::Duration NextRetryDelay(int& failures);
   void SetStoreTime(common::Duration store_time);
   void Enqueue(const quarantine::Crash& crash, Change change);
   void ScheduleWrite(common::Duration delay);
@@ -128,6 +141,11 @@
   uint64_t generation_ = 0;
   bool reads_available_ = true;
   bool writes_available_ = true;
+  // Failures in a row.
+  int read_failures_ = 0;
+  int write_failures_ = 0;
+  int history_failures_ = 0;
+  common::Time last_read_at_{};
   common::RandomDelay retry_delay_;
 };
 
--- a/packages/daemon/gateway/crash_watch.cc
+++ b/packages/daemon/gateway/crash_watch.cc
@@ -76,7 +76,7 @@
 void CrashWatch::OnUnanswered(uint64_t attempt, const std::string& process) {
   quarantine_.OnUnanswered(attempt);
   if (const auto lost = lost_.find(process); lost != lost_.end()) {
-    RecordCrash(attempt, lost->second.failure_domain);
+    RecordCrash(attempt, lost->second);
     return;
   }
   const auto listed = listed_.find(quarantine::EndpointNameOf(process));
@@ -112,17 +112,18 @@
   }
   found->second.probe = std::make_unique<stream_socket::ConnectProbe>(
       loop_, endpoint->address, options_.probe_timeout,
-      [this, process,
-       failure_domain = endpoint->failure_domain](bool accepted) {
+      [this, process, failure_domain = endpoint->failure_domain,
+       probed_at = loop_.Now()](bool accepted) {
         // The probe calls this function, so it is destroyed after the call.
-        loop_.Post([this, process, failure_domain, accepted] {
-          OnProbed(process, failure_domain, accepted);
+        loop_.Post([this, process, failure_domain, probed_at, accepted] {
+          OnProbed(process, failure_domain, probed_at, accepted);
         });
       });
 }
 
 void CrashWatch::OnProbed(const std::string& process,
                           const std::string& failure_domain,
+                          common::Time probed_at,
                           bool accepted) {
   const auto found = unresolved_.find(process);
   if (found == unresolved_.end()) {
@@ -133,7 +134,10 @@
   // If it accepts, it may still have restarted before the probe, which the list
   // will show.
   if (!accepted) {
-    OnProcessLost(process, failure_domain, "refuses_connections");
+    const bool silent = loop_.Now() >= probed_at + options_.probe_timeout;
+    OnProcessLost(
+        process, failure_domain,
+        silent ? LossEvidence::kSilent : LossEvidence::kRefusesConnections);
   }
 }
 
@@ -157,12 +161,14 @@
 
 void CrashWatch::OnProcessLost(const std::string& process,
                                const std::string& failure_domain,
-                               std::string_view evidence) {
+                               LossEvidence evidence) {
   const common::Time now = loop_.Now();
   std::erase_if(lost_, [&](const auto& item) {
     return item.second.at + kLostRetention <= now;
   });
-  lost_[process] = {.failure_domain = failure_domain, .at = now};
+  const LostProcess lost = {
+      .failure_domain = failure_domain, .at = now, .evidence = evidence};
+  lost_[process] = lost;
   quarantine_.OnEndpointLost(process, failure_domain, now, now);
   const auto found = unresolved_.find(process);
   if (found == unresolved_.end()) {
@@ -172,19 +178,19 @@
       std::move(found->second.attempts);
   unresolved_attempts_ -= attempts.size();
   unresolved_.erase(found);
-  common::LogEvent(common::EventId::kEndpointLost,
-                   common::StrCat("endpoint=", process, " failure_domain=",
-                                  failure_domain, " evidence=", evidence,
-                                  " unanswered_attempts=", attempts.size()));
+  common::LogEvent(
+      common::EventId::kEndpointLost,
+      common::StrCat("endpoint=", process, " failure_domain=", failure_domain,
+                     " evidence=", common::NameOf(kLossEvidenceNames, evidence),
+                     " unanswered_attempts=", attempts.size()));
   for (const UnansweredAttempt& attempt : attempts) {
-    RecordCrash(attempt.number, failure_domain);
+    RecordCrash(attempt.number, lost);
   }
   loop_.RunAfter(ListDelay(options_),
                  [this, process, now] { VerifyLoss(process, now); });
 }
 
-void CrashWatch::RecordCrash(uint64_t attempt,
-                             const std::string& failure_domain) {
+void CrashWatch::RecordCrash(uint64_t attempt, const LostProcess& lost) {
   const common::Time now = loop_.Now();
   const std::string content = quarantine_.ContentOf(attempt);
   const bool was_quarantined = quarantine_.IsQuarantined(content, now);
@@ -195,12 +201,26 @@
       continue;
     }
     const quarantine::Crash crash{.digest = content, .name = name};
-    exchange_.Report(crash, failure_domain, now);
+    Report(crash, lost);
     common::LogEvent(common::EventId::kContentSuspected, FieldsOf(crash));
     LogIfQuarantined(crash, was_quarantined);
   }
 }
 
+void CrashWatch::Report(const quarantine::Crash& crash,
+                        const LostProcess& lost) {
+  const common::Time now = loop_.Now();
+  if (lost.evidence != LossEvidence::kSilent) {
+    exchange_.Report(crash, lost.failure_domain, now);
+    return;
+  }
+  loop_.RunAfter(options_.silent_report_delay, [this, crash, lost, now] {
+    if (quarantine_.Counts(crash)) {
+      exchange_.Report(crash, lost.failure_domain, now);
+    }
+  });
+}
+
 void CrashWatch::VerifyLoss(const std::string& process, common::Time lost_at) {
   const auto read_at = fleet_.read_at();
   const auto relisting_end = fleet_.relisting_ends_at();
@@ -254,7 +274,8 @@
     if (process.draining) {
       Release(process.process, common::Time::max());
     } else if (!lost_.contains(process.process)) {
-      OnProcessLost(process.process, process.failure_domain, "not_listed");
+      OnProcessLost(process.process, process.failure_domain,
+                    LossEvidence::kNotListed);
     }
   }
 }
--- a/packages/daemon/gateway/crash_watch.h
+++ b/packages/daemon/gateway/crash_watch.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "common/enum_names.h"
 #include "coordination/quarantine/quarantine.h"
 #include "daemon/gateway/crash_exchange.h"
 #include "state/fleet/fleet.h"
@@ -26,11 +27,31 @@
   // socket, so the probe waits this long.
   common::Duration probe_delay = common::milliseconds(10);
   common::Duration probe_timeout = common::milliseconds(250);
+  // A crash at an endpoint that does not answer the probe is reported after
+  // this time, unless other endpoints of its failure domain turn out not to
+  // answer either. A cut link would otherwise make every gateway report every
+  // request.
+  common::Duration silent_report_delay = common::seconds(1);
   // Unanswered attempts whose endpoint is to be found out; further ones are
   // taken for not crashed.
   size_t max_unresolved = 1000;
 };
 
+// What shows that an endpoint's process has ended.
+enum class LossEvidence {
+  kRefusesConnections,
+  // It does not answer connection attempts; it may be cut off.
+  kSilent,
+  // The platform's list no longer has the process.
+  kNotListed,
+};
+
+inline constexpr common::EnumNames<LossEvidence, 3> kLossEvidenceNames = {{
+    {LossEvidence::kRefusesConnections, "refuses_connections"},
+    {LossEvidence::kSilent, "silent"},
+    {LossEvidence::kNotListed, "not_listed"},
+}};
+
 // Finds out which contents crash the endpoints that run them, and decides
 // whether an attempt with a content may be sent. Shares what it finds with the
 // other gateways.
@@ -75,6 +96,11 @@
     std::string failure_domain;
     bool draining = false;
   };
+  struct LostProcess {
+    std::string failure_domain;
+    common::Time at{};
+    LossEvidence evidence = LossEvidence::kNotListed;
+  };
   struct UnansweredAttempt {
     uint64_t number = 0;
     // From then on it counts as not crashed.
@@ -92,13 +118,15 @@
   void Probe(const std::string& process);
   void OnProbed(const std::string& process,
                 const std::string& failure_domain,
+                common::Time probed_at,
                 bool accepted);
-  // The process was found to have ended; `evidence` is for the log.
   void OnProcessLost(const std::string& process,
                      const std::string& failure_domain,
-                     std::string_view evidence);
+                     LossEvidence evidence);
   // The attempt was unanswered when its process ended.
-  void RecordCrash(uint64_t attempt, const std::string& failure_domain);
+  void RecordCrash(uint64_t attempt, const LostProcess& lost);
+  // Tells the other gateways.
+  void Report(const quarantine::Crash& crash, const LostProcess& lost);
   // Unresolved attempts at the process whose time is over by `now` count as not
   // crashed.
   void Release(const std::string& process, common::Time now);
@@ -122,12 +150,8 @@
   // By process.
   std::map<std::string, Unresolved> unresolved_;
   size_t unresolved_attempts_ = 0;
-  // Processes lost recently, with their failure domains. Attempts may end after
-  // their endpoint is known to be lost.
-  struct LostProcess {
-    std::string failure_domain;
-    common::Time at{};
-  };
+  // Processes lost recently. Attempts may end after their endpoint is known to
+  // be lost.
   std::map<std::string, LostProcess> lost_;
 };
 
--- a/packages/daemon/gateway/proxied_run.cc
+++ b/packages/daemon/gateway/proxied_run.cc
@@ -227,15 +227,8 @@
 
 std::optional<std::string> ProxiedRun::PickEndpoint(
     const quarantine::MayRun& rules) {
-  if (rules.pinned_endpoint.has_value()) {
-    const std::string id = quarantine::EndpointNameOf(*rules.pinned_endpoint);
-    const fleet::EndpointRecord* pinned = core_.fleet.FindUsable(id);
-    if (pinned != nullptr && pinned->service == service_ &&
-        core_.router.IsEligible(id, tried_endpoints_)) {
-      core_.router.BeginAttempt(id, now());
-      return id;
-    }
-  }
+  // Repeats at the same time are not pinned to one endpoint: they would load
+  // one rank of a lock-step group, and all others wait for it in every step.
   routing::PickRequest request{.target = service_, .avoid = tried_endpoints_};
   for (const std::string& process : rules.avoid) {
     request.avoid.insert(quarantine::EndpointNameOf(process));
