Store eras and the retry reserve of many gateways; pauses in the request log

Cause: nothing read the era. A feed that continued at a revision that the store used again missed changes; an endpoint whose draining or removal was lost got work again; a lost claim let two coordinators have one number; lost rows were never written again.

Retry reserve. Cause: each gateway took a 25th of the allowance, whatever their number, and a restart renewed it: 47 gateways could send 474 retries in a window of 252. Change: gateways register in a table and divide the reserve by their count.

A coordinator that was paused sends no order before a companion has accepted a poll of it.

The request log has first_event_ms and longest_pause_ms, which tell why a stream was late.

--- a/packages/common/event_log.cc
+++ b/packages/common/event_log.cc
@@ -129,6 +129,12 @@
               "Too many crash reports are waiting to be written to the table; "
               "the other gateways do not get this one.",
               "Check the platform and why so many endpoints crash."},
+    EventSpec{EventId::kStoreRestored, Severity::kWarning,
+              "store back from an older copy",
+              "The platform's store lost its latest writes. Everything is read "
+              "again, and each process writes its own rows again.",
+              "Check the platform; changes by hand in the last seconds may be "
+              "lost."},
     EventSpec{
         EventId::kCoordinatorTaken, Severity::kInfo, "coordinator taken over",
         "This companion now coordinates its group's expert maps.", "None."},
--- a/packages/common/event_log.h
+++ b/packages/common/event_log.h
@@ -39,6 +39,7 @@
   kCrashTableUnavailable = 1504,
   kCrashTableBack = 1505,
   kCrashReportsDropped = 1506,
+  kStoreRestored = 1507,
   kCoordinatorTaken = 1601,
   kCoordinatorNotTaken = 1602,
   kCoordinatorSuperseded = 1603,
--- a/packages/daemon/companion/companion.cc
+++ b/packages/daemon/companion/companion.cc
@@ -1,6 +1,7 @@
 #include "daemon/companion/companion.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "common/event_log.h"
@@ -23,6 +24,10 @@
 // Delay after a failed takeover attempt; each attempt costs store calls.
 constexpr common::Duration kTakeOverRetryDelay = common::seconds(1);
 constexpr common::Duration kRegisterRetryDelay = common::milliseconds(700);
+// Range in which companions write their entries again after the store lost
+// them: long enough that a large group does not exceed the store's rate.
+constexpr int kMaxRegisterSpreadMs = 2000;
+constexpr common::Duration kVerifyClaimPeriod = common::seconds(3);
 
 }  // namespace
 
@@ -36,7 +41,9 @@
       caller_(loop, pool_),
       server_(loop, *this),
       last_coordinator_contact_(loop.Now()),
-      random_(std::random_device{}()) {}
+      random_(std::random_device{}()) {
+  era_.OnRestored([this] { OnStoreRestored(); });
+}
 
 Companion::~Companion() = default;
 
@@ -51,6 +58,7 @@
   }
   Register();
   loop_.Every(kCoordinatorCheckPeriod, [this] { CheckCoordinator(); });
+  loop_.Every(kVerifyClaimPeriod, [this] { VerifyClaim(); });
   return absl::OkStatus();
 }
 
@@ -61,15 +69,97 @@
       .service = settings_.engine_service};
   const platform::Row row{.key = settings_.name,
                           .value = companion_messages::EncodeEntry(entry)};
-  caller_.Start(settings_.store_address,
-                platform::PutRowCall(platform::SystemTable::kCompanions, row),
-                kStoreTimeout, [this](const http_channel::CallResult& result) {
-                  if (!platform::DecodeWriteResult(result).ok()) {
-                    loop_.RunAfter(kRegisterRetryDelay, [this] { Register(); });
+  CallStore(platform::PutRowCall(platform::SystemTable::kCompanions, row),
+            [this](const http_channel::CallResult& result) {
+              if (!platform::DecodeWriteResult(result).ok()) {
+                RegisterAfter(kRegisterRetryDelay);
+              }
+            });
+}
+
+void Companion::RegisterAfter(common::Duration delay) {
+  loop_.Cancel(register_timer_);
+  register_timer_ = loop_.RunAfter(delay, [this] {
+    register_timer_ = event_loop::kNoTimer;
+    Register();
+  });
+}
+
+void Companion::CallStore(
+    const http_channel::Call& call,
+    std::function<void(const http_channel::CallResult&)> done) {
+  caller_.Start(settings_.store_address, call, kStoreTimeout,
+                [this, generation = store_generation_,
+                 done = std::move(done)](const http_channel::CallResult& result) {
+                  if (era_.Accept(platform::EraOf(result)) &&
+                      generation == store_generation_) {
+                    done(result);
+                  } else {
+                    done(absl::UnavailableError(
+                        "the store went back to an older copy"));
                   }
                 });
 }
 
+void Companion::OnStoreRestored() {
+  ++store_generation_;
+  common::LogEvent(common::EventId::kStoreRestored,
+                   common::StrCat("era=", era_.current()));
+  std::uniform_int_distribution<int> spread_ms(0, kMaxRegisterSpreadMs);
+  RegisterAfter(common::milliseconds(spread_ms(random_)));
+}
+
+void Companion::VerifyClaim() {
+  if (coordinator_ == nullptr) {
+    return;
+  }
+  CallStore(platform::ReadTableCall(platform::SystemTable::kCoordinators),
+            [this](const http_channel::CallResult& result) {
+              OnClaimRead(result);
+            });
+}
+
+void Companion::OnClaimRead(const http_channel::CallResult& result) {
+  const auto rows = platform::DecodeRows(result);
+  if (!rows.ok() || coordinator_ == nullptr) {
+    return;
+  }
+  platform::Row claim{.key = claim_key_};
+  for (const platform::Row& row : rows->rows) {
+    if (row.key != claim_key_) {
+      continue;
+    }
+    claim.revision = row.revision;
+    const auto entry = companion_messages::DecodeCoordinator(row.value);
+    if (entry.ok() && entry->generation > own_generation_) {
+      EndCoordination();
+      return;
+    }
+    if (entry.ok() && entry->generation == own_generation_) {
+      return;
+    }
+  }
+  claim.value = companion_messages::EncodeCoordinator(
+      {.generation = own_generation_, .peer_address = peer_address()});
+  CallStore(platform::ReplaceRowCall(platform::SystemTable::kCoordinators,
+                                     claim),
+            [](const http_channel::CallResult& written) {
+              const auto status = platform::DecodeWriteResult(written);
+              if (!status.ok()) {
+                // The next check reads the row again.
+                common::LogEvent(common::EventId::kPlatformUnavailable,
+                                 common::StrCat("writing=claim error=",
+                                                status.message()));
+              }
+            });
+}
+
+void Companion::EndCoordination() {
+  common::LogEvent(common::EventId::kCoordinatorSuperseded, "");
+  coordinator_.reset();
+  last_coordinator_contact_ = loop_.Now();
+}
+
 void Companion::OnRequest(http_channel::CallerChannel& channel,
                           const http1::RequestHead& head,
                           std::string body) {
@@ -132,6 +222,11 @@
     return;
   }
   generation_ = poll->generation;
+  // Whether the coordinator or this companion noticed first that the store went
+  // back does not matter: the poll is valid in both cases.
+  if (poll->store_era > 0) {
+    std::ignore = era_.Accept(poll->store_era);
+  }
   last_coordinator_contact_ = loop_.Now();
   slow_engines_ = std::move(poll->slow_engines);
   const uint64_t id = AddPendingRequest(channel);
@@ -286,11 +381,10 @@
         std::max(last_coordinator_contact_, loop_.Now() - kCoordinatorTimeout);
     return;
   }
-  caller_.Start(settings_.store_address, platform::ReadConfigurationCall(),
-                kStoreTimeout,
-                [this, state](const http_channel::CallResult& result) {
-                  OnConfiguration(state, result);
-                });
+  CallStore(platform::ReadConfigurationCall(),
+            [this, state](const http_channel::CallResult& result) {
+              OnConfiguration(state, result);
+            });
 }
 
 void Companion::OnConfiguration(const platform::EngineState& state,
@@ -319,10 +413,8 @@
 
 void Companion::ReadClaim(const platform::EngineState& state,
                           const serving::EngineModel& engine) {
-  caller_.Start(
-      settings_.store_address,
+  CallStore(
       platform::ReadTableCall(platform::SystemTable::kCoordinators),
-      kStoreTimeout,
       [this, state, engine](const http_channel::CallResult& result) {
         const auto rows = platform::DecodeRows(result);
         if (!rows.ok()) {
@@ -331,7 +423,9 @@
         }
         platform::Row claim{
             .key = common::StrCat(settings_.engine_service, "/", state.group)};
-        uint64_t generation = generation_;
+        // The store may have lost the rows of later claims.
+        uint64_t generation = std::max(
+            generation_, store_era::FirstNumberOf(era_.current()));
         for (const platform::Row& row : rows->rows) {
           if (row.key != claim.key) {
             continue;
@@ -353,10 +447,9 @@
   platform::Row claim = row;
   claim.value = companion_messages::EncodeCoordinator(
       {.generation = generation, .peer_address = peer_address()});
-  caller_.Start(
-      settings_.store_address,
+  claim_key_ = claim.key;
+  CallStore(
       platform::ReplaceRowCall(platform::SystemTable::kCoordinators, claim),
-      kStoreTimeout,
       [this, state, engine,
        generation](const http_channel::CallResult& result) {
         // A write without an answer may have succeeded or may still be applied
@@ -374,6 +467,7 @@
                                   const serving::EngineModel& engine,
                                   uint64_t generation) {
   generation_ = generation;
+  own_generation_ = generation;
   taking_over_ = false;
   common::LogEvent(common::EventId::kCoordinatorTaken,
                    common::StrCat("group=", state.group, " generation=",
@@ -382,15 +476,12 @@
       loop_, caller_, caller_,
       GroupCoordinatorOptions{.group = state.group,
                               .ranks = state.ranks,
+                              .own_rank = state.rank,
                               .generation = generation,
                               .engine = engine,
                               .store_address = settings_.store_address,
                               .service = settings_.engine_service},
-      [this] {
-        common::LogEvent(common::EventId::kCoordinatorSuperseded, "");
-        coordinator_.reset();
-        last_coordinator_contact_ = loop_.Now();
-      });
+      era_, [this] { EndCoordination(); });
 }
 
 }  // namespace wagtailshore::companion
--- a/packages/daemon/companion/companion.h
+++ b/packages/daemon/companion/companion.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "absl/status/status.h"
+#include "coordination/store_era/store_era.h"
 #include "daemon/companion/group_coordinator.h"
 #include "platform/engine.h"
 #include "platform/store.h"
@@ -77,6 +78,16 @@
 
   // Writes this companion's entry to the store, with retries.
   void Register();
+  void RegisterAfter(common::Duration delay);
+  // Calls the store. A result from before the store went back to an older copy
+  // is replaced by an error.
+  void CallStore(const http_channel::Call& call,
+                 std::function<void(const http_channel::CallResult&)> done);
+  void OnStoreRestored();
+  // While coordinating: reads the own claim. Writes it again if the store has
+  // lost it, and stops coordinating if a later one exists.
+  void VerifyClaim();
+  void OnClaimRead(const http_channel::CallResult& result);
   // Starts a takeover when the coordinator has been silent for too long.
   void CheckCoordinator();
   // Steps of becoming the coordinator: read the own engine and the
@@ -94,6 +105,7 @@
   void StartCoordinating(const platform::EngineState& state,
                          const serving::EngineModel& engine,
                          uint64_t generation);
+  void EndCoordination();
   void AbortTakeOver(std::string_view why);
   std::string peer_address() const;
 
@@ -103,12 +115,20 @@
   http_channel::EndpointPool pool_;
   http_channel::HttpCaller caller_;
   http_channel::ChannelServer server_;
+  store_era::StoreEra era_;
+  // Counts how often the store went back.
+  uint64_t store_generation_ = 0;
+  event_loop::TimerId register_timer_ = event_loop::kNoTimer;
+  // Key of the coordinator's row; empty until this companion claims it.
+  std::string claim_key_;
   // Channels that wait for an answer, by request id.
   std::map<uint64_t, http_channel::CallerChannel*> pending_channels_;
   std::map<uint64_t, PendingPoll> pending_polls_;
   uint64_t next_request_id_ = 1;
   // Highest fencing number of any coordinator seen so far.
   uint64_t generation_ = 0;
+  // Fencing number of the coordinator in this process, if there is one.
+  uint64_t own_generation_ = 0;
   // "IP:port" of the group's slow engines, from the coordinator's last poll.
   std::vector<std::string> slow_engines_;
   // Maps that this rank was ordered to prepare; later orders may refer to them.
--- a/packages/daemon/companion/group_coordinator.cc
+++ b/packages/daemon/companion/group_coordinator.cc
@@ -18,6 +18,9 @@
 // With a badly balanced map one step takes longer than arming all ranks, so one
 // step of lead time is enough.
 constexpr uint64_t kLeadSteps = 1;
+// A longer time between two ticks means that the process was paused. Shorter
+// than the time after which others take over.
+constexpr common::Duration kPauseLimit = common::milliseconds(600);
 // Choices per expert and layer needed before a map is planned: enough to tell
 // the shares of the most chosen experts from random variation.
 constexpr double kMinChoicesPerExpert = 20;
@@ -35,14 +38,18 @@
                                    http_channel::HttpCaller& peers,
                                    http_channel::HttpCaller& store,
                                    GroupCoordinatorOptions options,
+                                   store_era::StoreEra& era,
                                    std::function<void()> on_superseded)
     : loop_(loop),
       peer_caller_(peers),
       store_caller_(store),
       options_(std::move(options)),
+      era_(era),
       on_superseded_(std::move(on_superseded)),
       map_coordinator_({.ranks = options_.ranks,
                         .generation = options_.generation,
+                        .hold_rank =
+                            (options_.own_rank + 1) % options_.ranks,
                         .lead_steps = kLeadSteps}),
       demand_({.layers = options_.engine.layers,
                .experts = options_.engine.experts}),
@@ -82,6 +89,10 @@
 }
 
 void GroupCoordinator::OnDirectory(const http_channel::CallResult& result) {
+  if (!era_.Accept(platform::EraOf(result))) {
+    ReadDirectory();
+    return;
+  }
   const auto rows = platform::DecodeRows(result);
   if (!rows.ok()) {
     common::LogEvent(
@@ -103,6 +114,11 @@
   }
   timer_ = loop_.RunAfter(kTickPeriod, [this] { Tick(); });
   const common::Time now = loop_.Now();
+  if (last_tick_ != common::Time{} && now - last_tick_ > kPauseLimit) {
+    resumed_at_ = now;
+    next_poll_ = now;
+  }
+  last_tick_ = now;
   if (std::ssize(reports_) < options_.ranks && now >= next_directory_) {
     ReadDirectory();
   }
@@ -197,7 +213,8 @@
       .generation = options_.generation,
       .want_choices = !map_coordinator_.may_hold_group() && IsSampled(peer),
       .want_map = NeedsExperts(peer),
-      .slow_engines = slow_engines};
+      .slow_engines = slow_engines,
+      .store_era = era_.current()};
   const std::string address = peer.entry.peer_address;
   const common::Time requested_at = loop_.Now();
   peer_caller_.Start(address,
@@ -243,6 +260,7 @@
     return;
   }
   peer.unreachable = false;
+  confirmed_at_ = std::max(confirmed_at_, requested_at);
   if (result->status != http1::kOk) {
     return;
   }
@@ -363,6 +381,9 @@
 }
 
 void GroupCoordinator::SendOrders() {
+  if (MayBeSuperseded()) {
+    return;
+  }
   const auto before = map_coordinator_.phase();
   for (const RankOrder& order : map_coordinator_.Tick(loop_.Now())) {
     Relay(order);
@@ -481,6 +502,7 @@
     return;
   }
   stopped_ = true;
+  map_coordinator_.OnSuperseded();
   loop_.Cancel(timer_);
   // The callback destroys this object, so it is moved out of the member and
   // called from the event loop.
--- a/packages/daemon/companion/group_coordinator.h
+++ b/packages/daemon/companion/group_coordinator.h
@@ -11,6 +11,7 @@
 
 #include "coordination/map_coordinator/map_coordinator.h"
 #include "coordination/map_coordinator/map_stock.h"
+#include "coordination/store_era/store_era.h"
 #include "protocol/companion_messages/companion_messages.h"
 #include "state/expert_demand/expert_demand.h"
 #include "state/placement/expert_map.h"
@@ -25,6 +26,8 @@
 struct GroupCoordinatorOptions {
   std::string group;
   int ranks = 1;
+  // The rank beside this process.
+  int own_rank = 0;
   // Fencing number that this coordinator claimed in the store; higher than that
   // of any earlier coordinator.
   uint64_t generation = 1;
@@ -68,6 +71,7 @@
                    http_channel::HttpCaller& peers,
                    http_channel::HttpCaller& store,
                    GroupCoordinatorOptions options,
+                   store_era::StoreEra& era,
                    std::function<void()> on_superseded);
   ~GroupCoordinator();
   GroupCoordinator(const GroupCoordinator&) = delete;
@@ -144,6 +148,9 @@
   common::Duration PeriodFor(common::Duration least) const;
   common::Duration OrderTimeout(const map_coordinator::RankOrder& order) const;
   Peer* FindPeer(int rank);
+  // Whether this process was paused and no companion has accepted a poll of this
+  // coordinator since: a later one may exist.
+  bool MayBeSuperseded() const { return confirmed_at_ < resumed_at_; }
   // Ends the coordination and calls `on_superseded`.
   void Stop();
   // Wraps a callback so that it does nothing once this object is destroyed.
@@ -154,6 +161,7 @@
   http_channel::HttpCaller& peer_caller_;
   http_channel::HttpCaller& store_caller_;
   GroupCoordinatorOptions options_;
+  store_era::StoreEra& era_;
   std::function<void()> on_superseded_;
   map_coordinator::MapCoordinator map_coordinator_;
   expert_demand::ExpertDemand demand_;
@@ -165,6 +173,11 @@
   std::vector<double> paces_;
   // Number of ranks whose choices are read; ranks 0 to sampled_ranks_ - 1.
   int sampled_ranks_;
+  common::Time last_tick_{};
+  // When this process last resumed after a pause, and when the last poll was
+  // sent that a companion accepted.
+  common::Time resumed_at_{};
+  common::Time confirmed_at_{};
   common::Time next_poll_{};
   common::Time next_choices_{};
   common::Time next_plan_{};
--- a/packages/daemon/gateway/crash_exchange.cc
+++ b/packages/daemon/gateway/crash_exchange.cc
@@ -12,14 +12,18 @@
 CrashExchange::CrashExchange(event_loop::EventLoop& loop,
                              http_channel::HttpCaller& caller,
                              CrashExchangeOptions options,
+                             store_era::StoreEra& era,
                              OnReported on_reported,
                              OnRemoved on_removed)
     : loop_(loop),
       caller_(caller),
       options_(std::move(options)),
+      era_(era),
       on_reported_(std::move(on_reported)),
       on_removed_(std::move(on_removed)),
-      retry_delay_(options_.retry_min, options_.retry_max) {}
+      retry_delay_(options_.retry_min, options_.retry_max) {
+  era_.OnRestored([this] { OnStoreRestored(); });
+}
 
 void CrashExchange::Start() {
   Read({});
@@ -33,12 +37,32 @@
   caller_.Start(options_.store_address, call, timeout,
                 [this, done, generation = generation_](
                     const http_channel::CallResult& result) {
-                  if (generation == generation_) {
+                  if (generation != generation_) {
+                    return;
+                  }
+                  if (era_.Accept(platform::EraOf(result))) {
                     (this->*done)(result);
+                  } else if (generation == generation_) {
+                    (this->*done)(
+                        absl::UnavailableError("answer of an earlier era"));
                   }
                 });
 }
 
+void CrashExchange::OnStoreRestored() {
+  restored_ = true;
+  const common::Time oldest = loop_.Now() - options_.rewrite_memory;
+  for (auto& [key, change] : written_) {
+    if (change.written_at >= oldest && !unwritten_.contains(key)) {
+      unwritten_[key] = change;
+    }
+  }
+  written_.clear();
+  Read({});
+  // Spread, as all gateways write again.
+  ScheduleWrite(retry_delay_.Next());
+}
+
 void CrashExchange::Read(const std::string& start_key) {
   if (start_key.empty()) {
     ++generation_;
@@ -76,13 +100,14 @@
   complete_ = true;
   std::vector<std::string> missing;
   for (const auto& [key, store_time] : rows_) {
-    if (!keys_read_.contains(key)) {
+    if (!keys_read_.contains(key) && !restored_) {
       missing.push_back(key);
     }
   }
   for (const std::string& key : missing) {
     RemoveRow(key);
   }
+  restored_ = false;
   AwaitChange();
 }
 
@@ -271,7 +296,10 @@
 void CrashExchange::OnWritten(const std::map<std::string, uint64_t>& written,
                               const http_channel::CallResult& result) {
   writing_ = false;
-  const absl::Status status = platform::DecodeWriteResult(result);
+  const absl::Status status =
+      era_.Accept(platform::EraOf(result))
+          ? platform::DecodeWriteResult(result)
+          : absl::UnavailableError("the store went back to an older copy");
   UpdateAvailability(writes_available_, "write", status);
   if (!status.ok()) {
     // The call may have been executed; writing the same rows again is harmless.
@@ -282,9 +310,14 @@
   for (const auto& [key, number] : written) {
     const auto found = unwritten_.find(key);
     if (found != unwritten_.end() && found->second.number == number) {
+      found->second.written_at = loop_.Now();
+      written_[key] = std::move(found->second);
       unwritten_.erase(found);
     }
   }
+  std::erase_if(written_, [this](const auto& item) {
+    return item.second.written_at + options_.rewrite_memory < loop_.Now();
+  });
   if (!unwritten_.empty()) {
     ScheduleWrite(common::Duration::zero());
   }
--- a/packages/daemon/gateway/crash_exchange.h
+++ b/packages/daemon/gateway/crash_exchange.h
@@ -11,6 +11,7 @@
 
 #include "absl/status/status.h"
 #include "common/random_delay.h"
+#include "coordination/store_era/store_era.h"
 #include "platform/store.h"
 #include "protocol/crash_report/crash_report.h"
 #include "transport/event_loop/event_loop.h"
@@ -45,6 +46,9 @@
   common::Duration sweep_period = common::seconds(60);
   // Rows beyond this number are removed, oldest first.
   size_t max_rows = 4000;
+  // How long own changes are kept after they were written, in case the store
+  // goes back to a copy without them: longer than any such copy is old.
+  common::Duration rewrite_memory = common::seconds(60);
   // Changes that wait to be written; further ones are dropped.
   size_t max_unwritten = 2000;
 };
@@ -65,6 +69,7 @@
   CrashExchange(event_loop::EventLoop& loop,
                 http_channel::HttpCaller& caller,
                 CrashExchangeOptions options,
+                store_era::StoreEra& era,
                 OnReported on_reported,
                 OnRemoved on_removed);
 
@@ -88,8 +93,12 @@
     common::Time detected_at{};
     // Increases with each change of the row.
     uint64_t number = 0;
+    // When it was written; only for written changes.
+    common::Time written_at{};
   };
 
+  // Reads the table again and writes the own latest changes again.
+  void OnStoreRestored();
   void Read(const std::string& start_key);
   void OnPage(const http_channel::CallResult& result);
   void AwaitChange();
@@ -123,12 +132,15 @@
   event_loop::EventLoop& loop_;
   http_channel::HttpCaller& caller_;
   CrashExchangeOptions options_;
+  store_era::StoreEra& era_;
   OnReported on_reported_;
   OnRemoved on_removed_;
   // Store times of the rows in the table, by key.
   std::map<std::string, common::Duration> rows_;
   // Changes that wait to be written, by key.
   std::map<std::string, Change> unwritten_;
+  // Own changes that were written lately, by key.
+  std::map<std::string, Change> written_;
   uint64_t changes_ = 0;
   bool writing_ = false;
   event_loop::TimerId write_timer_ = event_loop::kNoTimer;
@@ -138,6 +150,9 @@
   // Keys seen by the current read of the whole table, and whether it is done.
   std::set<std::string> keys_read_;
   bool complete_ = false;
+  // Whether the current read is the first since the store went back. Rows that
+  // it lacks are lost, not removed; the gateways that wrote them do so again.
+  bool restored_ = false;
   uint64_t generation_ = 0;
   bool reads_available_ = true;
   bool writes_available_ = true;
--- a/packages/daemon/gateway/crash_watch.cc
+++ b/packages/daemon/gateway/crash_watch.cc
@@ -27,6 +27,7 @@
 CrashWatch::CrashWatch(event_loop::EventLoop& loop,
                        http_channel::HttpCaller& caller,
                        const CrashWatchOptions& options,
+                       store_era::StoreEra& era,
                        const fleet::Fleet& fleet)
     : loop_(loop),
       options_(options),
@@ -37,6 +38,7 @@
           caller,
           {.store_address = options.store_address,
            .retention = quarantine::QuarantineOptions{}.retention},
+          era,
           [this](const crash_report::CrashReport& report,
                  common::Time detected_at) { OnReported(report, detected_at); },
           [this](const quarantine::Crash& crash) {
--- a/packages/daemon/gateway/crash_watch.h
+++ b/packages/daemon/gateway/crash_watch.h
@@ -65,6 +65,7 @@
   CrashWatch(event_loop::EventLoop& loop,
              http_channel::HttpCaller& caller,
              const CrashWatchOptions& options,
+             store_era::StoreEra& era,
              const fleet::Fleet& fleet);
 
   void Start() { exchange_.Start(); }
--- a/packages/daemon/gateway/gateway.cc
+++ b/packages/daemon/gateway/gateway.cc
@@ -91,18 +91,27 @@
       freshness_({.revocation_bound = settings_.revocation_bound}),
       fleet_({}),
       router_(RouterOptionsOf(settings_)),
+      registry_(loop,
+                caller_,
+                {.store_address = settings_.store_address,
+                 .name = settings_.name,
+                 .share = {.reserve = settings_.retry_allowance,
+                           .window = settings_.retry_window}},
+                store_era_),
       crash_watch_(loop,
                    caller_,
                    {.store_address = settings_.store_address,
                     .endpoint_heartbeat = settings_.endpoint_heartbeat,
                     .endpoints_period = EndpointsPeriod(settings_),
                     .probe_timeout = kConnectTimeout},
+                   store_era_,
                    fleet_),
       store_watch_(
           loop,
           caller_,
           {.store_address = settings_.store_address,
            .endpoints_period = EndpointsPeriod(settings_)},
+          store_era_,
           freshness_,
           fleet_,
           [this](const fleet::FleetChange& change) { OnFleetChange(change); },
@@ -122,6 +131,7 @@
             .freshness = freshness_,
             .store = store_watch_,
             .crashes = crash_watch_,
+            .registry = registry_,
             .metrics = metrics_,
             .random = std::minstd_rand(std::random_device{}())},
       monitoring_server_(std::make_unique<MonitoringServer>(*this)),
@@ -145,6 +155,7 @@
     return listening;
   }
   store_watch_.Start();
+  registry_.Start();
   crash_watch_.Start();
   slow_watch_.Start();
   return absl::OkStatus();
@@ -242,6 +253,8 @@
                     static_cast<double>(runs_.size()));
   metrics_.SetGauge("wagtailshore_gateway_caller_connections",
                     static_cast<double>(callers_.size()));
+  metrics_.SetGauge("wagtailshore_gateway_retry_reserve_share",
+                    registry_.ReserveShare(loop_.Now()));
   metrics_.SetGauge("wagtailshore_gateway_suspect_contents",
                     static_cast<double>(crash_watch_.suspects()));
   metrics_.SetGauge("wagtailshore_gateway_shared_crashes",
--- a/packages/daemon/gateway/gateway.h
+++ b/packages/daemon/gateway/gateway.h
@@ -62,6 +62,8 @@
   fleet::Fleet fleet_;
   routing::Router router_;
   metrics::GatewayMetrics metrics_;
+  store_era::StoreEra store_era_;
+  GatewayRegistry registry_;
   CrashWatch crash_watch_;
   StoreWatch store_watch_;
   SlowWatch slow_watch_;
--- a/packages/daemon/gateway/gateway_core.h
+++ b/packages/daemon/gateway/gateway_core.h
@@ -10,6 +10,7 @@
 #include "coordination/freshness/freshness.h"
 #include "coordination/retry_window/retry_window.h"
 #include "daemon/gateway/crash_watch.h"
+#include "daemon/gateway/gateway_registry.h"
 #include "daemon/gateway/store_watch.h"
 #include "state/fleet/fleet.h"
 #include "state/metrics/gateway_metrics.h"
@@ -30,6 +31,7 @@
   const freshness::Freshness& freshness;
   const StoreWatch& store;
   CrashWatch& crashes;
+  const GatewayRegistry& registry;
   metrics::GatewayMetrics& metrics;
   // By service.
   std::map<std::string, retry_window::RetryWindow> retry_windows;
--- /dev/null
+++ b/packages/daemon/gateway/gateway_registry.cc
@@ -0,0 +1,148 @@
+#include "daemon/gateway/gateway_registry.h"
+
+#include <utility>
+#include <vector>
+
+#include "absl/strings/numbers.h"
+#include "common/event_log.h"
+#include "common/strings.h"
+
+namespace wagtailshore::gateway {
+namespace {
+
+// Time between counts, as a share of the time for which one is valid; the rest
+// is for the call and one repetition.
+constexpr double kCountPeriodShare = 0.8;
+
+// A row's value: the store's time in milliseconds when it was written.
+std::string EncodeRow(common::Duration store_time) {
+  return common::StrCat(common::ToMilliseconds(store_time));
+}
+
+// A malformed row counts as written at the store's start, so that it expires.
+common::Duration DecodeRow(const platform::Row& row) {
+  int64_t milliseconds = 0;
+  return absl::SimpleAtoi(row.value, &milliseconds)
+             ? common::milliseconds(milliseconds)
+             : common::Duration::zero();
+}
+
+}  // namespace
+
+GatewayRegistry::GatewayRegistry(event_loop::EventLoop& loop,
+                                 http_channel::HttpCaller& caller,
+                                 GatewayRegistryOptions options,
+                                 store_era::StoreEra& era)
+    : loop_(loop),
+      caller_(caller),
+      options_(std::move(options)),
+      era_(era),
+      share_(options_.share),
+      retry_delay_(options_.retry_min, options_.retry_max) {
+  era_.OnRestored([this] { OnStoreRestored(); });
+}
+
+void GatewayRegistry::Start() {
+  Read();
+}
+
+void GatewayRegistry::ReadAfter(common::Duration delay) {
+  loop_.Cancel(timer_);
+  timer_ = loop_.RunAfter(delay, [this] {
+    timer_ = event_loop::kNoTimer;
+    Read();
+  });
+}
+
+void GatewayRegistry::OnStoreRestored() {
+  ++generation_;
+  registered_ = false;
+  share_.OnTableRestored();
+  ReadAfter(retry_delay_.Next());
+}
+
+void GatewayRegistry::Read() {
+  caller_.Start(
+      options_.store_address,
+      platform::ReadTableCall(platform::SystemTable::kGateways),
+      options_.call_timeout,
+      [this, requested_at = loop_.Now(),
+       generation = generation_](const http_channel::CallResult& result) {
+        if (generation == generation_) {
+          OnRows(requested_at, result);
+        }
+      });
+}
+
+void GatewayRegistry::OnRows(common::Time requested_at,
+                             const http_channel::CallResult& result) {
+  const auto rows = platform::DecodeRows(result);
+  if (!rows.ok() || rows->has_more) {
+    // More gateways than one page holds have no shares worth dividing.
+    ReadAfter(retry_delay_.Next());
+    return;
+  }
+  if (!era_.Accept(rows->era)) {
+    if (timer_ == event_loop::kNoTimer) {
+      ReadAfter(retry_delay_.Next());
+    }
+    return;
+  }
+  std::vector<std::string> expired;
+  share_.OnCounted(CountRows(*rows, expired), requested_at);
+  if (!registered_ || loop_.Now() >= renew_at_) {
+    Write(rows->store_time, expired);
+    return;
+  }
+  ReadAfter(std::chrono::duration_cast<common::Duration>(
+      options_.share.window * kCountPeriodShare));
+}
+
+size_t GatewayRegistry::CountRows(const platform::Rows& rows,
+                                  std::vector<std::string>& expired) const {
+  size_t count = 0;
+  for (const platform::Row& row : rows.rows) {
+    if (DecodeRow(row) + options_.row_expiry >= rows.store_time ||
+        row.key == options_.name) {
+      ++count;
+    } else if (expired.size() + 1 < platform::kMaxChanges) {
+      expired.push_back(row.key);
+    }
+  }
+  return count;
+}
+
+void GatewayRegistry::Write(common::Duration store_time,
+                            const std::vector<std::string>& expired) {
+  caller_.Start(
+      options_.store_address,
+      platform::ChangeRowsCall(
+          platform::SystemTable::kGateways,
+          {{.key = options_.name, .value = EncodeRow(store_time)}}, expired),
+      options_.call_timeout,
+      [this,
+       generation = generation_](const http_channel::CallResult& result) {
+        if (generation == generation_) {
+          OnWritten(result);
+        }
+      });
+}
+
+void GatewayRegistry::OnWritten(const http_channel::CallResult& result) {
+  const bool written = platform::DecodeWriteResult(result).ok();
+  if (!era_.Accept(platform::EraOf(result)) || !written) {
+    if (timer_ == event_loop::kNoTimer) {
+      ReadAfter(retry_delay_.Next());
+    }
+    return;
+  }
+  if (!registered_) {
+    registered_ = true;
+    share_.OnRegistered(loop_.Now());
+  }
+  renew_at_ = loop_.Now() + options_.renewal_period;
+  ReadAfter(std::chrono::duration_cast<common::Duration>(
+      options_.share.window * kCountPeriodShare));
+}
+
+}  // namespace wagtailshore::gateway
--- a/packages/daemon/gateway/proxied_run.cc
+++ b/packages/daemon/gateway/proxied_run.cc
@@ -26,10 +26,6 @@
 // Share of the retry budget's ratio that a gateway uses. Less than 1, as
 // attempts in flight at the end of a window count in the next one.
 constexpr double kRetryRatioShare = 0.75;
-// Number of gateways that share the retry budget's allowance. A gateway does
-// not know the actual number; deployments have 6 to 40 gateways and an
-// allowance that grows with it.
-constexpr double kAssumedGateways = 25;
 // Failed connection attempts after which a request fails.
 constexpr int kMaxConnectFailures = 3;
 // An overloaded service has free capacity once some of its requests, each about
@@ -112,8 +108,7 @@
           service_,
           retry_window::RetryWindow(
               {.window = core_.settings.retry_window,
-               .ratio = core_.settings.retry_ratio * kRetryRatioShare,
-               .reserve = core_.settings.retry_allowance / kAssumedGateways}))
+               .ratio = core_.settings.retry_ratio * kRetryRatioShare}))
       .first->second.OnRequest(arrived_at_);
   if (PassesAdmission()) {
     Dispatch();
@@ -321,12 +316,17 @@
     }
     if (!stream_started_) {
       stream_started_ = true;
-      core_.metrics.OnFirstEvent(now() - arrived_at_);
+      first_event_after_ = now() - arrived_at_;
+      core_.metrics.OnFirstEvent(first_event_after_);
       channel_.BeginStream(answer_->status, answer_->headers);
     }
     if (event.id.has_value()) {
       last_event_id_ = event.id;
     }
+    if (last_event_at_ != common::Time{}) {
+      longest_pause_ = std::max(longest_pause_, now() - last_event_at_);
+    }
+    last_event_at_ = now();
     channel_.WriteStream(event.text);
   }
   if (channel_.unsent() > kMaxUnsentBytes) {
@@ -452,7 +452,8 @@
   if (attempts_ >= route_->max_attempts || now() + kAnswerMargin >= deadline_) {
     return false;
   }
-  const bool granted = core_.retry_windows.at(service_).TryTake(now());
+  const bool granted = core_.retry_windows.at(service_).TryTake(
+      core_.registry.ReserveShare(now()), now());
   core_.metrics.OnRetry(service_, granted ? "granted" : "denied");
   return granted;
 }
@@ -578,6 +579,12 @@
   core_.loop.Cancel(deadline_timer_);
   deadline_timer_ = event_loop::kNoTimer;
   const common::Duration took = now() - arrived_at_;
+  if (stream_started_) {
+    common::StrAppend(
+        &log_details_,
+        " first_event_ms=", common::ToMilliseconds(first_event_after_),
+        " longest_pause_ms=", common::ToMilliseconds(longest_pause_));
+  }
   core_.metrics.OnAnswer(took);
   core_.metrics.OnRequest(route_ == nullptr ? "none" : route_->name, outcome);
   common::LogEvent(
--- a/packages/daemon/gateway/proxied_run.h
+++ b/packages/daemon/gateway/proxied_run.h
@@ -140,6 +140,11 @@
   bool stream_started_ = false;
   // Id of the last event sent to the caller.
   std::optional<uint64_t> last_event_id_;
+  // When the last event was sent to the caller, the time from arrival to the
+  // first one, and the longest pause between two.
+  common::Time last_event_at_{};
+  common::Duration first_event_after_{};
+  common::Duration longest_pause_{};
   bool ended_ = false;
   // For the log: each attempt's endpoint and result, the age of the
   // configuration on arrival, and further fields.
--- a/packages/daemon/gateway/store_watch.cc
+++ b/packages/daemon/gateway/store_watch.cc
@@ -9,6 +9,7 @@
 StoreWatch::StoreWatch(event_loop::EventLoop& loop,
                        http_channel::HttpCaller& caller,
                        StoreWatchOptions options,
+                       store_era::StoreEra& era,
                        freshness::Freshness& freshness,
                        fleet::Fleet& fleet,
                        OnFleetChange on_fleet_change,
@@ -16,11 +17,14 @@
     : loop_(loop),
       caller_(caller),
       options_(std::move(options)),
+      era_(era),
       freshness_(freshness),
       fleet_(fleet),
       on_fleet_change_(std::move(on_fleet_change)),
       on_store_back_(std::move(on_store_back)),
-      retry_delay_(options_.retry_min, options_.retry_max) {}
+      retry_delay_(options_.retry_min, options_.retry_max) {
+  era_.OnRestored([this] { OnStoreRestored(); });
+}
 
 void StoreWatch::Start() {
   ReadConfiguration();
@@ -31,7 +35,37 @@
                       common::Duration timeout,
                       std::function<void(http_channel::CallResult)> done) {
   ++calls_;
-  caller_.Start(options_.store_address, call, timeout, std::move(done));
+  caller_.Start(options_.store_address, call, timeout,
+                [this, generation = generation_, done = std::move(done)](
+                    const http_channel::CallResult& result) {
+                  if (generation != generation_) {
+                    return;
+                  }
+                  if (era_.Accept(platform::EraOf(result))) {
+                    done(result);
+                  } else if (generation == generation_) {
+                    done(absl::UnavailableError("answer of an earlier era"));
+                  }
+                });
+}
+
+void StoreWatch::RunAfter(common::Duration delay, std::function<void()> run) {
+  loop_.RunAfter(delay, [this, generation = generation_, run = std::move(run)] {
+    if (generation == generation_) {
+      run();
+    }
+  });
+}
+
+void StoreWatch::OnStoreRestored() {
+  common::LogEvent(common::EventId::kStoreRestored,
+                   common::StrCat("era=", era_.current(),
+                                  " revision=", revision_));
+  ++generation_;
+  rewritten_at_ = loop_.Now() + options_.rewriting_time;
+  fleet_.OnListRestored(loop_.Now());
+  ReadConfiguration();
+  ReadEndpoints({});
 }
 
 void StoreWatch::ReadConfiguration() {
@@ -57,7 +91,7 @@
   if (!rows.ok()) {
     UpdateAvailability(rows.status());
     const bool history_gone = absl::IsFailedPrecondition(rows.status());
-    loop_.RunAfter(
+    RunAfter(
         history_gone ? common::Duration::zero() : retry_delay_.Next(),
         [this, history_gone] {
           if (history_gone || routes_ == nullptr) {
@@ -73,10 +107,16 @@
       clock_.EarliestAnswerTime(requested_at, loop_.Now(), rows->store_time);
   ApplyConfiguration(*rows);
   if (routes_ == nullptr) {
-    loop_.RunAfter(retry_delay_.Next(), [this] { ReadConfiguration(); });
+    RunAfter(retry_delay_.Next(), [this] { ReadConfiguration(); });
     return;
   }
   revision_ = rows->revision;
+  if (requested_at < rewritten_at_) {
+    // The operators may still have to write a lost change again, so this
+    // confirms nothing.
+    RunAfter(rewritten_at_ - loop_.Now(), [this] { ReadConfiguration(); });
+    return;
+  }
   // While more changes are pending, the configuration may not be the latest.
   if (!rows->has_more) {
     freshness_.OnConfirmed(earliest_answer_at);
@@ -85,7 +125,7 @@
     AwaitConfiguration(options_.configuration_wait);
     return;
   }
-  loop_.RunAfter(options_.change_pause, [this] {
+  RunAfter(options_.change_pause, [this] {
     AwaitConfiguration(options_.configuration_wait - options_.change_pause);
   });
 }
@@ -134,7 +174,7 @@
   if (!rows.ok()) {
     UpdateAvailability(rows.status());
     fleet_.OnListUnavailable();
-    loop_.RunAfter(retry_delay_.Next(), [this] { ReadEndpoints({}); });
+    RunAfter(retry_delay_.Next(), [this] { ReadEndpoints({}); });
     return;
   }
   UpdateAvailability(absl::OkStatus());
@@ -171,7 +211,8 @@
   if (const auto lapses_end = fleet_.relisting_ends_at()) {
     next = std::min(next, *lapses_end);
   }
-  loop_.RunAt(std::max(next, loop_.Now()), [this] { ReadEndpoints({}); });
+  RunAfter(std::max(next - loop_.Now(), common::Duration::zero()),
+           [this] { ReadEndpoints({}); });
 }
 
 void StoreWatch::UpdateAvailability(const absl::Status& status) {
--- a/packages/daemon/gateway/store_watch.h
+++ b/packages/daemon/gateway/store_watch.h
@@ -9,6 +9,7 @@
 #include "absl/status/status.h"
 #include "common/random_delay.h"
 #include "coordination/freshness/freshness.h"
+#include "coordination/store_era/store_era.h"
 #include "platform/store.h"
 #include "state/fleet/fleet.h"
 #include "state/serving/route_table.h"
@@ -36,6 +37,9 @@
   // Range of the random delay before a failed call is repeated.
   common::Duration retry_min = common::milliseconds(150);
   common::Duration retry_max = common::milliseconds(600);
+  // Time that operators get to write lost changes again after the store came
+  // back from an older copy. Until then its configuration confirms nothing.
+  common::Duration rewriting_time = common::milliseconds(1000);
 };
 
 // Keeps the configuration and the fleet up to date from the platform's store.
@@ -50,6 +54,7 @@
   StoreWatch(event_loop::EventLoop& loop,
              http_channel::HttpCaller& caller,
              StoreWatchOptions options,
+             store_era::StoreEra& era,
              freshness::Freshness& freshness,
              fleet::Fleet& fleet,
              OnFleetChange on_fleet_change,
@@ -77,8 +82,12 @@
   void OnEndpointsAnswer(common::Time requested_at,
                          const http_channel::CallResult& result);
   void FinishEndpoints(common::Time requested_at);
+  // The store came back from an older copy: reads everything again.
+  void OnStoreRestored();
   // Records whether the store is available and logs each change.
   void UpdateAvailability(const absl::Status& status);
+  // Runs the function later, unless the store goes back before.
+  void RunAfter(common::Duration delay, std::function<void()> run);
   void Call(const http_channel::Call& call,
             common::Duration timeout,
             std::function<void(http_channel::CallResult)> done);
@@ -86,12 +95,17 @@
   event_loop::EventLoop& loop_;
   http_channel::HttpCaller& caller_;
   StoreWatchOptions options_;
+  store_era::StoreEra& era_;
   freshness::Freshness& freshness_;
   fleet::Fleet& fleet_;
   OnFleetChange on_fleet_change_;
   OnStoreBack on_store_back_;
   std::shared_ptr<const serving::RouteTable> routes_;
   uint64_t revision_ = 0;
+  // Results of calls from before the store went back are dropped.
+  uint64_t generation_ = 0;
+  // Until then the store may lack the operators' latest changes.
+  common::Time rewritten_at_{};
   freshness::StoreClock clock_;
   // Entries of the list that is being read, and when its first page was
   // requested.
--- a/packages/protocol/companion_messages/companion_messages.cc
+++ b/packages/protocol/companion_messages/companion_messages.cc
@@ -205,7 +205,8 @@
   return common::PackMsgpack({{"generation", poll.generation},
                               {"choices", poll.want_choices},
                               {"map", poll.want_map},
-                              {"slow", poll.slow_engines}});
+                              {"slow", poll.slow_engines},
+                              {"era", poll.store_era}});
 }
 
 absl::StatusOr<Poll> DecodePoll(std::string_view text) {
@@ -214,7 +215,9 @@
         .generation = value.at("generation").get<uint64_t>(),
         .want_choices = value.at("choices").get<bool>(),
         .want_map = value.at("map").get<bool>(),
-        .slow_engines = value.at("slow").get<std::vector<std::string>>()};
+        .slow_engines = value.at("slow").get<std::vector<std::string>>(),
+        // Companions of an earlier release do not send it.
+        .store_era = value.value("era", uint64_t{0})};
   });
 }
 
--- a/packages/protocol/companion_messages/companion_messages.h
+++ b/packages/protocol/companion_messages/companion_messages.h
@@ -30,6 +30,10 @@
   // "IP:port" of the group's slow engines, which the companion passes on to
   // gateways.
   std::vector<std::string> slow_engines;
+  // The store's era as the coordinator knows it, see store_era::StoreEra.
+  // Companions that only the coordinator talks to notice by it that the store
+  // has lost their entries.
+  uint64_t store_era = 0;
 };
 
 // An engine's state, as its companion reads it.
--- a/packages/state/fleet/fleet.cc
+++ b/packages/state/fleet/fleet.cc
@@ -16,13 +16,28 @@
     available_since_ = requested_at;
   }
   read_at_ = requested_at;
+  const bool rewriting = requested_at < rewritten_at_;
+  std::erase_if(departed_, [&](const auto& item) {
+    return !rewriting && item.second + options_.departure_memory < requested_at;
+  });
   FleetChange change;
   std::set<std::string> listed;
   for (const EndpointRecord& record : records) {
+    if (rewriting && HasDeparted(record)) {
+      continue;
+    }
     listed.insert(record.id);
     const auto found = endpoints_.find(record.id);
+    if (found != endpoints_.end() && rewriting &&
+        record.started_at_ms < found->second.started_at_ms) {
+      // An entry of the process before it.
+      continue;
+    }
     if (found == endpoints_.end() ||
         found->second.started_at_ms != record.started_at_ms) {
+      if (found != endpoints_.end()) {
+        departed_[ProcessName(found->second)] = requested_at;
+      }
       endpoints_[record.id] = record;
       replaced_.erase(record.id);
       change.started.push_back(record.id);
@@ -45,9 +60,10 @@
   std::erase_if(endpoints_, [&](const auto& item) {
     const bool may_be_relisted =
         relisting_possible && !listed_since_.contains(item.first);
-    if (listed.contains(item.first) || may_be_relisted) {
+    if (listed.contains(item.first) || may_be_relisted || rewriting) {
       return false;
     }
+    departed_[ProcessName(item.second)] = requested_at;
     change.gone.push_back(item.first);
     replaced_.erase(item.first);
     return true;
@@ -79,6 +95,14 @@
   }
 }
 
+bool Fleet::HasDeparted(const EndpointRecord& record) const {
+  return departed_.contains(ProcessName(record));
+}
+
+void Fleet::OnListRestored(common::Time now) {
+  rewritten_at_ = now + options_.rewriting_time;
+}
+
 void Fleet::OnListUnavailable() {
   was_unavailable_ = true;
   available_since_.reset();
--- a/packages/state/fleet/fleet.h
+++ b/packages/state/fleet/fleet.h
@@ -38,6 +38,12 @@
   // again whose entries lapsed during it. The platform's contract says "about
   // two seconds"; the list is available again slightly before it is first read.
   common::Duration relisting_time = common::milliseconds(2200);
+  // Time after which a list that went back to an older copy has all endpoints'
+  // own changes again: three heartbeats, after which silent entries lapse, and
+  // two more for writing.
+  common::Duration rewriting_time = common::milliseconds(6000);
+  // How long processes that left the list are remembered.
+  common::Duration departure_memory = common::seconds(60);
 };
 
 // Changes from one read of the list to the next, as endpoint ids.
@@ -67,6 +73,10 @@
   void OnMisdirected(const std::string& id);
   // The list could not be read.
   void OnListUnavailable();
+  // The list went back to an older copy of itself. Until endpoints have written
+  // their entries again, processes that had left stay gone, whatever it says,
+  // and missing ones are kept.
+  void OnListRestored(common::Time now);
 
   // Returns the endpoint, or null if it is unknown or must not get new work: it
   // is draining, or its address belongs to a later process.
@@ -90,6 +100,7 @@
 
  private:
   void FindReplaced();
+  bool HasDeparted(const EndpointRecord& record) const;
 
   FleetOptions options_;
   std::map<std::string, EndpointRecord> endpoints_;
@@ -104,6 +115,10 @@
   // Endpoints listed since the end of the outage: if they are missing later,
   // they did not lapse in it.
   std::set<std::string> listed_since_;
+  // When processes left the list, by name.
+  std::map<std::string, common::Time> departed_;
+  // Until then the list may contain departed processes and lack live ones.
+  common::Time rewritten_at_{};
 };
 
 }  // namespace wagtailshore::fleet
--- a/packages/transport/http_channel/http_call.cc
+++ b/packages/transport/http_channel/http_call.cc
@@ -55,6 +55,7 @@
 
   ResponseOrigin OnHead(const http1::ResponseHead& head) override {
     answer_.status = head.status;
+    answer_.headers = head.headers;
     return ResponseOrigin::kThisExchange;
   }
   void OnBody(std::string_view data) override {
--- a/packages/transport/http_channel/http_call.h
+++ b/packages/transport/http_channel/http_call.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "absl/status/statusor.h"
+#include "protocol/http1/headers.h"
 #include "transport/http_channel/endpoint_pool.h"
 
 namespace wagtailshore::http_channel {
@@ -16,6 +17,7 @@
 struct CallAnswer {
   int status = 0;
   std::string body;
+  http1::Headers headers = {};
 };
 
 // Unavailable when the connection failed and DeadlineExceeded after the
--- a/tests/unit/daemon/companion/companion_test.cc
+++ b/tests/unit/daemon/companion/companion_test.cc
@@ -152,6 +152,32 @@
             std::string::npos);
 }
 
+// Guards against a companion that no coordinator can find any more, as the store
+// has lost its entry. It does not read the store itself, so the coordinator's
+// poll tells it.
+TEST_F(CompanionTest, EntryThatTheStoreLostIsWrittenAgain) {
+  Start(kSingleAttempt);
+  store_.TakeCopy();
+  const auto runs_until = [this](const std::function<bool()>& condition) {
+    const common::Time end = loop_.Now() + common::seconds(10);
+    while (!condition() && loop_.Now() < end) {
+      loop_.RunAfter(common::milliseconds(5), [this] { loop_.Stop(); });
+      loop_.Run();
+    }
+    return condition();
+  };
+  const auto registered = [this] { return store_.rows("companions") == 1; };
+  ASSERT_TRUE(runs_until(registered));
+  for (int i = 0; i < 2; ++i) {
+    store_.RestoreCopy();
+    ASSERT_FALSE(registered());
+    Call(companion_messages::kPollPath,
+         companion_messages::EncodePoll(
+             {.generation = 1, .store_era = store_.era()}));
+    EXPECT_TRUE(runs_until(registered));
+  }
+}
+
 // A companion returns the slow engines from the coordinator's last poll to
 // gateways.
 TEST_F(CompanionTest, SlowEnginesArePassedOn) {
--- /dev/null
+++ b/tests/unit/daemon/gateway/store_restored_test.cc
@@ -0,0 +1,96 @@
+#include <gtest/gtest.h>
+
+#include "common/strings.h"
+#include "support/hosted_world.h"
+
+// The store comes back from an older copy of itself: what was written since is
+// lost, and revisions are used again.
+namespace wagtailshore::hosted_world {
+namespace {
+
+using nlohmann::json;
+
+json WithoutKey(int version) {
+  json configuration = HostedWorld::Configuration(version);
+  configuration["tenants"][0]["api_keys"] = {"other"};
+  return configuration;
+}
+
+// Gateways read the list each 1.6 s.
+constexpr common::Duration kTwoReadsOfTheList = common::milliseconds(3500);
+
+void RunFor(HostedWorld& world, common::Duration duration) {
+  const common::Time end = world.loop().Now() + duration;
+  world.RunUntil([&] { return world.loop().Now() >= end; });
+}
+
+int StatusOf(HostedWorld& world, const std::string& key) {
+  return world.Ask({.key = key}).status;
+}
+
+// Guards against a gateway that follows its feed from a revision that the store
+// uses again: it would miss the change, or take an older configuration.
+TEST(StoreRestoredTest, RevokedKeyStaysRevokedAndLaterChangesAreRead) {
+  HostedWorld world(1);
+  world.store().TakeCopy();
+  world.store().SetConfiguration(WithoutKey(2));
+  ASSERT_TRUE(
+      world.RunUntil([&] { return StatusOf(world, "key") == 401; }));
+  world.store().RestoreCopy();
+  // Enough time to read the older configuration.
+  const common::Time end = world.loop().Now() + common::milliseconds(300);
+  while (world.loop().Now() < end) {
+    ASSERT_EQ(StatusOf(world, "key"), 401);
+  }
+  // Gets the revision of the change that was lost.
+  json changed = WithoutKey(3);
+  changed["tenants"][0]["api_keys"] = {"third"};
+  world.store().SetConfiguration(changed);
+  EXPECT_TRUE(
+      world.RunUntil([&] { return StatusOf(world, "third") == 200; }));
+  EXPECT_EQ(StatusOf(world, "key"), 401);
+}
+
+// Guards against sending work to an endpoint again whose draining or removal
+// the store has lost.
+TEST(StoreRestoredTest, LeavingEndpointStaysLeaving) {
+  for (const bool removed : {false, true}) {
+    HostedWorld world(2);
+    world.store().TakeCopy();
+    if (removed) {
+      world.store().RemoveEndpoint("e0");
+    } else {
+      world.store().SetEndpoint("e0", {{"service", "s"},
+                                       {"address", world.endpoint(0).address()},
+                                       {"zone", "z"},
+                                       {"slots", 4},
+                                       {"state", "draining"},
+                                       {"born", 1}});
+    }
+    RunFor(world, kTwoReadsOfTheList);
+    const size_t before = world.endpoint(0).received().size();
+    world.store().RestoreCopy();
+    RunFor(world, kTwoReadsOfTheList);
+    for (int i = 0; i < 20; ++i) {
+      EXPECT_EQ(world.Ask({.id = common::StrCat("c", i)}).status, 200);
+    }
+    EXPECT_EQ(world.endpoint(0).received().size(), before)
+        << (removed ? "removed" : "draining");
+  }
+}
+
+// Guards against losing what gateways wrote: each writes its rows again.
+TEST(StoreRestoredTest, GatewaysRegisterAgain) {
+  HostedWorld world(HostedWorldOptions{.gateways = 3});
+  world.store().TakeCopy();
+  ASSERT_TRUE(
+      world.RunUntil([&] { return world.store().rows("gateways") == 3; }));
+  for (int i = 0; i < 2; ++i) {
+    world.store().RestoreCopy();
+    EXPECT_TRUE(
+        world.RunUntil([&] { return world.store().rows("gateways") == 3; }));
+  }
+}
+
+}  // namespace
+}  // namespace wagtailshore::hosted_world
