Companion: the coordinator's successor on the same instance takes over at once

Cause: after a restart of all processes a group kept map 0 until a companion had waited 1.2 s for a coordinator that was gone, and a second one claimed it again 0.2 s later, before the first had called it. Change: a companion whose own address is in the coordinator's row takes over as soon as the group is open, and reads the engine each 50 ms until then; a claim made since its start keeps a companion from claiming; the first poll follows the directory at once; a re-formed group starts with empty counts, so its first round is no shift.

--- a/packages/daemon/companion/companion.cc
+++ b/packages/daemon/companion/companion.cc
@@ -23,6 +23,9 @@
 constexpr common::Duration kCoordinatorCheckPeriod = common::milliseconds(100);
 // Delay after a failed takeover attempt; each attempt costs store calls.
 constexpr common::Duration kTakeOverRetryDelay = common::seconds(1);
+// How often a companion reads its engine while the group is not open; the
+// engine is on the same instance.
+constexpr common::Duration kEngineCheckPeriod = common::milliseconds(50);
 constexpr common::Duration kRegisterRetryDelay = common::milliseconds(700);
 // Range in which companions write their entries again after the store lost
 // them: long enough that a large group does not exceed the store's rate.
@@ -57,6 +60,7 @@
     return listening;
   }
   Register();
+  ReadClaimsAtStart();
   loop_.Every(kCoordinatorCheckPeriod, [this] { CheckCoordinator(); });
   loop_.Every(kVerifyClaimPeriod, [this] { VerifyClaim(); });
   return absl::OkStatus();
@@ -77,6 +81,27 @@
             });
 }
 
+void Companion::ReadClaimsAtStart() {
+  CallStore(platform::ReadTableCall(platform::SystemTable::kCoordinators),
+            [this](const http_channel::CallResult& result) {
+              const auto rows = platform::DecodeRows(result);
+              if (!rows.ok()) {
+                // The group is taken over after the usual timeout.
+                return;
+              }
+              for (const platform::Row& row : rows->rows) {
+                const auto entry =
+                    companion_messages::DecodeCoordinator(row.value);
+                if (!entry.ok()) {
+                  continue;
+                }
+                claims_at_start_[row.key] = entry->generation;
+                // The coordinator was the process that this one replaces.
+                resumes_ |= entry->peer_address == peer_address();
+              }
+            });
+}
+
 void Companion::RegisterAfter(common::Duration delay) {
   loop_.Cancel(register_timer_);
   register_timer_ = loop_.RunAfter(delay, [this] {
@@ -222,6 +247,7 @@
     return;
   }
   generation_ = poll->generation;
+  resumes_ = false;
   // Whether the coordinator or this companion noticed first that the store went
   // back does not matter: the poll is valid in both cases.
   if (poll->store_era > 0) {
@@ -342,13 +368,16 @@
     return;
   }
   const common::Duration timeout =
-      kCoordinatorTimeout + kCoordinatorTimeoutPerRank * rank_.value_or(0);
+      resumes_ ? common::Duration::zero()
+               : kCoordinatorTimeout +
+                     kCoordinatorTimeoutPerRank * rank_.value_or(0);
   if (loop_.Now() - last_coordinator_contact_ >= timeout) {
     TakeOver();
   }
 }
 
 void Companion::AbortTakeOver(std::string_view why) {
+  resumes_ = false;
   common::LogEvent(common::EventId::kCoordinatorNotTaken,
                    common::StrCat("why=", why));
   // The delay lets other companions try first; the random part keeps their
@@ -364,17 +393,27 @@
              [this](const http_channel::CallResult& result) {
                const auto state = platform::DecodeEngineState(result);
                if (!state.ok() || !state->report.open) {
-                 AbortTakeOver("engine_not_open");
+                 AwaitOpenEngine();
                  return;
                }
                OnOwnState(*state);
              });
 }
 
+void Companion::AwaitOpenEngine() {
+  if (!awaiting_open_engine_) {
+    awaiting_open_engine_ = true;
+    common::LogEvent(common::EventId::kCoordinatorNotTaken,
+                     "why=engine_not_open");
+  }
+  loop_.RunAfter(kEngineCheckPeriod, [this] { TakeOver(); });
+}
+
 void Companion::OnOwnState(const platform::EngineState& state) {
-  const bool rank_known = rank_ == state.rank;
+  const bool rank_known = rank_ == state.rank && !awaiting_open_engine_;
   rank_ = state.rank;
-  if (!rank_known) {
+  awaiting_open_engine_ = false;
+  if (!rank_known && !resumes_) {
     // The timeout depends on the rank: only its per-rank part is left to wait.
     taking_over_ = false;
     last_coordinator_contact_ =
@@ -433,6 +472,13 @@
           claim.revision = row.revision;
           const auto entry = companion_messages::DecodeCoordinator(row.value);
           if (entry.ok()) {
+            if (IsNewClaim(row.key, *entry)) {
+              // Its owner has just taken over and will call.
+              generation_ = entry->generation;
+              last_coordinator_contact_ = loop_.Now();
+              AbortTakeOver("claimed_by_another");
+              return;
+            }
             generation = std::max(generation, entry->generation);
           }
         }
@@ -440,6 +486,15 @@
       });
 }
 
+bool Companion::IsNewClaim(
+    const std::string& key,
+    const companion_messages::CoordinatorEntry& entry) const {
+  const auto at_start = claims_at_start_.find(key);
+  const uint64_t known = std::max(
+      generation_, at_start == claims_at_start_.end() ? 0 : at_start->second);
+  return entry.generation > known && entry.peer_address != peer_address();
+}
+
 void Companion::Claim(const platform::EngineState& state,
                       const serving::EngineModel& engine,
                       const platform::Row& row,
@@ -469,6 +524,7 @@
   generation_ = generation;
   own_generation_ = generation;
   taking_over_ = false;
+  resumes_ = false;
   common::LogEvent(common::EventId::kCoordinatorTaken,
                    common::StrCat("group=", state.group, " generation=",
                                   generation, " rank=", state.rank));
--- a/packages/daemon/companion/companion.h
+++ b/packages/daemon/companion/companion.h
@@ -105,6 +105,14 @@
   void StartCoordinating(const platform::EngineState& state,
                          const serving::EngineModel& engine,
                          uint64_t generation);
+  // Reads who coordinated when this process started.
+  void ReadClaimsAtStart();
+  // Tries to take over again once the group has opened.
+  void AwaitOpenEngine();
+  // Whether another companion claimed the group since this one started, and has
+  // not called yet.
+  bool IsNewClaim(const std::string& key,
+                  const companion_messages::CoordinatorEntry& entry) const;
   void EndCoordination();
   void AbortTakeOver(std::string_view why);
   std::string peer_address() const;
@@ -139,6 +147,12 @@
   // When the coordinator last sent a poll or an order.
   common::Time last_coordinator_contact_{};
   bool taking_over_ = false;
+  bool awaiting_open_engine_ = false;
+  // Whether the process before this one was the coordinator: nobody else is, so
+  // this one takes over at once.
+  bool resumes_ = false;
+  // Generations of the claims in the store at the start, by key.
+  std::map<std::string, uint64_t> claims_at_start_;
   std::unique_ptr<GroupCoordinator> coordinator_;
   std::minstd_rand random_;
 };
--- a/packages/daemon/companion/group_coordinator.cc
+++ b/packages/daemon/companion/group_coordinator.cc
@@ -106,6 +106,7 @@
       peers_[entry->peer_address].entry = *entry;
     }
   }
+  next_poll_ = loop_.Now();
 }
 
 void GroupCoordinator::Tick() {
@@ -301,6 +302,10 @@
     return;
   }
   peer.rank = state.rank;
+  if (state.report.epoch > map_coordinator_.epoch()) {
+    // The requests that ran before are gone.
+    demand_.Reset();
+  }
   reports_[state.rank] = {.report = state.report, .requested_at = requested_at};
   paces_[state.rank] = state.pace;
   map_coordinator_.OnReport(state.rank, state.report, requested_at);
--- a/packages/state/expert_demand/expert_demand.cc
+++ b/packages/state/expert_demand/expert_demand.cc
@@ -74,6 +74,15 @@
   return shifted;
 }
 
+void ExpertDemand::Reset() {
+  for (auto* layers : {&loads_, &round_}) {
+    for (placement::Loads& loads : *layers) {
+      std::fill(loads.begin(), loads.end(), 0);
+    }
+  }
+  shifting_ = false;
+}
+
 double ExpertDemand::total() const {
   return TotalOf(loads_);
 }
--- a/packages/state/expert_demand/expert_demand.h
+++ b/packages/state/expert_demand/expert_demand.h
@@ -52,6 +52,9 @@
   // Returns whether they show a shift. A round with too few choices goes on.
   bool CloseRound(common::Time now);
 
+  // Drops all readings.
+  void Reset();
+
   // Recent choices of each expert, by layer, weighted by age.
   const std::vector<placement::Loads>& loads() const { return loads_; }
   // Sum of loads() over all layers; 0 while shifting().
