Expert demand: plans are staged by what a copy costs

Cause: the time from a shift of demand to the new map was nearly all copying: an expert of 2,500 MB takes 111 ms over 180,000 Mbit/s, and a plan copied three to five to some rank (0.39 s to 0.6 s) before anything got better, with passes over the 120 ms that a stream may pause. Change: the number of copies is chosen that gives the best mean over the next second, with the time of a copy from the published engine model; the rest is planned next. With fewer copies than layers each rank takes part in some layers. The fixed bound (1.5) and the fixed least number of copies are gone.

--- a/packages/daemon/companion/group_coordinator.cc
+++ b/packages/daemon/companion/group_coordinator.cc
@@ -362,6 +362,7 @@
       *current, demand_.loads(),
       {.slots_per_rank = options_.engine.expert_slots,
        .max_new_per_rank = options_.engine.spare_slots,
+       .copy_time = options_.engine.expert_copy_time,
        .paces = paces_});
   if (!plan.has_value()) {
     return;
--- a/packages/state/expert_demand/rebalance.cc
+++ b/packages/state/expert_demand/rebalance.cc
@@ -14,9 +14,6 @@
 constexpr int kStepsPerRank = 4;
 // Maximum perturbations in one layer once no single change helps.
 constexpr int kMaxPerturbations = 6;
-// New experts per rank of the cheapest plan that is tried; each further plan
-// allows twice as many.
-constexpr int kMinCopies = 3;
 
 bool IsSlow(const RebalanceOptions& options, size_t rank) {
   return rank < options.paces.size() && options.paces[rank] >= kSlowPace;
@@ -161,10 +158,15 @@
         (copies * (static_cast<int>(layer) + 1) + layers - 1) / layers;
     std::vector<int> max_new(ranks);
     for (size_t rank = 0; rank < ranks; ++rank) {
-      max_new[rank] = IsSlow(options, rank)
+      // With fewer copies than layers, each rank has a part in some layers.
+      const bool takes_part =
+          (rank + layer) % layers < static_cast<size_t>(copies);
+      max_new[rank] = IsSlow(options, rank) || !takes_part
                           ? 0
                           : std::min(options.max_new_per_rank,
-                                     allowed_copies - copied[rank]);
+                                     (copies < layers ? copies
+                                                      : allowed_copies) -
+                                         copied[rank]);
     }
     const double layer_before =
         placement::SkewOf(before, loads[layer], options.paces).slowest;
@@ -231,12 +233,28 @@
                                        const RebalanceOptions& options) {
   const int max_copies =
       options.max_new_per_rank * static_cast<int>(current.size());
+  const auto mean_slowest = [&options](const Rebalance& plan) {
+    const double switched =
+        (options.switch_time + plan.copies * options.copy_time) /
+        std::chrono::duration<double>(options.horizon);
+    return plan.slowest_before * switched +
+           plan.slowest_after * std::max(0.0, 1 - switched);
+  };
+  // Copies that take less time than the rest of a switch are not worth being
+  // spread over several.
+  const int min_copies = std::max<int>(
+      1, static_cast<int>(options.switch_time /
+                          std::max(options.copy_time, common::Duration(1))));
   Rebalance plan;
-  for (int copies = std::min(kMinCopies, max_copies);;
+  for (int copies = std::min(min_copies, max_copies);;
        copies = std::min(copies * 2, max_copies)) {
-    plan = PlanAll(current, loads, options, copies);
-    if (plan.slowest_after <= options.acceptable_slowest ||
-        copies == max_copies) {
+    Rebalance next = PlanAll(current, loads, options, copies);
+    if (!plan.maps.empty() && mean_slowest(next) >= mean_slowest(plan)) {
+      break;
+    }
+    plan = std::move(next);
+    if (copies == max_copies ||
+        plan.slowest_after <= options.target_slowest) {
       break;
     }
   }
--- a/packages/state/expert_demand/rebalance.h
+++ b/packages/state/expert_demand/rebalance.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <vector>
 
+#include "common/time.h"
 #include "state/placement/expert_map.h"
 
 namespace wagtailshore::expert_demand {
@@ -20,10 +21,13 @@
   // A layer is not changed while the load of its slowest rank, over the mean,
   // is at most this.
   double target_slowest = 1.25;
-  // Ranks copy in parallel, so a switch takes as long as the rank with the most
-  // new experts. Of the plans whose mean slowest load is at most this, the one
-  // with the fewest new experts per rank is chosen.
-  double acceptable_slowest = 1.5;
+  // Ranks copy in parallel, so a switch takes `switch_time` and `copy_time` for
+  // each new expert of the rank with the most. The plan is chosen whose map,
+  // with the current one until it is in use, is best over `horizon`; what it
+  // leaves to improve is planned next.
+  common::Duration copy_time = common::milliseconds(20);
+  common::Duration switch_time = common::milliseconds(120);
+  common::Duration horizon = common::milliseconds(1000);
   // Minimum expected saving, as a share of the experts' part of a step. A
   // smaller one does not pay for the copies and orders of a switch.
   double min_saving = 0.12;
--- a/packages/state/serving/configuration.h
+++ b/packages/state/serving/configuration.h
@@ -89,6 +89,8 @@
   // New experts of one layer that a rank can receive while it serves.
   int spare_slots = 0;
   double expert_mb = 0;
+  // Time to copy one expert to a rank.
+  common::Duration expert_copy_time = common::milliseconds(20);
   // Share of a token's processing time that is spent in experts.
   double expert_share = 0;
 };
