Gateway: bounds for bytes without end, as a body, an event or in between

Cause: a stream's incomplete event was buffered without a bound and searched from its start with each read; buffered answers were bounded for one request (16 MB) but not for all, on instances with 160 MB. An endpoint that sends bytes without end to a few requests could end the process for all its callers. Change: 256 KB for an event, 8 MB for a buffered answer, 32 MB for all together; the connection is closed and the request fails as one that may have run. EndlessBytesTest: no answer, a head, a body with and without a length, a chunk extension, an event.

--- a/packages/coordination/retry_window/retry_window.cc
+++ b/packages/coordination/retry_window/retry_window.cc
@@ -11,8 +11,7 @@
 
 bool RetryWindow::TryTake(double reserve_share, common::Time now) {
   Expire(now);
-  const double allowed =
-      options_.ratio * static_cast<double>(requests_.size());
+  const double allowed = options_.ratio * static_cast<double>(requests_.size());
   if (static_cast<double>(retries_.size()) + 1 <= allowed) {
     retries_.push_back(now);
     return true;
@@ -25,9 +24,8 @@
   // share, so no window sees more than it.
   const double capacity = share < 1 ? 0 : std::max(1.0, share / 2);
   const double refill_per_window = std::max(0.0, share - capacity);
-  const double windows =
-      std::chrono::duration<double>(now - refilled_at_) /
-      std::chrono::duration<double>(options_.window);
+  const double windows = std::chrono::duration<double>(now - refilled_at_) /
+                         std::chrono::duration<double>(options_.window);
   refilled_at_ = now;
   reserve_ = std::min(capacity, reserve_ + windows * refill_per_window);
   if (reserve_ < 1) {
--- a/packages/daemon/companion/companion.cc
+++ b/packages/daemon/companion/companion.cc
@@ -113,17 +113,17 @@
 void Companion::CallStore(
     const http_channel::Call& call,
     std::function<void(const http_channel::CallResult&)> done) {
-  caller_.Start(settings_.store_address, call, kStoreTimeout,
-                [this, generation = store_generation_,
-                 done = std::move(done)](const http_channel::CallResult& result) {
-                  if (era_.Accept(platform::EraOf(result)) &&
-                      generation == store_generation_) {
-                    done(result);
-                  } else {
-                    done(absl::UnavailableError(
-                        "the store went back to an older copy"));
-                  }
-                });
+  caller_.Start(
+      settings_.store_address, call, kStoreTimeout,
+      [this, generation = store_generation_,
+       done = std::move(done)](const http_channel::CallResult& result) {
+        if (era_.Accept(platform::EraOf(result)) &&
+            generation == store_generation_) {
+          done(result);
+        } else {
+          done(absl::UnavailableError("the store went back to an older copy"));
+        }
+      });
 }
 
 void Companion::OnStoreRestored() {
@@ -138,10 +138,9 @@
   if (coordinator_ == nullptr) {
     return;
   }
-  CallStore(platform::ReadTableCall(platform::SystemTable::kCoordinators),
-            [this](const http_channel::CallResult& result) {
-              OnClaimRead(result);
-            });
+  CallStore(
+      platform::ReadTableCall(platform::SystemTable::kCoordinators),
+      [this](const http_channel::CallResult& result) { OnClaimRead(result); });
 }
 
 void Companion::OnClaimRead(const http_channel::CallResult& result) {
@@ -166,17 +165,17 @@
   }
   claim.value = companion_messages::EncodeCoordinator(
       {.generation = own_generation_, .peer_address = peer_address()});
-  CallStore(platform::ReplaceRowCall(platform::SystemTable::kCoordinators,
-                                     claim),
-            [](const http_channel::CallResult& written) {
-              const auto status = platform::DecodeWriteResult(written);
-              if (!status.ok()) {
-                // The next check reads the row again.
-                common::LogEvent(common::EventId::kPlatformUnavailable,
-                                 common::StrCat("writing=claim error=",
-                                                status.message()));
-              }
-            });
+  CallStore(
+      platform::ReplaceRowCall(platform::SystemTable::kCoordinators, claim),
+      [](const http_channel::CallResult& written) {
+        const auto status = platform::DecodeWriteResult(written);
+        if (!status.ok()) {
+          // The next check reads the row again.
+          common::LogEvent(
+              common::EventId::kPlatformUnavailable,
+              common::StrCat("writing=claim error=", status.message()));
+        }
+      });
 }
 
 void Companion::EndCoordination() {
@@ -463,8 +462,8 @@
         platform::Row claim{
             .key = common::StrCat(settings_.engine_service, "/", state.group)};
         // The store may have lost the rows of later claims.
-        uint64_t generation = std::max(
-            generation_, store_era::FirstNumberOf(era_.current()));
+        uint64_t generation =
+            std::max(generation_, store_era::FirstNumberOf(era_.current()));
         for (const platform::Row& row : rows->rows) {
           if (row.key != claim.key) {
             continue;
--- a/packages/daemon/companion/group_coordinator.h
+++ b/packages/daemon/companion/group_coordinator.h
@@ -148,8 +148,8 @@
   common::Duration PeriodFor(common::Duration least) const;
   common::Duration OrderTimeout(const map_coordinator::RankOrder& order) const;
   Peer* FindPeer(int rank);
-  // Whether this process was paused and no companion has accepted a poll of this
-  // coordinator since: a later one may exist.
+  // Whether this process was paused and no companion has accepted a poll of
+  // this coordinator since: a later one may exist.
   bool MayBeSuperseded() const { return confirmed_at_ < resumed_at_; }
   // Ends the coordination and calls `on_superseded`.
   void Stop();
--- a/packages/daemon/gateway/crash_exchange.cc
+++ b/packages/daemon/gateway/crash_exchange.cc
@@ -34,19 +34,19 @@
     const http_channel::Call& call,
     common::Duration timeout,
     void (CrashExchange::*done)(const http_channel::CallResult&)) {
-  caller_.Start(options_.store_address, call, timeout,
-                [this, done, generation = generation_](
-                    const http_channel::CallResult& result) {
-                  if (generation != generation_) {
-                    return;
-                  }
-                  if (era_.Accept(platform::EraOf(result))) {
-                    (this->*done)(result);
-                  } else if (generation == generation_) {
-                    (this->*done)(
-                        absl::UnavailableError("answer of an earlier era"));
-                  }
-                });
+  caller_.Start(
+      options_.store_address, call, timeout,
+      [this, done,
+       generation = generation_](const http_channel::CallResult& result) {
+        if (generation != generation_) {
+          return;
+        }
+        if (era_.Accept(platform::EraOf(result))) {
+          (this->*done)(result);
+        } else if (generation == generation_) {
+          (this->*done)(absl::UnavailableError("answer of an earlier era"));
+        }
+      });
 }
 
 void CrashExchange::OnStoreRestored() {
--- a/packages/daemon/gateway/gateway_core.h
+++ b/packages/daemon/gateway/gateway_core.h
@@ -36,6 +36,9 @@
   // By service.
   std::map<std::string, retry_window::RetryWindow> retry_windows;
   std::map<std::string, admission::AdmissionControl> admissions;
+  // Bytes of answers that are buffered until they are complete, over all
+  // requests.
+  size_t buffered_bytes = 0;
   std::minstd_rand random;
 };
 
--- a/packages/daemon/gateway/gateway_registry.cc
+++ b/packages/daemon/gateway/gateway_registry.cc
@@ -62,16 +62,15 @@
 }
 
 void GatewayRegistry::Read() {
-  caller_.Start(
-      options_.store_address,
-      platform::ReadTableCall(platform::SystemTable::kGateways),
-      options_.call_timeout,
-      [this, requested_at = loop_.Now(),
-       generation = generation_](const http_channel::CallResult& result) {
-        if (generation == generation_) {
-          OnRows(requested_at, result);
-        }
-      });
+  caller_.Start(options_.store_address,
+                platform::ReadTableCall(platform::SystemTable::kGateways),
+                options_.call_timeout,
+                [this, requested_at = loop_.Now(), generation = generation_](
+                    const http_channel::CallResult& result) {
+                  if (generation == generation_) {
+                    OnRows(requested_at, result);
+                  }
+                });
 }
 
 void GatewayRegistry::OnRows(common::Time requested_at,
@@ -94,8 +93,8 @@
     Write(rows->store_time, expired);
     return;
   }
-  ReadAfter(std::chrono::duration_cast<common::Duration>(
-      options_.share.window * kCountPeriodShare));
+  ReadAfter(std::chrono::duration_cast<common::Duration>(options_.share.window *
+                                                         kCountPeriodShare));
 }
 
 size_t GatewayRegistry::CountRows(const platform::Rows& rows,
@@ -120,8 +119,7 @@
           platform::SystemTable::kGateways,
           {{.key = options_.name, .value = EncodeRow(store_time)}}, expired),
       options_.call_timeout,
-      [this,
-       generation = generation_](const http_channel::CallResult& result) {
+      [this, generation = generation_](const http_channel::CallResult& result) {
         if (generation == generation_) {
           OnWritten(result);
         }
@@ -141,8 +139,8 @@
     share_.OnRegistered(loop_.Now());
   }
   renew_at_ = loop_.Now() + options_.renewal_period;
-  ReadAfter(std::chrono::duration_cast<common::Duration>(
-      options_.share.window * kCountPeriodShare));
+  ReadAfter(std::chrono::duration_cast<common::Duration>(options_.share.window *
+                                                         kCountPeriodShare));
 }
 
 }  // namespace wagtailshore::gateway
--- a/packages/daemon/gateway/proxied_run.cc
+++ b/packages/daemon/gateway/proxied_run.cc
@@ -39,8 +39,12 @@
 // An attempt without any answer for this long may be at an endpoint that ended
 // without closing its connections.
 constexpr common::Duration kSilence = common::seconds(1);
-// Largest answer that is buffered before it is relayed.
-constexpr size_t kMaxAnswerBytes = 16 << 20;
+// Largest answer that is buffered before it is relayed, and largest sum of such
+// answers: a faulty endpoint may send bytes without end to many requests.
+constexpr size_t kMaxAnswerBytes = 8 << 20;
+constexpr size_t kMaxBufferedBytes = 32 << 20;
+// Largest event of a stream.
+constexpr size_t kMaxEventBytes = 256 << 10;
 // Unsent stream data at which a caller that does not read is disconnected.
 constexpr size_t kMaxUnsentBytes = 1 << 20;
 
@@ -82,6 +86,7 @@
 
 ProxiedRun::~ProxiedRun() {
   core_.loop.Cancel(deadline_timer_);
+  DropBufferedBody();
 }
 
 void ProxiedRun::Start() {
@@ -104,11 +109,10 @@
   std::discrete_distribution<size_t> pick(weights.begin(), weights.end());
   service_ = route_->services[pick(core_.random)].service;
   core_.retry_windows
-      .try_emplace(
-          service_,
-          retry_window::RetryWindow(
-              {.window = core_.settings.retry_window,
-               .ratio = core_.settings.retry_ratio * kRetryRatioShare}))
+      .try_emplace(service_, retry_window::RetryWindow(
+                                 {.window = core_.settings.retry_window,
+                                  .ratio = core_.settings.retry_ratio *
+                                           kRetryRatioShare}))
       .first->second.OnRequest(arrived_at_);
   if (PassesAdmission()) {
     Dispatch();
@@ -245,7 +249,7 @@
   attempt_started_at_ = now();
   attempt_first_event_.reset();
   answer_.reset();
-  buffered_body_.clear();
+  DropBufferedBody();
   splitter_.Reset();
   streaming_ = false;
   proxied::Forwarding forwarding{.endpoint_id = endpoint.id,
@@ -289,13 +293,20 @@
     RelayEvents(data);
     return;
   }
-  if (buffered_body_.size() + data.size() > kMaxAnswerBytes) {
+  if (buffered_body_.size() + data.size() > kMaxAnswerBytes ||
+      core_.buffered_bytes + data.size() > kMaxBufferedBytes) {
     exchange_->Abandon();
     EndAttempt("answer_too_large");
     Fail("answer_too_large", kRetryWhenFull);
     return;
   }
   buffered_body_ += data;
+  core_.buffered_bytes += data.size();
+}
+
+void ProxiedRun::DropBufferedBody() {
+  core_.buffered_bytes -= buffered_body_.size();
+  buffered_body_ = {};
 }
 
 void ProxiedRun::RelayEvents(std::string_view data) {
@@ -329,6 +340,11 @@
     last_event_at_ = now();
     channel_.WriteStream(event.text);
   }
+  if (splitter_.partial_bytes() > kMaxEventBytes) {
+    exchange_->Abandon();
+    RetryOrFail("event_too_large");
+    return;
+  }
   if (channel_.unsent() > kMaxUnsentBytes) {
     exchange_->Abandon();
     EndAttempt("caller_not_reading");
@@ -540,7 +556,8 @@
       result.starts_with("status_") || result == "busy" ||
       result == "misdirected" || result == "unreachable" ||
       result == "answer_spoilt" || result == "answer_too_large" ||
-      result == "caller_not_reading" || result == "event_missing";
+      result == "event_too_large" || result == "caller_not_reading" ||
+      result == "event_missing";
   if (result == "complete") {
     core_.crashes.OnAnswered(content_attempt_);
   } else if (endpoint_responds || (given_up && !silent)) {
--- a/packages/daemon/gateway/proxied_run.h
+++ b/packages/daemon/gateway/proxied_run.h
@@ -78,6 +78,7 @@
   void OnDeadline();
 
   void OnBufferedAnswer();
+  void DropBufferedBody();
   void OnRefusedByEndpoint();
   void RelayEvents(std::string_view data);
   void OnStreamEnd();
--- a/packages/daemon/gateway/store_watch.cc
+++ b/packages/daemon/gateway/store_watch.cc
@@ -58,9 +58,9 @@
 }
 
 void StoreWatch::OnStoreRestored() {
-  common::LogEvent(common::EventId::kStoreRestored,
-                   common::StrCat("era=", era_.current(),
-                                  " revision=", revision_));
+  common::LogEvent(
+      common::EventId::kStoreRestored,
+      common::StrCat("era=", era_.current(), " revision=", revision_));
   ++generation_;
   rewritten_at_ = loop_.Now() + options_.rewriting_time;
   fleet_.OnListRestored(loop_.Now());
@@ -91,15 +91,14 @@
   if (!rows.ok()) {
     UpdateAvailability(rows.status());
     const bool history_gone = absl::IsFailedPrecondition(rows.status());
-    RunAfter(
-        history_gone ? common::Duration::zero() : retry_delay_.Next(),
-        [this, history_gone] {
-          if (history_gone || routes_ == nullptr) {
-            ReadConfiguration();
-          } else {
-            AwaitConfiguration(options_.configuration_wait);
-          }
-        });
+    RunAfter(history_gone ? common::Duration::zero() : retry_delay_.Next(),
+             [this, history_gone] {
+               if (history_gone || routes_ == nullptr) {
+                 ReadConfiguration();
+               } else {
+                 AwaitConfiguration(options_.configuration_wait);
+               }
+             });
     return;
   }
   UpdateAvailability(absl::OkStatus());
--- a/packages/state/expert_demand/rebalance.cc
+++ b/packages/state/expert_demand/rebalance.cc
@@ -161,12 +161,12 @@
       // With fewer copies than layers, each rank has a part in some layers.
       const bool takes_part =
           (rank + layer) % layers < static_cast<size_t>(copies);
-      max_new[rank] = IsSlow(options, rank) || !takes_part
-                          ? 0
-                          : std::min(options.max_new_per_rank,
-                                     (copies < layers ? copies
-                                                      : allowed_copies) -
-                                         copied[rank]);
+      max_new[rank] =
+          IsSlow(options, rank) || !takes_part
+              ? 0
+              : std::min(
+                    options.max_new_per_rank,
+                    (copies < layers ? copies : allowed_copies) - copied[rank]);
     }
     const double layer_before =
         placement::SkewOf(before, loads[layer], options.paces).slowest;
@@ -253,8 +253,7 @@
       break;
     }
     plan = std::move(next);
-    if (copies == max_copies ||
-        plan.slowest_after <= options.target_slowest) {
+    if (copies == max_copies || plan.slowest_after <= options.target_slowest) {
       break;
     }
   }
--- a/tests/unit/coordination/map_coordinator/fake_group.cc
+++ b/tests/unit/coordination/map_coordinator/fake_group.cc
@@ -10,9 +10,7 @@
 
 }  // namespace
 
-FakeGroup::FakeGroup(int ranks,
-                     common::Duration copy_time,
-                     bool checks_fencing)
+FakeGroup::FakeGroup(int ranks, common::Duration copy_time, bool checks_fencing)
     : ranks_(ranks), copy_time_(copy_time), checks_fencing_(checks_fencing) {}
 
 bool FakeGroup::IsHeld(uint64_t step) const {
@@ -86,8 +84,7 @@
   if (checks_fencing_ && order.generation < rank.highest_generation) {
     return OrderOutcome::kFenced;
   }
-  rank.highest_generation =
-      std::max(rank.highest_generation, order.generation);
+  rank.highest_generation = std::max(rank.highest_generation, order.generation);
   if (order.epoch != epoch_) {
     return OrderOutcome::kConflict;
   }
--- a/tests/unit/coordination/map_coordinator/map_coordinator_test.cc
+++ b/tests/unit/coordination/map_coordinator/map_coordinator_test.cc
@@ -100,8 +100,8 @@
   }
 
   void NewCoordinator() {
-    coordinators_.push_back({std::make_shared<MapCoordinator>(
-        MapCoordinatorOptions{
+    coordinators_.push_back(
+        {std::make_shared<MapCoordinator>(MapCoordinatorOptions{
             .ranks = faults_.ranks,
             .generation = ++generation_,
             .hold_rank = static_cast<int>(generation_) % faults_.ranks})});
--- a/tests/unit/coordination/retry_window/reserve_share_test.cc
+++ b/tests/unit/coordination/retry_window/reserve_share_test.cc
@@ -95,11 +95,12 @@
     return std::uniform_real_distribution<double>(0, 1)(random_) < probability;
   }
   Gateway NewGateway(int id) {
-    return {.id = id,
-            .window = RetryWindow({.window = kWindow, .ratio = 0}),
-            .share = ReserveShare({.reserve = param_.reserve, .window = kWindow}),
-            .era = era_,
-            .next_call = now_ + Jitter()};
+    return {
+        .id = id,
+        .window = RetryWindow({.window = kWindow, .ratio = 0}),
+        .share = ReserveShare({.reserve = param_.reserve, .window = kWindow}),
+        .era = era_,
+        .next_call = now_ + Jitter()};
   }
   common::Duration Jitter() {
     return common::milliseconds(
@@ -157,26 +158,41 @@
   EXPECT_GE(static_cast<double>(most), GetParam().reserve / 4);
 }
 
-INSTANTIATE_TEST_SUITE_P(
-    Fleets,
-    SumOverGatewaysTest,
-    testing::Values(
-        FleetCase{"one", 1, 88},
-        FleetCase{"six", 6, 88},
-        FleetCase{"many", 47, 252},
-        FleetCase{"target", 400, 1600},
-        FleetCase{.name = "six_restarting", .gateways = 6, .reserve = 88,
-                  .restarts = 0.02, .seed = 2},
-        FleetCase{.name = "many_restarting", .gateways = 47, .reserve = 252,
-                  .restarts = 0.01, .seed = 3},
-        FleetCase{.name = "scale_out", .gateways = 6, .reserve = 88,
-                  .scale_out = {40, 45, 71}, .seed = 4},
-        FleetCase{.name = "outage_and_scale_out", .gateways = 12,
-                  .reserve = 100, .scale_out = {52}, .outage = {50, 70},
-                  .seed = 5},
-        FleetCase{.name = "table_goes_back", .gateways = 47, .reserve = 252,
-                  .scale_out = {57}, .goes_back = {60, 62, 90}, .seed = 6}),
-    [](const auto& test) { return test.param.name; });
+INSTANTIATE_TEST_SUITE_P(Fleets,
+                         SumOverGatewaysTest,
+                         testing::Values(FleetCase{"one", 1, 88},
+                                         FleetCase{"six", 6, 88},
+                                         FleetCase{"many", 47, 252},
+                                         FleetCase{"target", 400, 1600},
+                                         FleetCase{.name = "six_restarting",
+                                                   .gateways = 6,
+                                                   .reserve = 88,
+                                                   .restarts = 0.02,
+                                                   .seed = 2},
+                                         FleetCase{.name = "many_restarting",
+                                                   .gateways = 47,
+                                                   .reserve = 252,
+                                                   .restarts = 0.01,
+                                                   .seed = 3},
+                                         FleetCase{.name = "scale_out",
+                                                   .gateways = 6,
+                                                   .reserve = 88,
+                                                   .scale_out = {40, 45, 71},
+                                                   .seed = 4},
+                                         FleetCase{
+                                             .name = "outage_and_scale_out",
+                                             .gateways = 12,
+                                             .reserve = 100,
+                                             .scale_out = {52},
+                                             .outage = {50, 70},
+                                             .seed = 5},
+                                         FleetCase{.name = "table_goes_back",
+                                                   .gateways = 47,
+                                                   .reserve = 252,
+                                                   .scale_out = {57},
+                                                   .goes_back = {60, 62, 90},
+                                                   .seed = 6}),
+                         [](const auto& test) { return test.param.name; });
 
 }  // namespace
 }  // namespace wagtailshore::retry_window
--- a/tests/unit/coordination/retry_window/retry_window_test.cc
+++ b/tests/unit/coordination/retry_window/retry_window_test.cc
@@ -32,8 +32,8 @@
 // Even if every request needs a retry, no window, wherever it starts, contains
 // more retries than allowed.
 TEST(RetryWindowTest, NoSlidingWindowExceedsTheBound) {
-  constexpr RetryWindowOptions kOptions = {
-      .window = common::seconds(10), .ratio = 0.2};
+  constexpr RetryWindowOptions kOptions = {.window = common::seconds(10),
+                                           .ratio = 0.2};
   constexpr double kReserveShare = 5;
   RetryWindow window(kOptions);
   std::mt19937 random(7);
--- a/tests/unit/daemon/companion/companion_test.cc
+++ b/tests/unit/daemon/companion/companion_test.cc
@@ -152,9 +152,9 @@
             std::string::npos);
 }
 
-// Guards against a companion that no coordinator can find any more, as the store
-// has lost its entry. It does not read the store itself, so the coordinator's
-// poll tells it.
+// Guards against a companion that no coordinator can find any more, as the
+// store has lost its entry. It does not read the store itself, so the
+// coordinator's poll tells it.
 TEST_F(CompanionTest, EntryThatTheStoreLostIsWrittenAgain) {
   Start(kSingleAttempt);
   store_.TakeCopy();
--- a/tests/unit/daemon/gateway/gateway_test.cc
+++ b/tests/unit/daemon/gateway/gateway_test.cc
@@ -164,6 +164,75 @@
   EXPECT_FALSE(world.Ask({.path = "/stream/x"}).complete);
 }
 
+// Bytes without end in place of an answer, or within one.
+struct EndlessCase {
+  const char* name;
+  const char* path;
+  std::function<std::string(const Received&)> start;
+  // Repeated after the start.
+  const char* repeated;
+};
+
+class EndlessBytesTest : public testing::TestWithParam<EndlessCase> {};
+
+// Guards against an endpoint that makes the gateway buffer until it runs out of
+// memory. The test sends more than the gateway buffers for one request.
+TEST_P(EndlessBytesTest, ConnectionIsClosedAndTheNextRequestIsServed) {
+  constexpr size_t kSent = 12 << 20;
+  const EndlessCase& param = GetParam();
+  HostedWorld world(1);
+  bool endless = true;
+  world.Script([&](const Received& request) {
+    if (!endless) {
+      return std::string_view(param.path).starts_with("/stream/")
+                 ? Stream(request, 0, 4)
+                 : Plain(request, 200, "ok");
+    }
+    std::string bytes = param.start(request);
+    while (bytes.size() < kSent) {
+      bytes += param.repeated;
+    }
+    return Reply{.bytes = std::move(bytes)};
+  });
+  const CallerAnswer answer =
+      world.Ask({.path = param.path, .time_left_ms = 2000});
+  EXPECT_FALSE(answer.status == 200 && answer.complete);
+  EXPECT_NE(answer.status, 503);
+  EXPECT_TRUE(world.RunUntil([&] { return world.endpoint(0).closed() > 0; }));
+  endless = false;
+  EXPECT_EQ(world.Ask({.path = param.path, .id = "a2"}).status, 200);
+}
+
+std::string ChunkedHead(const Received& request) {
+  return common::StrCat(HeadOf(request, 200, "Transfer-Encoding: chunked\r\n"),
+                        "\r\n");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    EndlessBytesTest,
+    testing::Values(
+        EndlessCase{"NoAnswer", "/once/x",
+                    [](const Received&) { return std::string(); }, "xxxxxxxx"},
+        EndlessCase{
+            "Head", "/once/x",
+            [](const Received& request) { return HeadOf(request, 200, ""); },
+            "X-Other: value\r\n"},
+        EndlessCase{"Body", "/once/x", ChunkedHead, "8\r\nxxxxxxxx\r\n"},
+        EndlessCase{"BodyUntilClose", "/once/x",
+                    [](const Received& request) {
+                      return common::StrCat(
+                          HeadOf(request, 200, "Connection: close\r\n"),
+                          "\r\n");
+                    },
+                    "xxxxxxxx"},
+        EndlessCase{
+            "ChunkExtension", "/once/x",
+            [](const Received& request) { return ChunkedHead(request) + "8;"; },
+            "xxxxxxxx"},
+        EndlessCase{"Event", "/stream/x", ChunkedHead, "8\r\ndata: x\n\r\n"}),
+    [](const auto& test) { return std::string(test.param.name); });
+
 // All ranks of a group that lost a rank refuse, so a retry on another rank
 // would be wasted.
 TEST(GatewayTest, StalledGroupIsNotAskedTwice) {
--- a/tests/unit/daemon/gateway/store_restored_test.cc
+++ b/tests/unit/daemon/gateway/store_restored_test.cc
@@ -34,8 +34,7 @@
   HostedWorld world(1);
   world.store().TakeCopy();
   world.store().SetConfiguration(WithoutKey(2));
-  ASSERT_TRUE(
-      world.RunUntil([&] { return StatusOf(world, "key") == 401; }));
+  ASSERT_TRUE(world.RunUntil([&] { return StatusOf(world, "key") == 401; }));
   world.store().RestoreCopy();
   // Enough time to read the older configuration.
   const common::Time end = world.loop().Now() + common::milliseconds(300);
@@ -46,8 +45,7 @@
   json changed = WithoutKey(3);
   changed["tenants"][0]["api_keys"] = {"third"};
   world.store().SetConfiguration(changed);
-  EXPECT_TRUE(
-      world.RunUntil([&] { return StatusOf(world, "third") == 200; }));
+  EXPECT_TRUE(world.RunUntil([&] { return StatusOf(world, "third") == 200; }));
   EXPECT_EQ(StatusOf(world, "key"), 401);
 }
 
--- a/tests/unit/state/expert_demand/expert_demand_test.cc
+++ b/tests/unit/state/expert_demand/expert_demand_test.cc
@@ -222,6 +222,27 @@
                    .has_value());
 }
 
+// Copies take time, in which the old map is in use: the first plan is one that
+// is in use soon, and the next one does the rest. Guards against streams that
+// pause for too long while everything is copied at once.
+TEST(RebalanceTest, ExpensiveCopiesAreSpreadOverSeveralSwitches) {
+  constexpr double kHotShare = 0.2;
+  Loads loads(kExperts, (1 - kHotShare) / (kExperts - 1));
+  loads[5] = kHotShare;
+  const std::vector<ExpertMap> current(4, FirstMap());
+  const std::vector<Loads> all(4, loads);
+  RebalanceOptions options = kOptions;
+  options.copy_time = common::milliseconds(110);
+  const auto first = PlanRebalance(current, all, options);
+  ASSERT_TRUE(first.has_value());
+  EXPECT_LE(first->copies, 2);
+  EXPECT_LT(first->slowest_after, 0.7 * first->slowest_before);
+  options.copy_time = common::milliseconds(1);
+  const auto at_once = PlanRebalance(current, all, options);
+  ASSERT_TRUE(at_once.has_value());
+  EXPECT_LE(at_once->slowest_after, first->slowest_after);
+}
+
 // One rank becomes slow, and all others would wait for it in each step. Its
 // experts must move to other ranks, and none may be lost.
 class SlowRankTest : public testing::TestWithParam<double> {};
