--- a/tests/unit/daemon/gateway/gateway_test.cc
+++ b/tests/unit/daemon/gateway/gateway_test.cc
@@ -171,6 +171,9 @@
   std::function<std::string(const Received&)> start;
   // Repeated after the start.
   const char* repeated;
+  // Whether the gateway buffers the bytes, and so closes the connection once
+  // they are too many. Otherwise it reads no more until the route's timeout.
+  bool buffered = true;
 };
 
 class EndlessBytesTest : public testing::TestWithParam<EndlessCase> {};
@@ -194,15 +197,24 @@
     }
     return Reply{.bytes = std::move(bytes)};
   });
-  const CallerAnswer answer =
-      world.Ask({.path = param.path, .time_left_ms = 2000});
+  const common::Time asked_at = world.loop().Now();
+  const CallerAnswer answer = world.Ask({.path = param.path});
   EXPECT_FALSE(answer.status == 200 && answer.complete);
+  if (param.buffered) {
+    // Well before the route's timeout.
+    EXPECT_LT(world.loop().Now() - asked_at, common::milliseconds(1500));
+  }
   EXPECT_NE(answer.status, 503);
   EXPECT_TRUE(world.RunUntil([&] { return world.endpoint(0).closed() > 0; }));
   endless = false;
   EXPECT_EQ(world.Ask({.path = param.path, .id = "a2"}).status, 200);
 }
 
+// 64 bytes.
+constexpr const char* kChunk =
+    "40\r\n0123456789abcdef0123456789abcdef"
+    "0123456789abcdef0123456789abcdef\r\n";
+
 std::string ChunkedHead(const Received& request) {
   return common::StrCat(HeadOf(request, 200, "Transfer-Encoding: chunked\r\n"),
                         "\r\n");
@@ -218,7 +230,7 @@
             "Head", "/once/x",
             [](const Received& request) { return HeadOf(request, 200, ""); },
             "X-Other: value\r\n"},
-        EndlessCase{"Body", "/once/x", ChunkedHead, "8\r\nxxxxxxxx\r\n"},
+        EndlessCase{"Body", "/once/x", ChunkedHead, kChunk},
         EndlessCase{"BodyUntilClose", "/once/x",
                     [](const Received& request) {
                       return common::StrCat(
@@ -229,7 +241,7 @@
         EndlessCase{
             "ChunkExtension", "/once/x",
             [](const Received& request) { return ChunkedHead(request) + "8;"; },
-            "xxxxxxxx"},
+            "xxxxxxxx", /*buffered=*/false},
         EndlessCase{"Event", "/stream/x", ChunkedHead, "8\r\ndata: x\n\r\n"}),
     [](const auto& test) { return std::string(test.param.name); });
 
