Gateway: an ended run does not use the gateway; companions confirm after a pause

A run that has ended is destroyed later than its gateway may be, and its destructor used the gateway's state: gateway_test ended with a segmentation fault once the bytes that it had buffered were given back there. They are given back when the run ends. After a pause a coordinator waits for another companion's answer, not its own, for at most 2 s. With more gateways than one page holds there is no share of the retry reserve, instead of reading the table again and again.

--- a/packages/daemon/companion/group_coordinator.cc
+++ b/packages/daemon/companion/group_coordinator.cc
@@ -21,6 +21,9 @@
 // A longer time between two ticks means that the process was paused. Shorter
 // than the time after which others take over.
 constexpr common::Duration kPauseLimit = common::milliseconds(600);
+// Without an answer of another companion for this long after a pause, there is
+// none that could have taken over.
+constexpr common::Duration kConfirmTimeout = common::seconds(2);
 // Choices per expert and layer needed before a map is planned: enough to tell
 // the shares of the most chosen experts from random variation.
 constexpr double kMinChoicesPerExpert = 20;
@@ -89,7 +92,7 @@
 
 void GroupCoordinator::OnDirectory(const http_channel::CallResult& result) {
   if (!era_.Accept(platform::EraOf(result))) {
-    ReadDirectory();
+    next_directory_ = loop_.Now();
     return;
   }
   const auto rows = platform::DecodeRows(result);
@@ -135,6 +138,11 @@
   SendOrders();
 }
 
+bool GroupCoordinator::MayBeSuperseded() const {
+  return confirmed_at_ < resumed_at_ &&
+         loop_.Now() < resumed_at_ + kConfirmTimeout;
+}
+
 bool GroupCoordinator::HasFreshReport(const Peer& peer) const {
   const auto found = reports_.find(peer.rank);
   return found != reports_.end() &&
@@ -260,7 +268,9 @@
     return;
   }
   peer.unreachable = false;
-  confirmed_at_ = std::max(confirmed_at_, requested_at);
+  if (peer.rank != options_.own_rank) {
+    confirmed_at_ = std::max(confirmed_at_, requested_at);
+  }
   if (result->status != http1::kOk) {
     return;
   }
--- a/packages/daemon/companion/group_coordinator.h
+++ b/packages/daemon/companion/group_coordinator.h
@@ -148,9 +148,9 @@
   common::Duration PeriodFor(common::Duration least) const;
   common::Duration OrderTimeout(const map_coordinator::RankOrder& order) const;
   Peer* FindPeer(int rank);
-  // Whether this process was paused and no companion has accepted a poll of
-  // this coordinator since: a later one may exist.
-  bool MayBeSuperseded() const { return confirmed_at_ < resumed_at_; }
+  // Whether this process was paused and no other companion has accepted a poll
+  // since: a later coordinator may exist.
+  bool MayBeSuperseded() const;
   // Ends the coordination and calls `on_superseded`.
   void Stop();
   // Wraps a callback so that it does nothing once this object is destroyed.
@@ -175,7 +175,7 @@
   int sampled_ranks_;
   common::Time last_tick_{};
   // When this process last resumed after a pause, and when the last poll was
-  // sent that a companion accepted.
+  // sent that another companion accepted.
   common::Time resumed_at_{};
   common::Time confirmed_at_{};
   common::Time next_poll_{};
--- a/packages/daemon/gateway/gateway_registry.cc
+++ b/packages/daemon/gateway/gateway_registry.cc
@@ -76,8 +76,7 @@
 void GatewayRegistry::OnRows(common::Time requested_at,
                              const http_channel::CallResult& result) {
   const auto rows = platform::DecodeRows(result);
-  if (!rows.ok() || rows->has_more) {
-    // More gateways than one page holds have no shares worth dividing.
+  if (!rows.ok()) {
     ReadAfter(retry_delay_.Next());
     return;
   }
@@ -88,7 +87,9 @@
     return;
   }
   std::vector<std::string> expired;
-  share_.OnCounted(CountRows(*rows, expired), requested_at);
+  const size_t gateways = CountRows(*rows, expired);
+  // With more gateways than one page holds, shares would be too small to use.
+  share_.OnCounted(rows->has_more ? 0 : gateways, requested_at);
   if (!registered_ || loop_.Now() >= renew_at_) {
     Write(rows->store_time, expired);
     return;
--- a/packages/daemon/gateway/proxied_run.cc
+++ b/packages/daemon/gateway/proxied_run.cc
@@ -85,8 +85,10 @@
       arrived_at_(core.loop.Now()) {}
 
 ProxiedRun::~ProxiedRun() {
-  core_.loop.Cancel(deadline_timer_);
-  DropBufferedBody();
+  // A run that has ended may outlive the gateway.
+  if (!ended_) {
+    core_.loop.Cancel(deadline_timer_);
+  }
 }
 
 void ProxiedRun::Start() {
@@ -592,6 +594,7 @@
     return;
   }
   ended_ = true;
+  DropBufferedBody();
   EndAdmissionWait(/*started=*/false);
   core_.loop.Cancel(deadline_timer_);
   deadline_timer_ = event_loop::kNoTimer;
