Tests: a companion that takes over at once, one that waits, and a claim that the store lost

The second shows the wait that the first would meet without the change: 1.2 s with the first map after a restart of all processes.

--- a/tests/support/hosted_world.cc
+++ b/tests/support/hosted_world.cc
@@ -80,6 +80,23 @@
   return RowsOf(table, 0, /*with_deleted=*/false).size();
 }
 
+void FakeStore::SetRow(const std::string& table,
+                       const std::string& key,
+                       const std::string& value) {
+  Put(table, key, absl::Base64Escape(value));
+  AnswerChanged();
+}
+
+std::string FakeStore::ValueOf(const std::string& table,
+                               const std::string& key) const {
+  std::string value;
+  const auto found = tables_.find(table);
+  if (found != tables_.end() && found->second.contains(key)) {
+    absl::Base64Unescape(found->second.at(key).value, &value);
+  }
+  return value;
+}
+
 void FakeStore::Put(const std::string& table,
                     const std::string& key,
                     const std::string& value) {
--- a/tests/support/hosted_world.h
+++ b/tests/support/hosted_world.h
@@ -43,6 +43,11 @@
   uint64_t era() const { return era_; }
   // Number of rows in the table.
   size_t rows(const std::string& table) const;
+  // Writes a row of any table, and reads one; empty if it does not exist.
+  void SetRow(const std::string& table,
+              const std::string& key,
+              const std::string& value);
+  std::string ValueOf(const std::string& table, const std::string& key) const;
 
   void OnRequest(http_channel::CallerChannel& channel,
                  const http1::RequestHead& head,
--- a/tests/unit/daemon/companion/companion_test.cc
+++ b/tests/unit/daemon/companion/companion_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "common/strings.h"
+#include "coordination/store_era/store_era.h"
 #include "support/hosted_world.h"
 
 namespace wagtailshore::companion {
@@ -19,11 +20,17 @@
   return {.bytes = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"};
 }
 
+constexpr common::Duration kRunLimit = common::seconds(10);
 constexpr common::Duration kCallTimeout = common::seconds(20);
 // One attempt with a long timeout, so that a slow machine causes no retries.
 constexpr CompanionOptions kSingleAttempt = {.order_timeout = kCallTimeout,
                                              .order_tries = 1};
 
+// The state of an engine whose group is open.
+constexpr const char* kReport =
+    R"({"group": {"name": "g", "epoch": 1, "rank": 0, "state": "open"},
+        "size": 2, "step": 7, "map": 0})";
+
 // One companion with a fake engine and a fake store on one event loop.
 class CompanionTest : public testing::Test {
  protected:
@@ -31,6 +38,9 @@
       : store_(loop_),
         engine_(loop_,
                 [this](const Received& received) {
+                  if (received.head.target == "/report" && open_) {
+                    return hosted_world::Plain(received, 200, kReport);
+                  }
                   if (received.head.target != "/order") {
                     return Reply{};
                   }
@@ -77,6 +87,35 @@
 
   event_loop::EventLoop loop_;
   FakeStore store_;
+  // Writes a configuration with experts and the claim of the companion at
+  // `peer`.
+  void SetClaim(const std::string& peer, uint64_t generation) {
+    store_.SetConfiguration(
+        {{"version", 1},
+         {"services",
+          {{{"name", "s"}, {"engine", {{"sets", 1}, {"experts", 4}}}}}}});
+    store_.SetRow("coordinators", "s/g",
+                  companion_messages::EncodeCoordinator(
+                      {.generation = generation, .peer_address = peer}));
+  }
+  uint64_t ClaimedGeneration() const {
+    const auto claim = companion_messages::DecodeCoordinator(
+        store_.ValueOf("coordinators", "s/g"));
+    return claim.ok() ? claim->generation : 0;
+  }
+  // Runs the event loop until the condition holds; false after `limit`.
+  bool RunUntil(const std::function<bool()>& condition,
+                common::Duration limit) {
+    const common::Time end = loop_.Now() + limit;
+    while (!condition() && loop_.Now() < end) {
+      loop_.RunAfter(common::milliseconds(5), [this] { loop_.Stop(); });
+      loop_.Run();
+    }
+    return condition();
+  }
+
+  // Whether the engine's group is open; otherwise the engine does not answer.
+  bool open_ = false;
   // Number of first orders that the engine does not answer.
   int unanswered_ = 0;
   // Orders that the engine received so far.
@@ -158,26 +197,59 @@
 TEST_F(CompanionTest, EntryThatTheStoreLostIsWrittenAgain) {
   Start(kSingleAttempt);
   store_.TakeCopy();
-  const auto runs_until = [this](const std::function<bool()>& condition) {
-    const common::Time end = loop_.Now() + common::seconds(10);
-    while (!condition() && loop_.Now() < end) {
-      loop_.RunAfter(common::milliseconds(5), [this] { loop_.Stop(); });
-      loop_.Run();
-    }
-    return condition();
-  };
   const auto registered = [this] { return store_.rows("companions") == 1; };
-  ASSERT_TRUE(runs_until(registered));
+  ASSERT_TRUE(RunUntil(registered, kRunLimit));
   for (int i = 0; i < 2; ++i) {
     store_.RestoreCopy();
     ASSERT_FALSE(registered());
     Call(companion_messages::kPollPath,
          companion_messages::EncodePoll(
              {.generation = 1, .store_era = store_.era()}));
-    EXPECT_TRUE(runs_until(registered));
+    EXPECT_TRUE(RunUntil(registered, kRunLimit));
   }
 }
 
+// Companions find each other by "IP:port"; these tests bind any port.
+constexpr const char* kOwnAddress = "127.0.0.1:0";
+// Others wait this long for a coordinator that does not call.
+constexpr common::Duration kOthersWait = common::milliseconds(1200);
+
+// Guards against a group that serves with its first map for as long as others
+// wait for a coordinator, after a restart of all processes.
+TEST_F(CompanionTest, SuccessorOfTheCoordinatorTakesOverAtOnce) {
+  open_ = true;
+  SetClaim(kOwnAddress, 4);
+  Start(kSingleAttempt);
+  EXPECT_TRUE(RunUntil([this] { return ClaimedGeneration() > 4; },
+                       kOthersWait - common::milliseconds(200)));
+}
+
+TEST_F(CompanionTest, OthersWaitForTheCoordinator) {
+  open_ = true;
+  SetClaim("127.0.0.1:9", 4);
+  Start(kSingleAttempt);
+  EXPECT_FALSE(RunUntil([this] { return ClaimedGeneration() != 4; },
+                        kOthersWait - common::milliseconds(100)));
+  EXPECT_TRUE(RunUntil([this] { return ClaimedGeneration() > 4; }, kRunLimit));
+}
+
+// Guards against two coordinators with one number: the store loses a claim, and
+// the number would be given again.
+TEST_F(CompanionTest, ClaimThatTheStoreLostIsWrittenAgain) {
+  open_ = true;
+  SetClaim(kOwnAddress, 4);
+  store_.TakeCopy();
+  Start(kSingleAttempt);
+  ASSERT_TRUE(RunUntil([this] { return ClaimedGeneration() > 4; }, kRunLimit));
+  const uint64_t claimed = ClaimedGeneration();
+  store_.RestoreCopy();
+  ASSERT_EQ(ClaimedGeneration(), 4U);
+  EXPECT_TRUE(
+      RunUntil([&] { return ClaimedGeneration() == claimed; }, kRunLimit));
+  // The next one to claim in the new era gets a higher number.
+  EXPECT_GT(store_era::FirstNumberOf(store_.era()), claimed);
+}
+
 // A companion returns the slow engines from the coordinator's last poll to
 // gateways.
 TEST_F(CompanionTest, SlowEnginesArePassedOn) {
