--- a/packages/state/expert_demand/rebalance.cc
+++ b/packages/state/expert_demand/rebalance.cc
@@ -14,6 +14,9 @@
 constexpr int kStepsPerRank = 4;
 // Maximum perturbations in one layer once no single change helps.
 constexpr int kMaxPerturbations = 6;
+// New experts per rank of the first plan that is tried; each further plan
+// allows twice as many.
+constexpr int kMaxFirstCopies = 3;
 
 bool IsSlow(const RebalanceOptions& options, size_t rank) {
   return rank < options.paces.size() && options.paces[rank] >= kSlowPace;
@@ -240,11 +243,12 @@
     return plan.slowest_before * switched +
            plan.slowest_after * std::max(0.0, 1 - switched);
   };
-  // Copies that take less time than the rest of a switch are not worth being
-  // spread over several.
-  const int min_copies = std::max<int>(
-      1, static_cast<int>(options.switch_time /
-                          std::max(options.copy_time, common::Duration(1))));
+  // Copies that take less time than the rest of a switch are not spread over
+  // several. Few are tried first, as each plan takes processor time.
+  const int min_copies =
+      options.copy_time * kMaxFirstCopies < options.switch_time
+          ? kMaxFirstCopies
+          : 1;
   Rebalance plan;
   for (int copies = std::min(min_copies, max_copies);;
        copies = std::min(copies * 2, max_copies)) {
@@ -253,7 +257,8 @@
       break;
     }
     plan = std::move(next);
-    if (copies == max_copies || plan.slowest_after <= options.target_slowest) {
+    if (copies == max_copies ||
+        plan.slowest_after <= options.acceptable_slowest) {
       break;
     }
   }
--- a/packages/state/expert_demand/rebalance.h
+++ b/packages/state/expert_demand/rebalance.h
@@ -28,6 +28,9 @@
   common::Duration copy_time = common::milliseconds(20);
   common::Duration switch_time = common::milliseconds(120);
   common::Duration horizon = common::milliseconds(1000);
+  // A plan that brings the mean slowest load to this is good enough: no further
+  // one is tried.
+  double acceptable_slowest = 1.5;
   // Minimum expected saving, as a share of the experts' part of a step. A
   // smaller one does not pay for the copies and orders of a switch.
   double min_saving = 0.12;
