Event loop: a descriptor without an interest is not registered in the reactor

Seen: gateway_test ended with a segmentation fault, once without the sanitizers and in each of 12 runs with the address sanitizer, after a request at which an endpoint sent an endless chunk extension had reached its deadline. Cause: a socket whose input is full and that has nothing to write waits for no event. The reactor does not remove a handler that has lost all of its events (ENOENT), so the number of the closed descriptor stayed bound to a destroyed handler, which the next connection with that number called. Change: a handler without events is removed from the reactor while it still has some, and registered again with the next ones. Before: IdleDescriptorTest failed in its three cases (the next descriptor got no event, another one got 9,839); a watch without an interest ended the process. After: passes, and gateway_test with the sanitizer in three runs.

--- a/packages/transport/event_loop/event_loop.cc
+++ b/packages/transport/event_loop/event_loop.cc
@@ -103,7 +103,9 @@
 
   ~Impl() {
     for (auto& [descriptor, handler] : handlers_) {
-      RemoveFromReactor(*handler);
+      if (handler->interest() != Interest{}) {
+        RemoveFromReactor(*handler);
+      }
     }
   }
 
@@ -116,30 +118,33 @@
   }
 
   void Watch(int descriptor, Watcher* watcher, Interest interest) {
-    const auto found = handlers_.find(descriptor);
-    if (found == handlers_.end()) {
-      auto handler = std::make_unique<DescriptorHandler>(descriptor, watcher);
-      handler->set_interest(interest);
-      const int added =
-          reactor_.register_handler(handler.get(), MaskOf(interest));
-      WS_INVARIANT(added == 0) << "the reactor accepts the descriptor";
-      handlers_.emplace(descriptor, std::move(handler));
-      return;
+    std::unique_ptr<DescriptorHandler>& handler = handlers_[descriptor];
+    if (handler == nullptr) {
+      handler = std::make_unique<DescriptorHandler>(descriptor, watcher);
     }
-    DescriptorHandler& handler = *found->second;
-    const Interest before = handler.interest();
+    const Interest before = handler->interest();
     if (before == interest) {
       return;
     }
-    handler.set_interest(interest);
+    handler->set_interest(interest);
     const ACE_Reactor_Mask wanted = MaskOf(interest);
-    const ACE_Reactor_Mask dropped = MaskOf(before) & ~wanted;
-    const ACE_Reactor_Mask added = wanted & ~MaskOf(before);
-    if (dropped != 0) {
-      reactor_.cancel_wakeup(&handler, dropped);
+    const ACE_Reactor_Mask registered = MaskOf(before);
+    // The reactor refuses a handler without an event, and does not remove one
+    // that has lost all of its events, so such a handler is not registered.
+    if (wanted == ACE_Event_Handler::NULL_MASK) {
+      RemoveFromReactor(*handler);
+      return;
+    }
+    if (registered == ACE_Event_Handler::NULL_MASK) {
+      const int added = reactor_.register_handler(handler.get(), wanted);
+      WS_INVARIANT(added == 0) << "the reactor accepts the descriptor";
+      return;
+    }
+    if (const ACE_Reactor_Mask dropped = registered & ~wanted; dropped != 0) {
+      reactor_.cancel_wakeup(handler.get(), dropped);
     }
-    if (added != 0) {
-      reactor_.schedule_wakeup(&handler, added);
+    if (const ACE_Reactor_Mask added = wanted & ~registered; added != 0) {
+      reactor_.schedule_wakeup(handler.get(), added);
     }
   }
 
@@ -148,7 +153,9 @@
     if (found == handlers_.end()) {
       return;
     }
-    RemoveFromReactor(*found->second);
+    if (found->second->interest() != Interest{}) {
+      RemoveFromReactor(*found->second);
+    }
     found->second->Detach();
     // The reactor may be inside a call to the handler, so it is destroyed
     // later.
