Gateway: prompt parts, events of attempts and accepted probes in the log

The logs could not tell whether the requests at endpoints that end share a part of their prompts, which of them had begun, and whether a crash became known late because a probe was still accepted. No decision changes.

--- a/packages/common/event_log.cc
+++ b/packages/common/event_log.cc
@@ -60,6 +60,10 @@
               "that it is gone.",
               "Look for WS-1311 with the same endpoint: a content may have "
               "crashed it."},
+    EventSpec{EventId::kEndpointProbed, Severity::kInfo, "endpoint probed",
+              "An endpoint left attempts without an answer and accepts "
+              "connections; the list decides whether its process ended.",
+              "None."},
     EventSpec{
         EventId::kAttemptFailed, Severity::kWarning, "attempt failed",
         "An endpoint refused an attempt, its connection broke, or it sent "
--- a/packages/common/event_log.h
+++ b/packages/common/event_log.h
@@ -23,6 +23,7 @@
   kSlowEndpoints = 1204,
   kPeerUnreachable = 1204,
   kEndpointLost = 1205,
+  kEndpointProbed = 1206,
   kAttemptFailed = 1301,
   kRequestRefused = 1302,
   kStreamResumed = 1303,
--- a/packages/daemon/gateway/crash_watch.cc
+++ b/packages/daemon/gateway/crash_watch.cc
@@ -135,7 +135,12 @@
   found->second.probe_pending = false;
   // If it accepts, it may still have restarted before the probe, which the list
   // will show.
-  if (!accepted) {
+  if (accepted) {
+    common::LogEvent(
+        common::EventId::kEndpointProbed,
+        common::StrCat("endpoint=", process,
+                       " unanswered_attempts=", found->second.attempts.size()));
+  } else {
     const bool silent = loop_.Now() >= probed_at + options_.probe_timeout;
     OnProcessLost(
         process, failure_domain,
--- a/packages/daemon/gateway/proxied_run.cc
+++ b/packages/daemon/gateway/proxied_run.cc
@@ -45,6 +45,8 @@
 constexpr size_t kMaxBufferedBytes = 32 << 20;
 // Largest event of a stream.
 constexpr size_t kMaxEventBytes = 256 << 10;
+// Parts of a prompt are left out of the log beyond this.
+constexpr size_t kMaxLoggedPartsBytes = 200;
 // Unsent stream data at which a caller that does not read is disconnected.
 constexpr size_t kMaxUnsentBytes = 1 << 20;
 
@@ -66,6 +68,19 @@
       .substr(0, kDigits);
 }
 
+// The shared parts of the request's prompt, for the log.
+std::string PartsOf(const proxied::CallerRequest& request) {
+  std::string parts;
+  for (const std::string& id : request.shared_prompt_parts) {
+    common::StrAppend(&parts, parts.empty() ? "" : ",", id);
+    if (parts.size() > kMaxLoggedPartsBytes) {
+      common::StrAppend(&parts, ",...");
+      break;
+    }
+  }
+  return parts.empty() ? "none" : parts;
+}
+
 // Whether callers may conclude from the status that the request did not run.
 bool PromisesNotRun(int status) {
   return status == http1::kRequestTimeout || status == http1::kMisdirected ||
@@ -250,6 +265,7 @@
   tried_endpoints_.insert(endpoint.id);
   attempt_started_at_ = now();
   attempt_first_event_.reset();
+  attempt_events_ = 0;
   answer_.reset();
   DropBufferedBody();
   splitter_.Reset();
@@ -313,6 +329,7 @@
 
 void ProxiedRun::RelayEvents(std::string_view data) {
   for (event_stream::Event& event : splitter_.Feed(data)) {
+    ++attempt_events_;
     if (!attempt_first_event_.has_value()) {
       attempt_first_event_ = now() - attempt_started_at_;
       EndAdmissionWait(/*started=*/true);
@@ -523,6 +540,9 @@
   exchange_ = nullptr;
   common::StrAppend(&attempt_log_, attempt_log_.empty() ? "" : ",",
                     endpoint_process_, ":", result);
+  if (attempt_events_ > 0) {
+    common::StrAppend(&attempt_log_, "+", attempt_events_);
+  }
   core_.metrics.OnAttempt(endpoint_id_, result);
   ReportToRouter(result);
   ReportToQuarantine(result);
@@ -612,8 +632,8 @@
       common::StrCat(
           "request=", request_.attempt_id,
           " route=", route_ == nullptr ? "none" : route_->name,
-          " customer=", customer_.value_or("none"),
-          " content=", content_.empty() ? "none" : content_,
+          " customer=", customer_.value_or("none"), " content=",
+          content_.empty() ? "none" : content_, " parts=", PartsOf(request_),
           " outcome=", outcome, " took_ms=", common::ToMilliseconds(took),
           " attempts=", attempt_log_.empty() ? "none" : attempt_log_,
           " configuration=", routes_ == nullptr ? 0 : routes_->version(),
--- a/packages/daemon/gateway/proxied_run.h
+++ b/packages/daemon/gateway/proxied_run.h
@@ -128,6 +128,8 @@
   uint64_t content_attempt_ = 0;
   // Time to the attempt's first event.
   std::optional<common::Duration> attempt_first_event_;
+  // Number of the attempt's events.
+  uint32_t attempt_events_ = 0;
   std::optional<proxied::EndpointAnswer> answer_;
   std::string buffered_body_;
   event_stream::Splitter splitter_;
--- a/packages/protocol/proxied/proxied.h
+++ b/packages/protocol/proxied/proxied.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "common/time.h"
 #include "protocol/http1/headers.h"
@@ -30,6 +31,11 @@
   // given.
   uint32_t prompt_tokens = 0;
   uint32_t max_answer_tokens = 0;
+  // Model that the request is for; empty if not given.
+  std::string model;
+  // Ids of the parts of the prompt that other requests may have too, in lower
+  // case. The last part belongs to the request alone and is not among them.
+  std::vector<std::string> shared_prompt_parts;
   // The caller's estimate of the number of answer tokens; 0 if not given.
   uint32_t likely_answer_tokens = 0;
   // Number of the last event that the caller has received; the answer continues
--- a/tests/unit/platform/requests_test.cc
+++ b/tests/unit/platform/requests_test.cc
@@ -34,6 +34,33 @@
 
 // Callers must not be able to set the headers that the gateway adds for
 // endpoints, such as the customer.
+struct PromptPartsCase {
+  const char* name;
+  const char* header;
+  std::vector<std::string> shared;
+};
+
+class PromptPartsTest : public testing::TestWithParam<PromptPartsCase> {};
+
+TEST_P(PromptPartsTest, TheLastPartIsNotShared) {
+  const auto request = DecodeCallerRequest(
+      HeadOf({{"X-Wagtailshore-Prompt-Prefix", GetParam().header}}), {});
+  EXPECT_EQ(request.shared_prompt_parts, GetParam().shared);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Headers,
+    PromptPartsTest,
+    testing::Values(
+        PromptPartsCase{"Three", "5c1e:800,91BD:410,e440:2", {"5c1e", "91bd"}},
+        PromptPartsCase{"OnlyItsOwn", "5c1e:800", {}},
+        PromptPartsCase{"WithoutTokens", "5c1e,91bd", {"5c1e"}},
+        PromptPartsCase{"Spaces", "5c1e:1, 91bd:2 ,e4:3", {"5c1e", "91bd"}},
+        PromptPartsCase{"Empty", "", {}},
+        PromptPartsCase{"Malformed", "5c1e:1,x/y:2,e4:3", {}},
+        PromptPartsCase{"MissingId", "5c1e:1,,e4:3", {}}),
+    [](const auto& info) { return info.param.name; });
+
 TEST(RequestsTest, ForwardedHeadersAreTheSystemsOwn) {
   const auto request =
       DecodeCallerRequest(HeadOf({{"Host", "h"},
