--- a/tests/support/hosted_world.cc
+++ b/tests/support/hosted_world.cc
@@ -246,6 +246,11 @@
       reader_ = http1::RequestReader(http1::ReaderOptions{});
       owner_.received_.push_back(received);
       const Reply reply = owner_.script_(received);
+      if (reply.delay > common::Duration::zero()) {
+        owner_.loop_.RunAfter(
+            reply.delay, [this, bytes = reply.bytes] { socket_.Write(bytes); });
+        continue;
+      }
       socket_.Write(reply.bytes);
       if (reply.reset) {
         // Gives the bytes time to arrive, because the reset may overtake them.
@@ -434,6 +439,9 @@
   headers.Add("X-Wagtailshore-Deadline-Ms",
               common::StrCat(options.time_left_ms));
   headers.Add("Authorization", common::StrCat("Token ", options.key));
+  if (!options.prompt_parts.empty()) {
+    headers.Add("X-Wagtailshore-Prompt-Prefix", options.prompt_parts);
+  }
   return http1::FormatRequest(options.method, options.path, headers,
                               options.body);
 }
--- a/tests/support/hosted_world.h
+++ b/tests/support/hosted_world.h
@@ -111,6 +111,8 @@
   bool reset = false;
   // Whether to close the connection normally after the bytes.
   bool close = false;
+  // Time until the bytes are sent.
+  common::Duration delay{};
 };
 
 // An endpoint whose replies a test defines byte by byte.
@@ -167,6 +169,8 @@
   int time_left_ms = 3000;
   std::string method = "POST";
   std::string body = "hello";
+  // Parts of the prompt, as "ID:TOKENS,..."; none if empty.
+  std::string prompt_parts;
   // Index of the gateway that the caller connects to.
   int gateway = 0;
 };
