Gateway: an endpoint that goes silent after the head of its answer may have crashed

Seen by callers: repeats of a content under which endpoints end without closing their connections went on crashing endpoints when the endpoint had sent the head of its answer before. Cause: an attempt that its caller or the deadline gave up counted as unanswered only if no head had arrived, so no crash was held against the content. Change: what counts is the time since the endpoint last sent something.

--- a/packages/daemon/gateway/proxied_run.cc
+++ b/packages/daemon/gateway/proxied_run.cc
@@ -36,7 +36,7 @@
 constexpr int kMostUrgent = 1;
 constexpr int kLeastUrgent = 5;
 constexpr int kLateUrgencyStep = 4;
-// An attempt without any answer for this long may be at an endpoint that ended
+// An attempt from which nothing arrived for this long may be at an endpoint that ended
 // without closing its connections.
 constexpr common::Duration kSilence = common::seconds(1);
 // Largest answer that is buffered before it is relayed, and largest sum of such
@@ -264,6 +264,7 @@
   endpoint_process_ = fleet::ProcessName(endpoint);
   tried_endpoints_.insert(endpoint.id);
   attempt_started_at_ = now();
+  last_received_at_ = attempt_started_at_;
   attempt_first_event_.reset();
   attempt_events_ = 0;
   answer_.reset();
@@ -289,6 +290,7 @@
       *answer.attempt_id != request_.attempt_id) {
     return http_channel::ResponseOrigin::kEarlierExchange;
   }
+  last_received_at_ = now();
   exchange_->SetIdleLimit(answer.keep_alive);
   if (answer.load.has_value()) {
     core_.router.OnReport(endpoint_id_,
@@ -307,6 +309,7 @@
 }
 
 void ProxiedRun::OnBody(std::string_view data) {
+  last_received_at_ = now();
   if (streaming_) {
     RelayEvents(data);
     return;
@@ -570,8 +573,7 @@
 
 void ProxiedRun::ReportToQuarantine(std::string_view result) {
   const bool given_up = result == "caller_gone" || result == "deadline";
-  const bool silent =
-      !answer_.has_value() && now() - attempt_started_at_ >= kSilence;
+  const bool silent = now() - last_received_at_ >= kSilence;
   // The endpoint works, whatever is wrong with its answer. An error response is
   // no proof that the request ran.
   const bool endpoint_responds =
--- a/packages/daemon/gateway/proxied_run.h
+++ b/packages/daemon/gateway/proxied_run.h
@@ -124,6 +124,8 @@
   // Distinguishes the endpoint from an earlier or later process with its id.
   std::string endpoint_process_;
   common::Time attempt_started_at_{};
+  // When the endpoint last sent something for the attempt.
+  common::Time last_received_at_{};
   // Its number in the quarantine.
   uint64_t content_attempt_ = 0;
   // Time to the attempt's first event.
--- a/tests/unit/daemon/gateway/crashing_content_test.cc
+++ b/tests/unit/daemon/gateway/crashing_content_test.cc
@@ -28,8 +28,9 @@
 class CrashingWorld {
  public:
   explicit CrashingWorld(const HostedWorldOptions& options,
-                         EndpointEnd end = EndpointEnd::kCrash)
-      : options_(options), end_(end), world_(options) {
+                         EndpointEnd end = EndpointEnd::kCrash,
+                         bool after_head = false)
+      : options_(options), end_(end), after_head_(after_head), world_(options) {
     for (int i = 0; i < options.endpoints; ++i) {
       world_.endpoint(i).set_script(
           [this, i](const Received& request) { return Serve(i, request); });
@@ -110,6 +111,11 @@
     if (request.body == kCrashingBody) {
       arrivals_.push_back(world_.loop().Now());
       world_.EndEndpoint(index, kDownTime, end_);
+      if (after_head_) {
+        return {.bytes =
+                    HeadOf(request, 200, "Transfer-Encoding: chunked\r\n") +
+                    "\r\n"};
+      }
       return {};
     }
     if (held_.contains(request.body)) {
@@ -122,6 +128,7 @@
 
   HostedWorldOptions options_;
   EndpointEnd end_;
+  bool after_head_;
   HostedWorld world_;
   std::vector<common::Time> arrivals_;
   std::set<std::string> held_;
@@ -143,6 +150,8 @@
   int gateways = 1;
   int at_once = 1;
   EndpointEnd end = EndpointEnd::kCrash;
+  // Whether endpoints send the head of an answer before they end.
+  bool after_head = false;
 };
 
 class CrashingContentTest : public testing::TestWithParam<RepeatCase> {};
@@ -150,7 +159,7 @@
 TEST_P(CrashingContentTest, RepeatsThroughAnyGatewayStopReachingEndpoints) {
   const RepeatCase& param = GetParam();
   CrashingWorld crashing({.endpoints = 6, .gateways = param.gateways},
-                         param.end);
+                         param.end, param.after_head);
   crashing.Repeat(param.path, param.at_once, kRepeatInterval,
                   kTimeToStop + common::seconds(3));
   EXPECT_GE(crashing.arrivals().size(), 1U);
@@ -168,7 +177,9 @@
         RepeatCase{"SafeManyAtOnce", "/safe/x", 4, 12},
         RepeatCase{"StreamManyAtOnce", "/stream/x", 4, 12},
         RepeatCase{"SafeSilent", "/safe/x", 4, 1, EndpointEnd::kSilence},
-        RepeatCase{"StreamSilent", "/stream/x", 4, 4, EndpointEnd::kSilence}),
+        RepeatCase{"StreamSilent", "/stream/x", 4, 4, EndpointEnd::kSilence},
+        RepeatCase{"StreamSilentAfterHead", "/stream/x", 4, 4,
+                   EndpointEnd::kSilence, true}),
     [](const auto& info) { return info.param.name; });
 
 TEST(CrashingContentSharingTest,
