Quarantine: crashes are held against parts of prompts, not only whole contents

Cause: the quarantine's unit was the whole content. The class: a limit whose key is finer than what it has to limit. Ruled out: late knowledge (one gateway alone shows it) and retries within a request (routes of one attempt show it). Change: a crash accuses all factors of an attempt, its content and the shared parts of its prompt; an answer clears them everywhere. What no answer clears is quarantined after two crashes, after four if it was answered in the last 10 minutes. A crash that one quarantined factor alone explains is not held against others; parts that explain the same crashes are refused together, and a request with only some of them may tell them apart. Why it works: a part that crashes whatever begins to answer it is never answered, while a sound one is soon answered in some other request. Before: all cases of crashing_prompt_part_test failed. After: all pass, as do crashing_content_test and quarantine_test. Two things in the test were wrong and are replaced: the sound requests of NoOtherPart had the bad part as their first one, and the time measured was shorter than a round of Silent; it is now 2 s.

--- a/packages/common/event_log.cc
+++ b/packages/common/event_log.cc
@@ -79,17 +79,19 @@
         "None."},
     EventSpec{EventId::kContentQuarantined, Severity::kError,
               "content quarantined",
-              "Two endpoints crashed while they ran this content.",
-              "Find the caller's request by its digest; it is refused until "
-              "its quarantine expires."},
+              "Endpoints crashed while they ran this content, or requests with "
+              "this part in their prompts, and no answer has cleared it.",
+              "Find its requests by content= or parts= in WS-1320; they are "
+              "refused until the quarantine expires."},
     EventSpec{EventId::kContentSuspected, Severity::kWarning,
               "content suspected",
-              "An endpoint crashed while it ran this content for this "
-              "process.",
+              "An endpoint crashed while it ran this content, or a request "
+              "with this part in its prompt, for this process.",
               "None; most suspects are innocent and are cleared by their next "
               "answer."},
     EventSpec{EventId::kContentCleared, Severity::kInfo, "content cleared",
-              "An endpoint answered a suspect content.", "None."},
+              "An endpoint answered a request with a suspect content or part.",
+              "None."},
     EventSpec{EventId::kCrashWithdrawn, Severity::kInfo, "crash withdrawn",
               "An endpoint that counted as crashed is still listed with the "
               "same start time: it was cut off and has not ended.",
--- a/packages/daemon/entry/entry_control.cc
+++ b/packages/daemon/entry/entry_control.cc
@@ -56,7 +56,7 @@
                                         const std::string& digest,
                                         std::optional<std::string> endpoint) {
   const common::Time now = common::Clock::now();
-  const quarantine::Verdict verdict = core_.quarantine.Check(digest, now);
+  const quarantine::Verdict verdict = core_.quarantine.Check({digest}, now);
   if (const auto* refused = std::get_if<quarantine::Refused>(&verdict)) {
     return *refused;
   }
@@ -84,9 +84,9 @@
   if (!endpoint.has_value()) {
     return NoEndpointAvailable{};
   }
-  return PickedAttempt{
-      .endpoint = {.name = *endpoint},
-      .attempt = core_.quarantine.OnSent(digest, ProcessId(node_, *endpoint))};
+  return PickedAttempt{.endpoint = {.name = *endpoint},
+                       .attempt = core_.quarantine.OnSent(
+                           {digest}, ProcessId(node_, *endpoint))};
 }
 
 ContentPick EntryControl::PickForContent(
@@ -114,10 +114,10 @@
                               const std::string& digest,
                               ContentEnd end) {
   node_.control().Post([this, attempt, digest, end] {
-    const bool quarantined = core_.quarantine.OnEnded(
+    const quarantine::EndedAttempt ended = core_.quarantine.OnEnded(
         attempt, end == ContentEnd::kCrashed, end == ContentEnd::kAnswered,
         common::Clock::now());
-    if (quarantined) {
+    if (ended.quarantines) {
       common::LogEvent(common::EventId::kContentQuarantined,
                        common::StrCat("digest=", digest));
     }
--- a/packages/daemon/gateway/crash_watch.cc
+++ b/packages/daemon/gateway/crash_watch.cc
@@ -42,31 +42,30 @@
           [this](const crash_report::CrashReport& report,
                  common::Time detected_at) { OnReported(report, detected_at); },
           [this](const quarantine::Crash& crash) {
-            quarantine_.Withdraw(crash);
+            quarantine_.Withdraw(crash, loop_.Now());
           }) {}
 
-quarantine::Verdict CrashWatch::Check(const std::string& content) {
-  return quarantine_.Check(content, loop_.Now());
+quarantine::Verdict CrashWatch::Check(const quarantine::Factors& factors) {
+  return quarantine_.Check(factors, loop_.Now());
 }
 
-uint64_t CrashWatch::OnSent(const std::string& content,
+uint64_t CrashWatch::OnSent(const quarantine::Factors& factors,
                             const std::string& process) {
-  return quarantine_.OnSent(content, process);
+  return quarantine_.OnSent(factors, process);
 }
 
 void CrashWatch::OnAnswered(uint64_t attempt) {
-  const std::string content = quarantine_.ContentOf(attempt);
-  const std::set<std::string> crashes = quarantine_.CrashesOf(content);
-  quarantine_.OnEnded(attempt, /*crashed=*/false, /*answered=*/true,
-                      loop_.Now());
-  if (crashes.empty() || !quarantine_.CrashesOf(content).empty()) {
-    return;
+  const quarantine::EndedAttempt ended = quarantine_.OnEnded(
+      attempt, /*crashed=*/false, /*answered=*/true, loop_.Now());
+  std::map<std::string, size_t> crashes;
+  for (const quarantine::Crash& crash : ended.cleared) {
+    ++crashes[crash.digest];
+    exchange_.Remove(crash);
   }
-  common::LogEvent(
-      common::EventId::kContentCleared,
-      common::StrCat("content=", content, " crashes=", crashes.size()));
-  for (const std::string& name : crashes) {
-    exchange_.Remove({.digest = content, .name = name});
+  for (const auto& [digest, count] : crashes) {
+    common::LogEvent(
+        common::EventId::kContentCleared,
+        common::StrCat(quarantine::LogField(digest), " crashes=", count));
   }
 }
 
@@ -198,19 +197,12 @@
 }
 
 void CrashWatch::RecordCrash(uint64_t attempt, const LostProcess& lost) {
-  const common::Time now = loop_.Now();
-  const std::string content = quarantine_.ContentOf(attempt);
-  const bool was_quarantined = quarantine_.IsQuarantined(content, now);
-  const std::set<std::string> before = quarantine_.CrashesOf(content);
-  quarantine_.OnEnded(attempt, /*crashed=*/true, /*answered=*/false, now);
-  for (const std::string& name : quarantine_.CrashesOf(content)) {
-    if (before.contains(name)) {
-      continue;
-    }
-    const quarantine::Crash crash{.digest = content, .name = name};
+  const quarantine::EndedAttempt ended = quarantine_.OnEnded(
+      attempt, /*crashed=*/true, /*answered=*/false, loop_.Now());
+  for (const quarantine::Crash& crash : ended.recorded) {
     Report(crash, lost);
     common::LogEvent(common::EventId::kContentSuspected, FieldsOf(crash));
-    LogIfQuarantined(crash, was_quarantined);
+    LogIfQuarantined(crash, /*was_quarantined=*/!ended.quarantines);
   }
 }
 
@@ -253,7 +245,7 @@
   }
   lost_.erase(process);
   const std::vector<quarantine::Crash> withdrawn =
-      quarantine_.WithdrawEndpoint(process);
+      quarantine_.WithdrawEndpoint(process, now);
   for (const quarantine::Crash& crash : withdrawn) {
     exchange_.Remove(crash);
   }
@@ -295,7 +287,7 @@
     return;
   }
   const quarantine::Crash& crash = report.crash;
-  const bool was_quarantined = quarantine_.IsQuarantined(crash.digest, now);
+  const bool was_quarantined = quarantine_.IsQuarantined(crash.digest);
   quarantine_.OnEndpointLost(ProcessOf(crash), report.failure_domain,
                              detected_at, now);
   if (quarantine_.WasAnswered(crash.digest, detected_at)) {
@@ -316,15 +308,14 @@
 
 void CrashWatch::LogIfQuarantined(const quarantine::Crash& crash,
                                   bool was_quarantined) {
-  if (!was_quarantined &&
-      quarantine_.IsQuarantined(crash.digest, loop_.Now())) {
+  if (!was_quarantined && quarantine_.IsQuarantined(crash.digest)) {
     common::LogEvent(common::EventId::kContentQuarantined, FieldsOf(crash));
   }
 }
 
 std::string CrashWatch::FieldsOf(const quarantine::Crash& crash) const {
   return common::StrCat(
-      "content=", crash.digest, " endpoint=", ProcessOf(crash),
+      quarantine::LogField(crash.digest), " endpoint=", ProcessOf(crash),
       " crashes=", quarantine_.CrashesOf(crash.digest).size());
 }
 
--- a/packages/daemon/gateway/crash_watch.h
+++ b/packages/daemon/gateway/crash_watch.h
@@ -52,9 +52,9 @@
     {LossEvidence::kNotListed, "not_listed"},
 }};
 
-// Finds out which contents crash the endpoints that run them, and decides
-// whether an attempt with a content may be sent. Shares what it finds with the
-// other gateways.
+// Finds out which contents and parts of prompts crash the endpoints that run
+// them, and decides whether an attempt with them may be sent. Shares what it
+// finds with the other gateways.
 //
 // A broken connection is no proof of a crash, as endpoints and links also reset
 // connections. An attempt without an answer counts as a crash only if its
@@ -70,10 +70,11 @@
 
   void Start() { exchange_.Start(); }
 
-  quarantine::Verdict Check(const std::string& content);
+  quarantine::Verdict Check(const quarantine::Factors& factors);
   // An attempt that Check() allowed is sent to this process of an endpoint.
   // Returns the attempt's number. One of the next three calls ends it.
-  uint64_t OnSent(const std::string& content, const std::string& process);
+  uint64_t OnSent(const quarantine::Factors& factors,
+                  const std::string& process);
   // The endpoint answered the attempt with success.
   void OnAnswered(uint64_t attempt);
   // The attempt did not run, failed at an endpoint that goes on working, or was
@@ -135,8 +136,8 @@
   void VerifyLoss(const std::string& process, common::Time lost_at);
   void OnReported(const crash_report::CrashReport& report,
                   common::Time detected_at);
-  // Logs that a crash that was added quarantines its content, unless the
-  // content was quarantined before.
+  // Logs that a crash that was added quarantines its factor, unless the factor
+  // was quarantined before.
   void LogIfQuarantined(const quarantine::Crash& crash, bool was_quarantined);
   // The crash for the log.
   std::string FieldsOf(const quarantine::Crash& crash) const;
--- a/packages/daemon/gateway/proxied_run.cc
+++ b/packages/daemon/gateway/proxied_run.cc
@@ -68,6 +68,19 @@
       .substr(0, kDigits);
 }
 
+// What a crash under the request may be due to.
+quarantine::Factors FactorsOf(const proxied::CallerRequest& request,
+                              const std::string& content) {
+  quarantine::Factors factors = {content};
+  std::set<std::string_view> parts;
+  for (const std::string& id : request.shared_prompt_parts) {
+    if (parts.insert(id).second) {
+      factors.push_back(quarantine::PromptPartFactor(id, request.model));
+    }
+  }
+  return factors;
+}
+
 // The shared parts of the request's prompt, for the log.
 std::string PartsOf(const proxied::CallerRequest& request) {
   std::string parts;
@@ -111,6 +124,7 @@
     return;
   }
   content_ = ContentDigest(request_, customer_);
+  factors_ = FactorsOf(request_, content_);
   deadline_ = arrived_at_ + route_->timeout;
   if (request_.time_left.has_value()) {
     deadline_ = std::min(deadline_, arrived_at_ + *request_.time_left);
@@ -215,7 +229,7 @@
 }
 
 void ProxiedRun::Dispatch() {
-  const quarantine::Verdict verdict = core_.crashes.Check(content_);
+  const quarantine::Verdict verdict = core_.crashes.Check(factors_);
   if (const auto* refused = std::get_if<quarantine::Refused>(&verdict)) {
     if (execution_ == Execution::kNotRun) {
       RespondLocally(http1::kUnavailable, "quarantined", refused->ends_in);
@@ -277,7 +291,7 @@
                                  .urgency = Urgency(),
                                  .resume_after = last_event_id_};
   ++attempts_;
-  content_attempt_ = core_.crashes.OnSent(content_, endpoint_process_);
+  content_attempt_ = core_.crashes.OnSent(factors_, endpoint_process_);
   exchange_ = &core_.pool.Acquire(endpoint_process_, endpoint.address);
   exchange_->Send(platform::EncodeForwardedRequest(request_, forwarding), *this,
                   request_.method == "HEAD");
--- a/packages/daemon/gateway/proxied_run.h
+++ b/packages/daemon/gateway/proxied_run.h
@@ -111,6 +111,7 @@
   std::string service_;
   // Digest of what the request asks for.
   std::string content_;
+  quarantine::Factors factors_;
   // From the customer, or else from the route; 0 is the most urgent.
   int priority_ = 0;
   common::Time deadline_{};
--- a/packages/protocol/messages/messages.cc
+++ b/packages/protocol/messages/messages.cc
@@ -122,9 +122,9 @@
               json.at("age_ms").get<int64_t>(), int64_t{0}, kMaxAgeMs))};
 }
 
-Json ToJson(const std::vector<quarantine::SharedContent>& contents) {
+Json ToJson(const std::vector<quarantine::SharedRecord>& contents) {
   Json json = Json::array();
-  for (const quarantine::SharedContent& content : contents) {
+  for (const quarantine::SharedRecord& content : contents) {
     json.push_back({{"digest", content.digest},
                     {"crashes", content.crashes},
                     {"ends_in_ms", common::ToMilliseconds(content.ends_in)}});
@@ -132,9 +132,9 @@
   return json;
 }
 
-std::vector<quarantine::SharedContent> CrashedContentsFrom(const Json& json) {
+std::vector<quarantine::SharedRecord> CrashedContentsFrom(const Json& json) {
   constexpr int64_t kMaxEndsInMs = 3'600'000;
-  std::vector<quarantine::SharedContent> contents;
+  std::vector<quarantine::SharedRecord> contents;
   for (const Json& item : json) {
     contents.push_back(
         {.digest = item.at("digest"),
--- a/packages/protocol/messages/messages.h
+++ b/packages/protocol/messages/messages.h
@@ -102,7 +102,7 @@
   // receiver themselves.
   std::vector<dissemination::DomainDigest> domains;
   // Contents that were in flight when endpoints crashed.
-  std::vector<quarantine::SharedContent> crashed_contents;
+  std::vector<quarantine::SharedRecord> crashed_contents;
 };
 
 std::string Encode(const GenerateAttempt& message);
--- a/tests/unit/coordination/quarantine/fleet.h
+++ b/tests/unit/coordination/quarantine/fleet.h
@@ -24,7 +24,7 @@
   // Sends a request with the content through an entry. Returns whether the
   // quarantine refused it. A request that must wait is dropped.
   bool Send(size_t entry, const std::string& digest, size_t endpoint) {
-    const Verdict verdict = entries_[entry].Check(digest, now_);
+    const Verdict verdict = entries_[entry].Check({digest}, now_);
     if (std::holds_alternative<Refused>(verdict)) {
       return true;
     }
@@ -39,7 +39,7 @@
     running_.push_back({.entry = entry,
                         .digest = digest,
                         .endpoint = name,
-                        .number = entries_[entry].OnSent(digest, name)});
+                        .number = entries_[entry].OnSent({digest}, name)});
     return false;
   }
 
@@ -77,7 +77,7 @@
 
   // Sends the records of one entry to another; they arrive after `transit`.
   void SendRecords(size_t from, size_t to, common::Duration transit = {}) {
-    const std::vector<SharedContent> records = entries_[from].Export(now_);
+    const std::vector<SharedRecord> records = entries_[from].Export(now_);
     now_ += transit;
     entries_[to].Merge(records, now_);
   }
--- a/tests/unit/coordination/quarantine/quarantine_test.cc
+++ b/tests/unit/coordination/quarantine/quarantine_test.cc
@@ -91,28 +91,29 @@
 TEST(QuarantineTest, AClearedContentDoesNotComeBack) {
   Quarantine first({});
   Quarantine second({});
-  const uint64_t lost = first.OnSent("good", "e/1");
-  EXPECT_FALSE(first.OnEnded(lost, true, false, kStart));
+  const uint64_t lost = first.OnSent({"good"}, "e/1");
+  EXPECT_FALSE(first.OnEnded(lost, true, false, kStart).quarantines);
   second.Merge(first.Export(kStart), kStart);
   EXPECT_EQ(second.suspects(), 1U);
-  const uint64_t served = second.OnSent("good", "f/1");
+  const uint64_t served = second.OnSent({"good"}, "f/1");
   second.OnEnded(served, false, true, kStart);
   second.Merge(first.Export(kStart), kStart);
   EXPECT_EQ(second.suspects(), 0U);
 }
 
 TEST(QuarantineTest, ManyInnocentSuspectsDoNotEvictAQuarantinedContent) {
-  Quarantine quarantine({.max_contents = 8});
+  Quarantine quarantine({.max_records = 8});
   for (const char* endpoint : {"e/1", "f/1"}) {
-    quarantine.OnEnded(quarantine.OnSent("bad", endpoint), true, false, kStart);
+    quarantine.OnEnded(quarantine.OnSent({"bad"}, endpoint), true, false,
+                       kStart);
   }
   for (int i = 0; i < 100; ++i) {
-    quarantine.OnEnded(quarantine.OnSent(common::StrCat("good", i), "g/1"),
+    quarantine.OnEnded(quarantine.OnSent({common::StrCat("good", i)}, "g/1"),
                        true, false, kStart + seconds(i));
   }
   EXPECT_LE(quarantine.suspects(), 8U);
   EXPECT_TRUE(std::holds_alternative<Refused>(
-      quarantine.Check("bad", kStart + seconds(100))));
+      quarantine.Check({"bad"}, kStart + seconds(100))));
 }
 
 TEST(QuarantineTest, EndpointsThatCameAndWentAreNotKept) {
@@ -120,8 +121,8 @@
   for (int i = 0; i < 1000; ++i) {
     const common::Time now = kStart + seconds(i);
     const std::string endpoint = common::StrCat("e/", i);
-    quarantine.OnEnded(quarantine.OnSent("good", endpoint), false, true, now);
-    quarantine.OnEnded(quarantine.OnSent(common::StrCat("lost", i), endpoint),
+    quarantine.OnEnded(quarantine.OnSent({"good"}, endpoint), false, true, now);
+    quarantine.OnEnded(quarantine.OnSent({common::StrCat("lost", i)}, endpoint),
                        true, false, now);
   }
   EXPECT_LE(quarantine.crashed_endpoints(), 10U);
@@ -145,7 +146,7 @@
   const OutageCase& param = GetParam();
   Quarantine quarantine({});
   const auto crash = [&](const std::string& endpoint, common::Time now) {
-    const uint64_t attempt = quarantine.OnSent("content", endpoint);
+    const uint64_t attempt = quarantine.OnSent({"content"}, endpoint);
     quarantine.OnEndpointLost(endpoint, "d1", now, now);
     quarantine.OnEnded(attempt, true, false, now);
   };
@@ -155,10 +156,9 @@
                               kStart + param.after, kStart + param.after);
   }
   crash("b/1", kStart + seconds(20));
-  EXPECT_EQ(quarantine.IsQuarantined("content", kStart + seconds(20)),
-            param.quarantined);
+  EXPECT_EQ(quarantine.IsQuarantined("content"), param.quarantined);
   EXPECT_EQ(std::holds_alternative<Refused>(
-                quarantine.Check("content", kStart + seconds(20))),
+                quarantine.Check({"content"}, kStart + seconds(20))),
             param.quarantined);
 }
 
@@ -184,12 +184,12 @@
     const common::Time now = kStart + milliseconds(100 * round);
     for (int content = 0; content < 3; ++content) {
       const std::string digest = common::StrCat("bad", content);
-      if (std::holds_alternative<Refused>(quarantine.Check(digest, now))) {
+      if (std::holds_alternative<Refused>(quarantine.Check({digest}, now))) {
         continue;
       }
       const std::string endpoint =
           common::StrCat("e", content, "-", round, "/1");
-      const uint64_t attempt = quarantine.OnSent(digest, endpoint);
+      const uint64_t attempt = quarantine.OnSent({digest}, endpoint);
       quarantine.OnEndpointLost(endpoint, "d1", now, now);
       quarantine.OnEnded(attempt, true, false, now);
       ++crashes;
@@ -200,29 +200,30 @@
 
 TEST(QuarantineTest, AttemptOfUnknownFateDoesNotHoldUpRetries) {
   Quarantine quarantine({});
-  const uint64_t lost = quarantine.OnSent("content", "e/1");
+  const uint64_t lost = quarantine.OnSent({"content"}, "e/1");
   quarantine.OnUnanswered(lost);
-  const Verdict verdict = quarantine.Check("content", kStart);
+  const Verdict verdict = quarantine.Check({"content"}, kStart);
   ASSERT_TRUE(std::holds_alternative<MayRun>(verdict));
   EXPECT_FALSE(std::get<MayRun>(verdict).pinned_endpoint.has_value());
-  const uint64_t retry = quarantine.OnSent("content", "f/1");
-  EXPECT_FALSE(quarantine.OnEnded(lost, true, false, kStart));
-  EXPECT_TRUE(quarantine.OnEnded(retry, true, false, kStart));
+  const uint64_t retry = quarantine.OnSent({"content"}, "f/1");
+  EXPECT_FALSE(quarantine.OnEnded(lost, true, false, kStart).quarantines);
+  EXPECT_TRUE(quarantine.OnEnded(retry, true, false, kStart).quarantines);
 }
 
 // A content that many callers ask for is in flight at most endpoints that
 // crash.
 TEST(QuarantineTest, ContentThatWasJustAnsweredIsNoSuspect) {
   Quarantine quarantine({.innocence_time = seconds(10)});
-  quarantine.OnEnded(quarantine.OnSent("content", "e/1"), false, true, kStart);
+  quarantine.OnEnded(quarantine.OnSent({"content"}, "e/1"), false, true,
+                     kStart);
   const auto crash_all = [&](common::Time now) {
     for (const char* endpoint : {"e/1", "f/1", "g/1", "h/1", "i/1"}) {
-      if (!quarantine.IsQuarantined("content", now)) {
-        quarantine.OnEnded(quarantine.OnSent("content", endpoint), true, false,
-                           now);
+      if (!quarantine.IsQuarantined("content")) {
+        quarantine.OnEnded(quarantine.OnSent({"content"}, endpoint), true,
+                           false, now);
       }
     }
-    return quarantine.IsQuarantined("content", now);
+    return quarantine.IsQuarantined("content");
   };
   EXPECT_FALSE(crash_all(kStart + seconds(10)));
   EXPECT_TRUE(quarantine.WasAnswered("content", kStart + seconds(10)));
@@ -231,31 +232,135 @@
 
 TEST(QuarantineTest, AnswerClearsAContentThatWasQuarantinedMeanwhile) {
   Quarantine quarantine({});
-  const uint64_t in_flight = quarantine.OnSent("content", "h/1");
-  const uint64_t first = quarantine.OnSent("content", "e/1");
-  const uint64_t second = quarantine.OnSent("content", "f/1");
+  const uint64_t in_flight = quarantine.OnSent({"content"}, "h/1");
+  const uint64_t first = quarantine.OnSent({"content"}, "e/1");
+  const uint64_t second = quarantine.OnSent({"content"}, "f/1");
   quarantine.OnEnded(first, true, false, kStart);
-  EXPECT_TRUE(quarantine.OnEnded(second, true, false, kStart));
+  EXPECT_TRUE(quarantine.OnEnded(second, true, false, kStart).quarantines);
   quarantine.OnEnded(in_flight, false, true, kStart);
-  EXPECT_FALSE(quarantine.IsQuarantined("content", kStart));
+  EXPECT_FALSE(quarantine.IsQuarantined("content"));
 }
 
 TEST(QuarantineTest, WithdrawnCrashesNoLongerCount) {
   Quarantine quarantine({});
   for (const char* endpoint : {"e/1", "f/1"}) {
-    quarantine.OnEnded(quarantine.OnSent("content", endpoint), true, false,
+    quarantine.OnEnded(quarantine.OnSent({"content"}, endpoint), true, false,
                        kStart);
   }
-  EXPECT_TRUE(quarantine.IsQuarantined("content", kStart));
-  const std::vector<Crash> withdrawn = quarantine.WithdrawEndpoint("e/1");
+  EXPECT_TRUE(quarantine.IsQuarantined("content"));
+  const std::vector<Crash> withdrawn =
+      quarantine.WithdrawEndpoint("e/1", kStart);
   ASSERT_EQ(withdrawn.size(), 1U);
   EXPECT_EQ(withdrawn[0].digest, "content");
   EXPECT_EQ(ProcessOf(withdrawn[0]), "e/1");
-  EXPECT_FALSE(quarantine.IsQuarantined("content", kStart));
-  quarantine.Withdraw({.digest = "content", .name = "f/1#0"});
+  EXPECT_FALSE(quarantine.IsQuarantined("content"));
+  quarantine.Withdraw({.digest = "content", .name = "f/1#0"}, kStart);
   EXPECT_EQ(quarantine.suspects(), 0U);
 }
 
+// Requests with parts of prompts at one gateway, as sets of factors.
+class PromptPartQuarantineTest : public testing::Test {
+ protected:
+  static std::string Part(const std::string& id) {
+    return PromptPartFactor(id, "m");
+  }
+
+  // Sends a request with the parts and a content of its own. Returns whether
+  // it is refused.
+  bool Refuses(const std::vector<std::string>& parts) {
+    return std::holds_alternative<Refused>(
+        quarantine_.Check(FactorsOf(parts), now_));
+  }
+  // The requests are in flight at an endpoint that crashes.
+  void Crash(const std::vector<std::vector<std::string>>& requests) {
+    now_ += seconds(4);
+    std::vector<uint64_t> attempts;
+    const std::string endpoint = common::StrCat("e", ++endpoints_, "/1");
+    for (const auto& parts : requests) {
+      attempts.push_back(quarantine_.OnSent(FactorsOf(parts), endpoint));
+    }
+    for (const uint64_t attempt : attempts) {
+      quarantine_.OnEnded(attempt, /*crashed=*/true, /*answered=*/false, now_);
+    }
+  }
+  void Answer(const std::vector<std::string>& parts) {
+    quarantine_.OnEnded(quarantine_.OnSent(FactorsOf(parts), "a/1"),
+                        /*crashed=*/false, /*answered=*/true, now_);
+  }
+
+  Factors FactorsOf(const std::vector<std::string>& parts) {
+    Factors factors = {common::StrCat("content", ++contents_)};
+    for (const std::string& part : parts) {
+      factors.push_back(Part(part));
+    }
+    return factors;
+  }
+
+  Quarantine quarantine_{{.max_answered = 16}};
+  common::Time now_ = kStart;
+  int endpoints_ = 0;
+  int contents_ = 0;
+};
+
+TEST_F(PromptPartQuarantineTest, PartIsRefusedAfterTwoCrashesInAnyContent) {
+  Answer({"f"});
+  Crash({{"f", "bad"}});
+  EXPECT_FALSE(Refuses({"f", "bad"}));
+  Crash({{"f", "bad"}});
+  EXPECT_TRUE(Refuses({"f", "bad"}));
+  EXPECT_TRUE(Refuses({"g", "bad"}));
+  EXPECT_FALSE(Refuses({"f", "good"}));
+}
+
+TEST_F(PromptPartQuarantineTest, NewFirstPartIsToldApartFromTheCrashingOne) {
+  Crash({{"f", "bad"}});
+  Crash({{"f", "bad"}});
+  EXPECT_TRUE(Refuses({"f", "bad"}));
+  ASSERT_FALSE(Refuses({"f", "good"}));
+  Answer({"f", "good"});
+  EXPECT_FALSE(Refuses({"f"}));
+  EXPECT_TRUE(Refuses({"bad"}));
+}
+
+TEST_F(PromptPartQuarantineTest, CrashesOfTwoBadPartsAreNotHeldAgainstAThird) {
+  Crash({{"x"}, {"bad1"}});
+  Crash({{"x"}, {"bad2"}});
+  EXPECT_TRUE(Refuses({"x"}));
+  Crash({{"bad1"}});
+  Crash({{"bad2"}});
+  EXPECT_FALSE(Refuses({"x"}));
+  EXPECT_TRUE(Refuses({"bad1"}));
+  EXPECT_TRUE(Refuses({"bad2"}));
+}
+
+TEST_F(PromptPartQuarantineTest, AnsweredPartThatTurnsBadIsRefused) {
+  Answer({"f"});
+  now_ += seconds(60);
+  int crashes = 0;
+  while (!Refuses({"f"}) && crashes < 10) {
+    Crash({{"f"}});
+    ++crashes;
+  }
+  EXPECT_EQ(crashes, 4);
+}
+
+TEST_F(PromptPartQuarantineTest, ManyAnsweredContentsDoNotEvictAnAnsweredPart) {
+  Answer({"f"});
+  for (int i = 0; i < 100; ++i) {
+    Answer({});
+  }
+  Crash({{"f"}});
+  EXPECT_EQ(quarantine_.CrashesOf(Part("f")).size(), 0U);
+}
+
+TEST_F(PromptPartQuarantineTest, PartOfAnotherModelIsAnotherFactor) {
+  EXPECT_NE(PromptPartFactor("f", "m"), PromptPartFactor("f", "n"));
+  EXPECT_EQ(LogField(PromptPartFactor("f", "m")), "part=f");
+  EXPECT_EQ(LogField("0a1b"), "content=0a1b");
+  const std::string longest(1000, 'a');
+  EXPECT_LT(PromptPartFactor(longest, "m").size(), 80U);
+}
+
 // Scenario verbs: "send ENTRY CONTENT ENDPOINT [refused]", "end" (all in
 // flight), "tell FROM TO", "expect crashes N".
 class FleetWorld final : public scenario::World {
--- a/tests/unit/daemon/gateway/crashing_prompt_part_test.cc
+++ b/tests/unit/daemon/gateway/crashing_prompt_part_test.cc
@@ -21,6 +21,8 @@
 // From twice the time to stop on, sound requests are served at least half as
 // often as without the part.
 constexpr double kMinServedShare = 0.5;
+// Least time over which that is measured; longer than a round.
+constexpr common::Duration kMeasuredTime = common::seconds(2);
 constexpr common::Duration kDownTime = common::milliseconds(600);
 constexpr common::Duration kRoundInterval = common::milliseconds(100);
 // A prompt is read this long before its answer begins.
@@ -75,7 +77,7 @@
       std::vector<CallerRequestOptions> requests;
       for (int i = 0; i < kSoundPerRound; ++i) {
         requests.push_back(
-            Request({param_.crashing[i % crashing_lists()][0],
+            Request({FirstPart(i % crashing_lists()),
                      common::StrCat("50", sound_++ % kSoundParts)}));
       }
       if (with_crashing) {
@@ -134,6 +136,12 @@
     return static_cast<int>(param_.crashing.size());
   }
 
+  // The first part of the list's requests, unless it is the bad one.
+  std::string FirstPart(int list) const {
+    const std::vector<std::string>& parts = param_.crashing[list];
+    return parts.size() == 1 ? "f0" : parts.front();
+  }
+
   // No two requests are alike.
   CallerRequestOptions Request(const std::vector<std::string>& parts) {
     ++requests_;
@@ -220,13 +228,13 @@
   const PartCase& param = GetParam();
   PartWorld parts(param);
   parts.Run(param.calm, /*with_crashing=*/false);
-  parts.Run(2 * kTimeToStop + common::seconds(2), /*with_crashing=*/true);
+  parts.Run(2 * kTimeToStop + 2 * kMeasuredTime, /*with_crashing=*/true);
   EXPECT_GE(parts.crashes().size(), 1U);
   EXPECT_LE(parts.LaterArrivals(), kMaxLaterArrivals);
   const common::Time last_counted =
       parts.crashes()[std::min(parts.crashes().size(), kCrashesToStop) - 1];
-  const common::Time measured_from = std::min(last_counted + 2 * kTimeToStop,
-                                              parts.Now() - common::seconds(1));
+  const common::Time measured_from =
+      std::min(last_counted + 2 * kTimeToStop, parts.Now() - kMeasuredTime);
   EXPECT_GE(parts.ServedShare(measured_from), kMinServedShare);
 }
 
@@ -256,5 +264,46 @@
         PartCase{.name = "GatewayRestarts", .gateway_restarts = 3}),
     [](const auto& info) { return info.param.name; });
 
+// A part of all prompts, in flight at all endpoints and never answered before.
+TEST(InnocentPromptPartTest, FailureDomainsThatGoDownDoNotQuarantineIt) {
+  constexpr int kRequests = 24;
+  constexpr int kEndpoints = 8;
+  HostedWorld world(HostedWorldOptions{
+      .endpoints = kEndpoints, .gateways = 2, .failure_domains = 2});
+  world.Script([](const Received&) { return Reply{}; });
+  for (int domain = 0; domain < 2; ++domain) {
+    world.loop().RunAfter(common::milliseconds(300 + 500 * domain),
+                          [&, domain] {
+                            for (int i = domain; i < kEndpoints; i += 2) {
+                              world.EndEndpoint(i, kDownTime);
+                            }
+                          });
+  }
+  const auto requests = [](const char* prefix) {
+    std::vector<CallerRequestOptions> all;
+    for (int i = 0; i < kRequests; ++i) {
+      all.push_back({.path = "/once/x",
+                     .id = common::StrCat(prefix, i),
+                     .time_left_ms = 1500,
+                     .body = common::StrCat(prefix, i),
+                     .prompt_parts = common::StrCat("f0:9,d", i, ":9"),
+                     .gateway = i % 2});
+    }
+    return all;
+  };
+  world.AskAll(requests("lost"));
+  world.Script(
+      [](const Received& request) { return Plain(request, 200, "ok"); });
+  const common::Time up = world.loop().Now() + kDownTime;
+  world.RunUntil([&] { return world.loop().Now() >= up; });
+  // The first of them may be served one at a time.
+  world.AskAll({requests("first").front(), requests("first").back()});
+  const common::Time known = world.loop().Now() + kDownTime;
+  world.RunUntil([&] { return world.loop().Now() >= known; });
+  for (const CallerAnswer& answer : world.AskAll(requests("later"))) {
+    EXPECT_EQ(answer.status, 200);
+  }
+}
+
 }  // namespace
 }  // namespace wagtailshore::hosted_world
