Soak: prompts have parts, one of which crashes endpoints

Sound requests share the first part with those that crash endpoints; after the faults have ended the crashing part reaches no endpoint any more, it crashed at most four for each gateway process, as for the crashing content, and every first part is served.

--- a/tests/soak/hosted_soak.cc
+++ b/tests/soak/hosted_soak.cc
@@ -11,8 +11,10 @@
 #include <filesystem>
 #include <fstream>
 #include <iostream>
+#include <map>
 #include <memory>
 #include <random>
+#include <set>
 
 #include "common/strings.h"
 #include "e2e/child_process.h"
@@ -37,12 +39,17 @@
 // Deadline of the callers' requests.
 constexpr int kTimeLeftMs = 2500;
 // After the faults have ended, requests must succeed again within this time,
-// and the crashing content must not reach endpoints any more.
+// and the crashing content and part must not reach endpoints any more.
 constexpr common::Duration kRecovery = common::seconds(8);
 // Callers send this body now and then; it crashes every endpoint that runs it.
 constexpr char kCrashingBody[] = "crash";
 constexpr int kCrashingPercent = 2;
-// Endpoints that the content may crash for each gateway process that was
+// A part of prompts that does so in requests of which no two are alike. Sound
+// requests have the same first parts.
+constexpr char kCrashingPart[] = "bad";
+constexpr int kFirstParts = 3;
+constexpr int kSecondParts = 10;
+// Endpoints that each of them may crash for each gateway process that was
 // started: a gateway that is cut off from the store knows only its own crashes,
 // and other endpoints that end at the same time look like an outage.
 constexpr int kMaxCrashesPerGateway = 4;
@@ -91,6 +98,8 @@
   }
 
   std::string id;
+  // First part of the request's prompt.
+  std::string first_part;
   hosted_world::CallerAnswer answer;
   http_channel::EndpointChannel* channel = nullptr;
   common::Time timeout_at{};
@@ -128,16 +137,24 @@
     faults_ended_ = true;
     RunFor(kRecovery);
     const int before = ledger_.complete();
-    const int crashes_before = ledger_.content_crashes();
+    const std::map<std::string, int> crashes_before = ledger_.crashes();
+    served_parts_.clear();
     RunFor(common::seconds(2));
-    if (ledger_.content_crashes() > crashes_before) {
-      ledger_.OnViolation(
-          "the crashing content reached an endpoint after the recovery time");
+    for (const auto& [factor, crashes] : ledger_.crashes()) {
+      const auto earlier = crashes_before.find(factor);
+      if (earlier == crashes_before.end() || crashes > earlier->second) {
+        ledger_.OnViolation(common::StrCat(
+            factor, " reached an endpoint after the recovery time"));
+      }
+      if (crashes > kMaxCrashesPerGateway * settings_made_) {
+        ledger_.OnViolation(
+            common::StrCat(factor, " crashed ", crashes, " endpoints through ",
+                           settings_made_, " gateway processes"));
+      }
     }
-    if (ledger_.content_crashes() > kMaxCrashesPerGateway * settings_made_) {
-      ledger_.OnViolation(common::StrCat(
-          "the crashing content crashed ", ledger_.content_crashes(),
-          " endpoints through ", settings_made_, " gateway processes"));
+    if (served_parts_.size() < kFirstParts) {
+      ledger_.OnViolation(common::StrCat("only ", served_parts_.size(),
+                                         " first parts of prompts are served"));
     }
     if (ledger_.complete() < before + 20) {
       ledger_.OnViolation(
@@ -221,10 +238,12 @@
 
   // Crashes the endpoint after the callbacks in progress, unless it has been
   // replaced meanwhile.
-  void CrashEndpoint(int index, const std::string& id) {
-    loop_.Post([this, index, id] {
+  void CrashEndpoint(int index,
+                     const std::string& id,
+                     const std::string& factor) {
+    loop_.Post([this, index, id, factor] {
       if (endpoints_[index].id == id) {
-        ledger_.OnContentCrash();
+        ledger_.OnCrash(factor);
         StartEndpoint(index);
       }
     });
@@ -247,7 +266,13 @@
     }
     ledger_.OnRun(*id, loop_.Now());
     if (request.body == kCrashingBody) {
-      CrashEndpoint(index, endpoint_id);
+      CrashEndpoint(index, endpoint_id, "the crashing content");
+      return {};
+    }
+    const std::string* parts =
+        request.head.headers.Find("X-Wagtailshore-Prompt-Prefix");
+    if (parts != nullptr && parts->find(kCrashingPart) != std::string::npos) {
+      CrashEndpoint(index, endpoint_id, "the crashing part");
       return {};
     }
     if (chance <= 6) {
@@ -308,6 +333,9 @@
       }
       if (!caller.id.empty()) {
         ledger_.OnAnswer(caller.id, caller.answer);
+        if (caller.answer.status == 200 && caller.answer.complete) {
+          served_parts_.insert(caller.first_part);
+        }
         caller.id.clear();
       }
       if (!stopping_ && Happens(20)) {
@@ -332,14 +360,27 @@
     headers.Add("X-Wagtailshore-Attempt-Id", caller.id);
     headers.Add("X-Wagtailshore-Deadline-Ms", common::StrCat(kTimeLeftMs));
     headers.Add("Authorization", common::StrCat("Token ", key));
+    const bool has_bad_part = Happens(kCrashingPercent);
+    caller.first_part = common::StrCat("f", Pick(0, kFirstParts - 1));
+    headers.Add(
+        "X-Wagtailshore-Prompt-Prefix",
+        common::StrCat(caller.first_part, ":40,",
+                       has_bad_part ? std::string(kCrashingPart)
+                                    : common::StrCat(Pick(0, kSecondParts - 1)),
+                       ":400,", requests_, ":200"));
+    std::string body = "body";
+    if (has_bad_part) {
+      body = common::StrCat("body ", requests_);
+    } else if (Happens(kCrashingPercent)) {
+      body = kCrashingBody;
+    }
     const GatewayProcess& gateway = gateways_[Pick(0, kGateways - 1)];
     caller.channel =
         &pool_.Acquire(gateway.caller_address, gateway.caller_address);
     caller.channel->SetIdleLimit(common::seconds(10));
     caller.channel->Send(
-        http1::FormatRequest(
-            "POST", kPaths.at(static_cast<size_t>(kind)), headers,
-            Happens(kCrashingPercent) ? kCrashingBody : "body"),
+        http1::FormatRequest("POST", kPaths.at(static_cast<size_t>(kind)),
+                             headers, body),
         caller, false);
   }
 
@@ -479,6 +520,8 @@
   int version_ = 0;
   int requests_ = 0;
   int settings_made_ = 0;
+  // First parts of prompts that were answered lately.
+  std::set<std::string> served_parts_;
   bool faults_ended_ = false;
   bool stopping_ = false;
 };
--- a/tests/soak/soak_ledger.h
+++ b/tests/soak/soak_ledger.h
@@ -32,8 +32,8 @@
   void OnRun(const std::string& id, common::Time now);
   void OnAnswer(const std::string& id,
                 const hosted_world::CallerAnswer& answer);
-  // An endpoint crashed as it started to run the crashing content.
-  void OnContentCrash() { ++content_crashes_; }
+  // An endpoint crashed as it started to run a request with this factor.
+  void OnCrash(const std::string& factor) { ++crashes_[factor]; }
   void OnKeyRevoked(const std::string& key, common::Time now);
   void OnViolation(const std::string& what) { violations_.push_back(what); }
 
@@ -44,7 +44,8 @@
   int complete() const { return complete_; }
   int refused() const { return refused_; }
   int other() const { return other_; }
-  int content_crashes() const { return content_crashes_; }
+  // Crashes of endpoints, by factor.
+  const std::map<std::string, int>& crashes() const { return crashes_; }
 
   // Returns the body of a complete answer to the request. For a stream, the
   // data of each event.
@@ -66,7 +67,7 @@
   int complete_ = 0;
   int refused_ = 0;
   int other_ = 0;
-  int content_crashes_ = 0;
+  std::map<std::string, int> crashes_;
 };
 
 }  // namespace wagtailshore::soak
