Gateway: a stream that ends with its connection before any event is broken off

Seen by callers: a stream without length and chunks whose endpoint crashed and closed the connection in order reached its caller as complete and empty, and the quarantine took it for an answer, which clears whatever crashed the endpoint. Cause: the end of the connection is the end of such an answer, whatever came before. Found by looking for the other ways in which a part of a prompt that crashes endpoints could count as answered. Change: without an event it is broken off, as inside an event, which was so. Before: StreamClosedBeforeItsFirstEvent of gateway_test failed (one attempt, an empty stream). After: passes, as do the new cases for streams that end with their connection, inside an event or in order, which passed before.

--- a/packages/daemon/gateway/proxied_run.cc
+++ b/packages/daemon/gateway/proxied_run.cc
@@ -402,6 +402,11 @@
     RetryOrFail("event_cut");
     return;
   }
+  // An endpoint that crashes may close its connections in order.
+  if (attempt_events_ == 0 && answer_->until_close) {
+    RetryOrFail("closed_before_an_event");
+    return;
+  }
   if (!stream_started_) {
     channel_.BeginStream(answer_->status, answer_->headers);
   }
--- a/packages/protocol/proxied/proxied.h
+++ b/packages/protocol/proxied/proxied.h
@@ -74,6 +74,8 @@
   // Whether the body has a content encoding, which means that it was changed on
   // the path.
   bool encoded = false;
+  // Whether the body extends to the end of the connection.
+  bool until_close = false;
   std::optional<EndpointLoad> load;
   // Address of the endpoint that caused the refusal, if it is not the answering
   // one.
--- a/tests/unit/daemon/gateway/gateway_test.cc
+++ b/tests/unit/daemon/gateway/gateway_test.cc
@@ -94,6 +94,24 @@
           .reset = true};
 }
 
+// A stream with neither a length nor chunks, which ends with its connection.
+Reply StreamUntilClose(const Received& request, const std::string& events) {
+  return {.bytes = common::StrCat(HeadOf(request, 200, ""), "\r\n", events),
+          .close = true};
+}
+Reply WholeStreamUntilClose(const Received& request) {
+  return StreamUntilClose(request, "id: 0\ndata: x\n\nid: 1\ndata: x\n\n");
+}
+Reply StreamClosedInsideAnEvent(const Received& request) {
+  return StreamUntilClose(request, "id: 0\ndata: x\n\nid: 1\nda");
+}
+Reply StreamClosedInsideItsFirstEvent(const Received& request) {
+  return StreamUntilClose(request, "id: 0\nda");
+}
+Reply StreamClosedBeforeItsFirstEvent(const Received& request) {
+  return StreamUntilClose(request, "");
+}
+
 INSTANTIATE_TEST_SUITE_P(
     Faults,
     FirstAttemptTest,
@@ -116,6 +134,14 @@
         FaultCase{"OnceBareRefusal", "/once/x", BareRefusal, 502, true, 1},
         FaultCase{"OnceForeign", "/once/x", ForeignAnswerFirst, 200, true, 1},
         FaultCase{"OnceExtra", "/once/x", AnswerTwice, 200, true, 1},
+        FaultCase{"StreamUntilClose", "/stream/x", WholeStreamUntilClose, 200,
+                  true, 1},
+        FaultCase{"StreamClosedInsideAnEvent", "/stream/x",
+                  StreamClosedInsideAnEvent, 200, true, 2},
+        FaultCase{"StreamClosedInsideItsFirstEvent", "/stream/x",
+                  StreamClosedInsideItsFirstEvent, 200, true, 2},
+        FaultCase{"StreamClosedBeforeItsFirstEvent", "/stream/x",
+                  StreamClosedBeforeItsFirstEvent, 200, true, 2},
         FaultCase{
             "StreamCutEarly", "/stream/x",
             [](const Received& request) { return CutStream(request, 0, -1); },
@@ -139,6 +165,21 @@
   EXPECT_EQ(answer.body, expected);
 }
 
+TEST(GatewayTest, StreamClosedInsideAnEventGoesOnWithThatEvent) {
+  HostedWorld world(2);
+  world.Script([](const Received& request) {
+    return request.head.headers.Find("Last-Event-Id") == nullptr
+               ? StreamClosedInsideAnEvent(request)
+               : Stream(request, 1, 2);
+  });
+  const CallerAnswer answer = world.Ask({.path = "/stream/x"});
+  EXPECT_TRUE(answer.complete);
+  EXPECT_EQ(answer.body,
+            "id: 0\ndata: x\n\nid: 1\ndata: x\n\nid: 2\ndata: x\n\n");
+  // The next request gets a connection of its own.
+  EXPECT_EQ(world.Ask({.path = "/stream/x", .id = "a2"}).status, 200);
+}
+
 // A stream that cannot be resumed must not end as if it were complete, and no
 // other response may be written into it.
 TEST(GatewayTest, StreamThatCannotGoOnIsBroken) {
