Gateway: limits that endpoints name are read and logged

The logs could not tell which gateway knew of which limit and when. An answer without a limit ends it only if its request was sent after the limit was named, as answers overtake each other. No decision changes.

--- a/packages/common/event_log.cc
+++ b/packages/common/event_log.cc
@@ -64,6 +64,11 @@
               "An endpoint left attempts without an answer and accepts "
               "connections; the list decides whether its process ended.",
               "None."},
+    EventSpec{EventId::kEndpointLimit, Severity::kInfo,
+              "endpoint limit changed",
+              "An answer named another limit than before, in requests a second "
+              "over all gateways, or none any more.",
+              "If frequent, check the endpoint's load."},
     EventSpec{
         EventId::kAttemptFailed, Severity::kWarning, "attempt failed",
         "An endpoint refused an attempt, its connection broke, or it sent "
--- a/packages/common/event_log.h
+++ b/packages/common/event_log.h
@@ -24,6 +24,7 @@
   kPeerUnreachable = 1204,
   kEndpointLost = 1205,
   kEndpointProbed = 1206,
+  kEndpointLimit = 1207,
   kAttemptFailed = 1301,
   kRequestRefused = 1302,
   kStreamResumed = 1303,
--- a/packages/daemon/gateway/gateway.cc
+++ b/packages/daemon/gateway/gateway.cc
@@ -221,6 +221,7 @@
   crash_watch_.OnFleetChange();
   for (const std::string& id : change.started) {
     router_.OnRestarted(id);
+    core_.limits.OnRestarted(id);
     const fleet::EndpointRecord* endpoint = fleet_.Find(id);
     common::LogEvent(
         common::EventId::kEndpointListed,
@@ -233,6 +234,7 @@
                      common::StrCat("endpoint=", id, " why=draining"));
   }
   for (const std::string& id : change.gone) {
+    core_.limits.OnRestarted(id);
     common::LogEvent(common::EventId::kEndpointLeaving,
                      common::StrCat("endpoint=", id, " why=unlisted"));
   }
@@ -255,6 +257,8 @@
                     static_cast<double>(callers_.size()));
   metrics_.SetGauge("wagtailshore_gateway_retry_reserve_share",
                     registry_.ReserveShare(loop_.Now()));
+  metrics_.SetGauge("wagtailshore_gateway_limited_endpoints",
+                    static_cast<double>(core_.limits.size()));
   metrics_.SetGauge("wagtailshore_gateway_suspect_contents",
                     static_cast<double>(crash_watch_.suspects()));
   metrics_.SetGauge("wagtailshore_gateway_shared_crashes",
--- a/packages/daemon/gateway/proxied_run.cc
+++ b/packages/daemon/gateway/proxied_run.cc
@@ -36,8 +36,8 @@
 constexpr int kMostUrgent = 1;
 constexpr int kLeastUrgent = 5;
 constexpr int kLateUrgencyStep = 4;
-// An attempt from which nothing arrived for this long may be at an endpoint that ended
-// without closing its connections.
+// An attempt from which nothing arrived for this long may be at an endpoint
+// that ended without closing its connections.
 constexpr common::Duration kSilence = common::seconds(1);
 // Largest answer that is buffered before it is relayed, and largest sum of such
 // answers: a faulty endpoint may send bytes without end to many requests.
@@ -313,6 +313,14 @@
                            .slots = answer.load->slots},
                           now());
   }
+  if (core_.limits.OnAnswer(endpoint_id_, answer.request_limit,
+                            attempt_started_at_, now())) {
+    common::LogEvent(common::EventId::kEndpointLimit,
+                     common::StrCat("endpoint=", endpoint_process_, " limit=",
+                                    answer.request_limit.has_value()
+                                        ? common::StrCat(*answer.request_limit)
+                                        : "none"));
+  }
   streaming_ = route_->kind == serving::RequestKind::kStream &&
                IsSuccess(answer.status) && answer.sealed && !answer.encoded;
   if (!answer.not_run) {
--- a/packages/protocol/proxied/proxied.h
+++ b/packages/protocol/proxied/proxied.h
@@ -77,6 +77,9 @@
   // Whether the body extends to the end of the connection.
   bool until_close = false;
   std::optional<EndpointLoad> load;
+  // Requests a second that the endpoint takes from all gateways together, while
+  // its answers say so.
+  std::optional<double> request_limit;
   // Address of the endpoint that caused the refusal, if it is not the answering
   // one.
   std::string faulty_endpoint_address;
--- a/tests/unit/platform/requests_test.cc
+++ b/tests/unit/platform/requests_test.cc
@@ -157,5 +157,36 @@
   EXPECT_EQ(answer.headers.Find("X-Wagtailshore-Server-Load"), nullptr);
 }
 
+struct RequestLimitCase {
+  const char* name;
+  const char* header;
+  std::optional<double> limit;
+};
+
+class RequestLimitTest : public testing::TestWithParam<RequestLimitCase> {};
+
+TEST_P(RequestLimitTest, OnlyANumberOfRequestsIsALimit) {
+  http1::ResponseHead head{.status = 200};
+  head.headers.Add("Server-Limit", GetParam().header);
+  EXPECT_EQ(DecodeEndpointAnswer(head).request_limit, GetParam().limit);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Headers,
+    RequestLimitTest,
+    testing::Values(RequestLimitCase{"Decimal", "2.4", 2.4},
+                    RequestLimitCase{"Integer", "12", 12},
+                    RequestLimitCase{"Zero", "0", 0},
+                    RequestLimitCase{"Negative", "-1", std::nullopt},
+                    RequestLimitCase{"Text", "few", std::nullopt},
+                    RequestLimitCase{"Infinite", "inf", std::nullopt},
+                    RequestLimitCase{"NotANumber", "nan", std::nullopt},
+                    RequestLimitCase{"Empty", "", std::nullopt}),
+    [](const auto& info) { return info.param.name; });
+
+TEST(RequestsTest, WithoutTheHeaderNoLimitIsNamed) {
+  EXPECT_EQ(DecodeEndpointAnswer({.status = 200}).request_limit, std::nullopt);
+}
+
 }  // namespace
 }  // namespace wagtailshore::platform
