--- a/tests/support/hosted_world.cc
+++ b/tests/support/hosted_world.cc
@@ -366,11 +366,17 @@
                               .revocation_bound = options_.revocation_bound,
                               .endpoint_heartbeat = options_.endpoint_heartbeat,
                               // Each request may be retried, also one alone.
-                              .retry_ratio = 2});
+                              .retry_ratio = 2,
+                              .retry_window = options_.retry_window});
   WS_INVARIANT(gateway->Start("").ok()) << "the gateway starts";
   return gateway;
 }
 
+void HostedWorld::AddGateway() {
+  gateways_.push_back(StartGateway(static_cast<int>(gateways_.size())));
+  RunUntil([&] { return gateways_.back()->IsReady(); });
+}
+
 void HostedWorld::RestartGateway(int index) {
   std::swap(gateways_[index], retired_.emplace_back(StartGateway(index)));
   RunUntil([&] { return gateways_[index]->IsReady(); });
--- a/tests/support/hosted_world.h
+++ b/tests/support/hosted_world.h
@@ -184,6 +184,8 @@
   int failure_domains = 1;
   common::Duration revocation_bound = common::seconds(5);
   common::Duration endpoint_heartbeat = common::milliseconds(1200);
+  // Also the time for which gateways' counts of each other are valid.
+  common::Duration retry_window = common::seconds(10);
 };
 
 // How an endpoint ends.
@@ -199,6 +201,8 @@
   FakeStore& store() { return *store_; }
   FakeEndpoint& endpoint(int index) { return *endpoints_[index]; }
   gateway::Gateway& gateway(int index = 0) { return *gateways_[index]; }
+  // Starts one more gateway.
+  void AddGateway();
   // Replaces a gateway by a new process without memory.
   void RestartGateway(int index);
   // Ends an endpoint after the callbacks in progress, unless it has ended
