Gateway: endpoints' limits are kept by permits that gateways get in turn

Cause: no part of the gateway read the limit. The class: a bound that holds over all processes, of which none knows what the others do; a limit kept by each of them alone would be exceeded by their number. Change: a limit makes permits evenly in time on the store's clock, and the gateways, which know each other from the registry of the retry budget, get them in turn. Why it works: gateways that agree on who they are never use one permit twice, so the sum does not depend on their number or on the load on each, and no message has to arrive.

--- a/packages/daemon/gateway/gateway_core.h
+++ b/packages/daemon/gateway/gateway_core.h
@@ -37,7 +37,7 @@
   // By service.
   std::map<std::string, retry_window::RetryWindow> retry_windows;
   std::map<std::string, admission::AdmissionControl> admissions;
-  endpoint_limits::EndpointLimits limits;
+  endpoint_limits::EndpointLimits limits{{}};
   // Bytes of answers that are buffered until they are complete, over all
   // requests.
   size_t buffered_bytes = 0;
--- a/packages/daemon/gateway/gateway_registry.cc
+++ b/packages/daemon/gateway/gateway_registry.cc
@@ -1,7 +1,7 @@
 #include "daemon/gateway/gateway_registry.h"
 
+#include <algorithm>
 #include <utility>
-#include <vector>
 
 #include "absl/strings/numbers.h"
 #include "common/event_log.h"
@@ -13,6 +13,8 @@
 // Time between counts, as a share of the time for which one is valid; the rest
 // is for the call and one repetition.
 constexpr double kCountPeriodShare = 0.8;
+// The store's clock is known well enough by a call that took no longer.
+constexpr common::Duration kMaxClockError = common::milliseconds(50);
 
 // A row's value: the store's time in milliseconds when it was written.
 std::string EncodeRow(common::Duration store_time) {
@@ -58,6 +60,7 @@
   ++generation_;
   registered_ = false;
   share_.OnTableRestored();
+  members_kept_until_ = loop_.Now() + options_.share.window;
   ReadAfter(retry_delay_.Next());
 }
 
@@ -87,9 +90,11 @@
     return;
   }
   std::vector<std::string> expired;
-  const size_t gateways = CountRows(*rows, expired);
+  const std::vector<std::string> gateways = LiveKeys(*rows, expired);
   // With more gateways than one page holds, shares would be too small to use.
-  share_.OnCounted(rows->has_more ? 0 : gateways, requested_at);
+  share_.OnCounted(rows->has_more ? 0 : gateways.size(), requested_at);
+  UpdateMembers(rows->has_more ? std::vector<std::string>() : gateways,
+                rows->store_time, requested_at);
   if (!registered_ || loop_.Now() >= renew_at_) {
     Write(rows->store_time, expired);
     return;
@@ -98,18 +103,53 @@
                                                          kCountPeriodShare));
 }
 
-size_t GatewayRegistry::CountRows(const platform::Rows& rows,
-                                  std::vector<std::string>& expired) const {
-  size_t count = 0;
+std::vector<std::string> GatewayRegistry::LiveKeys(
+    const platform::Rows& rows,
+    std::vector<std::string>& expired) const {
+  std::vector<std::string> live;
   for (const platform::Row& row : rows.rows) {
     if (DecodeRow(row) + options_.row_expiry >= rows.store_time ||
         row.key == options_.name) {
-      ++count;
+      live.push_back(row.key);
     } else if (expired.size() + 1 < platform::kMaxChanges) {
       expired.push_back(row.key);
     }
   }
-  return count;
+  return live;
+}
+
+void GatewayRegistry::UpdateMembers(const std::vector<std::string>& gateways,
+                                    common::Duration store_time,
+                                    common::Time requested_at) {
+  const common::Time now = loop_.Now();
+  const bool first = members_.empty();
+  if (now >= members_kept_until_ || gateways.size() > members_.size()) {
+    members_ = gateways;
+  }
+  const bool listed = std::find(gateways.begin(), gateways.end(),
+                                options_.name) != gateways.end();
+  if (first && listed && !registered_) {
+    // The row of an earlier process with the name: all others know it.
+    known_to_all_at_ = now;
+  }
+  const common::Duration took = now - requested_at;
+  if (took <= std::max(store_epoch_error_, kMaxClockError)) {
+    store_epoch_ = requested_at + took / 2 - store_time;
+    store_epoch_error_ = took;
+  }
+}
+
+std::optional<endpoint_limits::Share> GatewayRegistry::LimitShare(
+    common::Time now) const {
+  const auto own = std::find(members_.begin(), members_.end(), options_.name);
+  if (!known_to_all_at_.has_value() || now < *known_to_all_at_ ||
+      own == members_.end()) {
+    return std::nullopt;
+  }
+  return endpoint_limits::Share{
+      .index = static_cast<size_t>(own - members_.begin()),
+      .gateways = members_.size(),
+      .epoch = store_epoch_};
 }
 
 void GatewayRegistry::Write(common::Duration store_time,
@@ -138,6 +178,9 @@
   if (!registered_) {
     registered_ = true;
     share_.OnRegistered(loop_.Now());
+    if (!known_to_all_at_.has_value()) {
+      known_to_all_at_ = loop_.Now() + options_.share.window;
+    }
   }
   renew_at_ = loop_.Now() + options_.renewal_period;
   ReadAfter(std::chrono::duration_cast<common::Duration>(options_.share.window *
--- a/packages/daemon/gateway/gateway_registry.h
+++ b/packages/daemon/gateway/gateway_registry.h
@@ -2,9 +2,12 @@
 #define DAEMON_GATEWAY_GATEWAY_REGISTRY_H_
 
 #include <cstddef>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "common/random_delay.h"
+#include "coordination/endpoint_limits/endpoint_limits.h"
 #include "coordination/retry_window/reserve_share.h"
 #include "coordination/store_era/store_era.h"
 #include "platform/store.h"
@@ -29,8 +32,8 @@
   common::Duration row_expiry = common::seconds(200);
 };
 
-// Registers this gateway in a table of the store and counts the gateways there,
-// which share the reserve of the retry budget.
+// Registers this gateway in a table of the store and follows which gateways are
+// there. They share the reserve of the retry budget and endpoints' limits.
 class GatewayRegistry {
  public:
   GatewayRegistry(event_loop::EventLoop& loop,
@@ -41,6 +44,9 @@
   void Start();
   // Retries in a window that this gateway may take from the reserve.
   double ReserveShare(common::Time now) const { return share_.At(now); }
+  // This gateway's share of endpoints' limits; nullopt before all others know
+  // of it. While the store is away the last known gateways keep their shares.
+  std::optional<endpoint_limits::Share> LimitShare(common::Time now) const;
 
  private:
   // Reads the table for the store's time, writes the own row if it is due, and
@@ -48,10 +54,14 @@
   void Read();
   void OnRows(common::Time requested_at,
               const http_channel::CallResult& result);
-  // Returns the number of rows that have not expired; collects the keys of the
-  // others.
-  size_t CountRows(const platform::Rows& rows,
-                   std::vector<std::string>& expired) const;
+  // Returns the keys of the rows that have not expired, in order; collects
+  // those of the others.
+  std::vector<std::string> LiveKeys(const platform::Rows& rows,
+                                    std::vector<std::string>& expired) const;
+  // Takes over the gateways of a table that was read at once.
+  void UpdateMembers(const std::vector<std::string>& gateways,
+                     common::Duration store_time,
+                     common::Time requested_at);
   void Write(common::Duration store_time,
              const std::vector<std::string>& expired);
   void OnWritten(const http_channel::CallResult& result);
@@ -64,6 +74,16 @@
   store_era::StoreEra& era_;
   retry_window::ReserveShare share_;
   bool registered_ = false;
+  // All gateways, by name and in order; empty until known.
+  std::vector<std::string> members_;
+  // Members that the table lacks until then may be lost with its newest rows.
+  common::Time members_kept_until_{};
+  // Zero of the store's clock on this process's, and how long the call took
+  // that showed it.
+  common::Time store_epoch_{};
+  common::Duration store_epoch_error_ = common::Duration::max();
+  // From then on all other gateways know of this one.
+  std::optional<common::Time> known_to_all_at_;
   common::Time renew_at_{};
   event_loop::TimerId timer_ = event_loop::kNoTimer;
   // Results of calls from before the store went back are dropped.
--- a/packages/daemon/gateway/proxied_run.cc
+++ b/packages/daemon/gateway/proxied_run.cc
@@ -252,14 +252,22 @@
     core_.router.OnAbandoned(*picked, now());
     core_.router.OnLeaving(*picked);
   }
-  Fail("no_endpoint", kRetryWhenFull);
+  FailWithoutEndpoint();
+}
+
+std::set<std::string> ProxiedRun::UnusableEndpoints() const {
+  std::set<std::string> unusable =
+      core_.limits.Exhausted(core_.registry.LimitShare(now()), now());
+  unusable.insert(tried_endpoints_.begin(), tried_endpoints_.end());
+  return unusable;
 }
 
 std::optional<std::string> ProxiedRun::PickEndpoint(
     const quarantine::MayRun& rules) {
   // Repeats at the same time are not pinned to one endpoint: they would load
   // one rank of a lock-step group, and all others wait for it in every step.
-  routing::PickRequest request{.target = service_, .avoid = tried_endpoints_};
+  const std::set<std::string> unusable = UnusableEndpoints();
+  routing::PickRequest request{.target = service_, .avoid = unusable};
   for (const std::string& process : rules.avoid) {
     request.avoid.insert(quarantine::EndpointNameOf(process));
   }
@@ -267,12 +275,22 @@
   if (!picked.has_value() && !rules.avoid.empty()) {
     // Every endpoint that is left runs another suspect. Most suspects are
     // innocent, so being served counts for more than being told apart.
-    picked = core_.router.Pick({.target = service_, .avoid = tried_endpoints_},
-                               now());
+    picked = core_.router.Pick({.target = service_, .avoid = unusable}, now());
   }
   return picked;
 }
 
+void ProxiedRun::FailWithoutEndpoint() {
+  if (!core_.router.CanPick({.target = service_, .avoid = tried_endpoints_})) {
+    Fail("no_endpoint", kRetryWhenFull);
+    return;
+  }
+  const auto next =
+      core_.limits.NextPermit(core_.registry.LimitShare(now()), now());
+  Fail("endpoints_limited", std::clamp(next.value_or(kRetryWhenOverloaded),
+                                       kRetryWhenFull, kRetryWhenOverloaded));
+}
+
 void ProxiedRun::SendTo(const fleet::EndpointRecord& endpoint) {
   endpoint_id_ = endpoint.id;
   endpoint_process_ = fleet::ProcessName(endpoint);
@@ -291,6 +309,7 @@
                                  .urgency = Urgency(),
                                  .resume_after = last_event_id_};
   ++attempts_;
+  core_.limits.OnSent(endpoint.id, core_.registry.LimitShare(now()), now());
   content_attempt_ = core_.crashes.OnSent(factors_, endpoint_process_);
   exchange_ = &core_.pool.Acquire(endpoint_process_, endpoint.address);
   exchange_->Send(platform::EncodeForwardedRequest(request_, forwarding), *this,
@@ -435,7 +454,8 @@
   }
   const bool failed = answer.status >= http1::kInternalError;
   if (failed && !stream_started_ && serving::MayRepeat(*route_) &&
-      core_.router.CanPick({.target = service_, .avoid = tried_endpoints_}) &&
+      core_.router.CanPick(
+          {.target = service_, .avoid = UnusableEndpoints()}) &&
       TryTakeRetry()) {
     EndAttempt(common::StrCat("status_", answer.status));
     Dispatch();
--- a/packages/daemon/gateway/proxied_run.h
+++ b/packages/daemon/gateway/proxied_run.h
@@ -56,6 +56,11 @@
   // Picks an endpoint for an attempt within the quarantine's rules and counts
   // the attempt in the router.
   std::optional<std::string> PickEndpoint(const quarantine::MayRun& rules);
+  // Endpoints that must not get the request: it was sent to them before, or
+  // their limit allows no more for now.
+  std::set<std::string> UnusableEndpoints() const;
+  // Fails the request because PickEndpoint() found none.
+  void FailWithoutEndpoint();
   void SendTo(const fleet::EndpointRecord& endpoint);
   // Applies the service's admission control to streams with a latency
   // objective. Answers the caller and returns false when the request is
