Gateway: a refusal that names no limit does not end one

Change: only an answer of the endpoint itself that is no refusal as not run ends it. Before: RefusalThatNamesNoLimitDoesNotEndIt had 8 arrivals where 2 are allowed. After: passes.

--- a/packages/daemon/gateway/proxied_run.cc
+++ b/packages/daemon/gateway/proxied_run.cc
@@ -332,14 +332,7 @@
                            .slots = answer.load->slots},
                           now());
   }
-  if (core_.limits.OnAnswer(endpoint_id_, answer.request_limit,
-                            attempt_started_at_, now())) {
-    common::LogEvent(common::EventId::kEndpointLimit,
-                     common::StrCat("endpoint=", endpoint_process_, " limit=",
-                                    answer.request_limit.has_value()
-                                        ? common::StrCat(*answer.request_limit)
-                                        : "none"));
-  }
+  NoteLimit(answer);
   streaming_ = route_->kind == serving::RequestKind::kStream &&
                IsSuccess(answer.status) && answer.sealed && !answer.encoded;
   if (!answer.not_run) {
@@ -349,6 +342,23 @@
   return http_channel::ResponseOrigin::kThisExchange;
 }
 
+void ProxiedRun::NoteLimit(const proxied::EndpointAnswer& answer) {
+  // Another endpoint answered at the address.
+  const bool foreign = answer.status == http1::kMisdirected;
+  // What a stalled group or a full queue refuses says nothing about the limit.
+  const bool may_end = answer.sealed && !answer.not_run;
+  if (foreign || (!answer.request_limit.has_value() && !may_end) ||
+      !core_.limits.OnAnswer(endpoint_id_, answer.request_limit,
+                             attempt_started_at_, now())) {
+    return;
+  }
+  common::LogEvent(common::EventId::kEndpointLimit,
+                   common::StrCat("endpoint=", endpoint_process_, " limit=",
+                                  answer.request_limit.has_value()
+                                      ? common::StrCat(*answer.request_limit)
+                                      : "none"));
+}
+
 void ProxiedRun::OnBody(std::string_view data) {
   last_received_at_ = now();
   if (streaming_) {
--- a/packages/daemon/gateway/proxied_run.h
+++ b/packages/daemon/gateway/proxied_run.h
@@ -82,6 +82,8 @@
   void Fail(std::string_view cause, common::Duration retry_after);
   void OnDeadline();
 
+  // Takes over the endpoint's limit from its answer.
+  void NoteLimit(const proxied::EndpointAnswer& answer);
   void OnBufferedAnswer();
   void DropBufferedBody();
   void OnRefusedByEndpoint();
--- a/tests/unit/daemon/gateway/endpoint_limit_test.cc
+++ b/tests/unit/daemon/gateway/endpoint_limit_test.cc
@@ -217,6 +217,30 @@
   EXPECT_GE(limited.Arrivals(0, from, limited.Now()), 30U);
 }
 
+TEST(EndpointLimitEndTest, RefusalThatNamesNoLimitDoesNotEndIt) {
+  HostedWorld world(
+      HostedWorldOptions{.retry_window = common::milliseconds(200)});
+  const common::Time known = world.loop().Now() + common::milliseconds(500);
+  world.RunUntil([&] { return world.loop().Now() >= known; });
+  world.Script([](const Received& request) {
+    return Reply{
+        .bytes = common::StrCat(
+            HeadOf(request, 200, "Server-Limit: 1\r\nContent-Length: 2\r\n"),
+            "\r\nok")};
+  });
+  EXPECT_EQ(world.Ask({.id = "named"}).status, 200);
+  world.Script(Refusal);
+  int asked = 0;
+  world.RunUntil([&] {
+    world.Ask({.id = common::StrCat("refused", ++asked)});
+    return world.arrivals() == 2;
+  });
+  for (int i = 0; i < 5; ++i) {
+    EXPECT_EQ(world.Ask({.id = common::StrCat("later", i)}).status, 503);
+  }
+  EXPECT_EQ(world.arrivals(), 2U);
+}
+
 TEST(EndpointLimitEndTest, RefusalAtLimitedEndpointsIsATrueOneWithATime) {
   LimitWorld limited({.name = "refusal", .limited = kEndpoints});
   limited.SetLimit(0);
