--- a/tests/unit/coordination/endpoint_limits/endpoint_limits_test.cc
+++ b/tests/unit/coordination/endpoint_limits/endpoint_limits_test.cc
@@ -19,10 +19,9 @@
 // Most requests in any window.
 size_t MostInWindow(const std::vector<common::Time>& sent) {
   size_t most = 0;
-  for (size_t first = 0; first < sent.size(); ++first) {
-    const auto end =
-        std::upper_bound(sent.begin(), sent.end(), sent[first] + kWindow);
-    most = std::max<size_t>(most, end - (sent.begin() + first));
+  for (auto first = sent.begin(); first != sent.end(); ++first) {
+    const auto end = std::upper_bound(first, sent.end(), *first + kWindow);
+    most = std::max<size_t>(most, end - first);
   }
   return most;
 }
--- a/tests/unit/coordination/quarantine/quarantine_test.cc
+++ b/tests/unit/coordination/quarantine/quarantine_test.cc
@@ -275,6 +275,7 @@
   void Crash(const std::vector<std::vector<std::string>>& requests) {
     now_ += seconds(4);
     std::vector<uint64_t> attempts;
+    attempts.reserve(requests.size());
     const std::string endpoint = common::StrCat("e", ++endpoints_, "/1");
     for (const auto& parts : requests) {
       attempts.push_back(quarantine_.OnSent(FactorsOf(parts), endpoint));
--- a/tests/unit/daemon/gateway/crashing_prompt_part_test.cc
+++ b/tests/unit/daemon/gateway/crashing_prompt_part_test.cc
@@ -75,6 +75,7 @@
     while (Now() < end) {
       const common::Time next = Now() + kRoundInterval;
       std::vector<CallerRequestOptions> requests;
+      requests.reserve(kSoundPerRound + 1);
       for (int i = 0; i < kSoundPerRound; ++i) {
         requests.push_back(
             Request({FirstPart(i % crashing_lists()),
@@ -281,6 +282,7 @@
   }
   const auto requests = [](const char* prefix) {
     std::vector<CallerRequestOptions> all;
+    all.reserve(kRequests);
     for (int i = 0; i < kRequests; ++i) {
       all.push_back({.path = "/once/x",
                      .id = common::StrCat(prefix, i),
--- a/tests/unit/daemon/gateway/endpoint_limit_test.cc
+++ b/tests/unit/daemon/gateway/endpoint_limit_test.cc
@@ -72,6 +72,7 @@
     while (Now() < end) {
       const common::Time next = Now() + kRoundInterval;
       std::vector<CallerRequestOptions> requests;
+      requests.reserve(param_.per_round);
       for (int i = 0; i < param_.per_round; ++i) {
         requests.push_back(
             {.path = param_.path,
@@ -91,13 +92,12 @@
     size_t most = 0;
     for (int i = 0; i < param_.limited; ++i) {
       const std::vector<common::Time>& arrivals = arrivals_[i];
-      for (size_t first = 0; first < arrivals.size(); ++first) {
-        if (arrivals[first] < from) {
-          continue;
-        }
-        const auto end = std::upper_bound(arrivals.begin(), arrivals.end(),
-                                          arrivals[first] + kWindow);
-        most = std::max<size_t>(most, end - (arrivals.begin() + first));
+      for (auto first =
+               std::lower_bound(arrivals.begin(), arrivals.end(), from);
+           first != arrivals.end(); ++first) {
+        const auto end =
+            std::upper_bound(first, arrivals.end(), *first + kWindow);
+        most = std::max<size_t>(most, end - first);
       }
     }
     return most;
