--- a/tests/unit/daemon/gateway/endpoint_limit_test.cc
+++ b/tests/unit/daemon/gateway/endpoint_limit_test.cc
@@ -51,6 +51,8 @@
         gateways_(param.gateways),
         world_({.endpoints = kEndpoints,
                 .gateways = param.gateways,
+                // Keys are trusted through an outage of the store.
+                .revocation_bound = common::seconds(60),
                 .retry_window = common::seconds(1)}) {
     for (int i = 0; i < kEndpoints; ++i) {
       world_.endpoint(i).set_script(
