Tests: the address of an endpoint that is down stays reserved

Change: it holds a bound socket that does not listen, so connections are still refused. No test is changed.

--- a/tests/support/hosted_world.cc
+++ b/tests/support/hosted_world.cc
@@ -1,5 +1,9 @@
 #include "support/hosted_world.h"
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -279,7 +283,29 @@
   Listen(kAnyPort);
 }
 
-FakeEndpoint::~FakeEndpoint() = default;
+FakeEndpoint::~FakeEndpoint() {
+  if (reservation_ >= 0) {
+    close(reservation_);
+  }
+}
+
+void FakeEndpoint::StopListening() {
+  if (listener_ == nullptr) {
+    return;
+  }
+  const uint16_t port = listener_->port();
+  listener_.reset();
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(port);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  const int reuse = 1;
+  reservation_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  setsockopt(reservation_, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
+  WS_INVARIANT(bind(reservation_, reinterpret_cast<sockaddr*>(&address),
+                    sizeof(address)) == 0)
+      << "the endpoint's address is free";
+}
 
 void FakeEndpoint::Listen(const std::string& address) {
   auto listener =
@@ -296,17 +322,20 @@
 }
 
 void FakeEndpoint::Crash() {
-  listener_.reset();
+  StopListening();
   for (const auto& connection : connections_) {
     connection->Reset();
   }
 }
 
 void FakeEndpoint::GoSilent() {
-  listener_.reset();
+  StopListening();
 }
 
 void FakeEndpoint::Restart() {
+  if (reservation_ >= 0) {
+    close(std::exchange(reservation_, -1));
+  }
   Listen(address_);
 }
 
--- a/tests/support/hosted_world.h
+++ b/tests/support/hosted_world.h
@@ -141,12 +141,16 @@
   class Connection;
 
   void Listen(const std::string& address);
+  // Stops listening and keeps the address from being taken by others.
+  void StopListening();
 
   event_loop::EventLoop& loop_;
   Script script_;
   std::string address_;
   // Null while the endpoint is down.
   std::unique_ptr<stream_socket::Listener> listener_;
+  // Bound to the address while the endpoint is down; -1 otherwise.
+  int reservation_ = -1;
   std::vector<std::unique_ptr<Connection>> connections_;
   std::vector<Received> received_;
   int closed_ = 0;
