--- a/packages/common/event_log.cc
+++ b/packages/common/event_log.cc
@@ -29,6 +29,11 @@
         "SIGHUP was received. A hosted process reads its settings only at "
         "start and keeps using them.",
         "Restart the process to apply new settings."},
+    EventSpec{EventId::kLoopLate, Severity::kWarning, "event loop late",
+              "The process has had work without a pause for busy_ms, so that "
+              "requests, closes and timers are handled up to that much late.",
+              "See spent_ms for what took the time; if frequent, the instance "
+              "has too little processor time for its load."},
     EventSpec{EventId::kManifestInForce, Severity::kInfo, "manifest in force",
               "A higher manifest version was received and is now used.",
               "None."},
--- a/packages/common/event_log.h
+++ b/packages/common/event_log.h
@@ -15,6 +15,7 @@
   kProcessStopped = 1003,
   kSettingsRefused = 1004,
   kReloadSignal = 1005,
+  kLoopLate = 1006,
   kManifestInForce = 1101,
   kManifestRefused = 1102,
   kManifestConflict = 1103,
--- a/packages/daemon/gateway/proxied_run.cc
+++ b/packages/daemon/gateway/proxied_run.cc
@@ -110,7 +110,8 @@
       channel_(channel),
       request_(std::move(request)),
       on_end_(std::move(on_end)),
-      arrived_at_(core.loop.Now()) {}
+      arrived_at_(core.loop.Now()),
+      loop_busy_on_arrival_(core.loop.busy_for()) {}
 
 ProxiedRun::~ProxiedRun() {
   // A run that has ended may outlive the gateway.
@@ -700,6 +701,7 @@
           configuration_age_.has_value()
               ? common::ToMilliseconds(*configuration_age_)
               : -1,
+          " loop_busy_ms=", common::ToMilliseconds(loop_busy_on_arrival_),
           log_details_));
   on_end_();
 }
--- a/packages/daemon/gateway/proxied_run.h
+++ b/packages/daemon/gateway/proxied_run.h
@@ -111,6 +111,8 @@
   proxied::CallerRequest request_;
   std::function<void()> on_end_;
   common::Time arrived_at_;
+  // Bounds how long the request waited to be read.
+  common::Duration loop_busy_on_arrival_;
   // The configuration in force on arrival, used until the request ends.
   std::shared_ptr<const serving::RouteTable> routes_;
   const serving::Route* route_ = nullptr;
--- a/packages/transport/event_loop/event_loop.cc
+++ b/packages/transport/event_loop/event_loop.cc
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -21,23 +22,107 @@
 // Upper bound on one wait when no timer is due earlier. It only limits how late
 // a signal handler, which may call Stop(), runs on an idle loop.
 constexpr common::Duration kMaxWait = common::seconds(10);
+// The loop was idle when it waited this long for an event: longer than a system
+// call takes.
+constexpr common::Duration kIdleWait = common::milliseconds(1);
+
+// Measures the busy periods of a loop.
+class BusyMeter {
+ public:
+  // The loop begins to wait for an event.
+  void OnWait(common::Time now) { waits_since_ = now; }
+  // A handler is called, or the wait ended without one.
+  void OnWaitEnded(common::Time now) {
+    if (!waits_since_.has_value()) {
+      return;
+    }
+    const bool idle = now - *waits_since_ >= kIdleWait;
+    if (idle) {
+      Report(*waits_since_);
+      began_ = now;
+      reported_ = now;
+    }
+    waits_since_.reset();
+  }
+  void OnHandled(std::string_view activity,
+                 common::Time from,
+                 common::Time to) {
+    const common::Duration took = to - from;
+    period_.spent[activity] += took;
+    if (took > period_.longest) {
+      period_.longest = took;
+      period_.longest_activity = activity;
+    }
+    if (to - reported_ >= min_length_) {
+      Report(to);
+    }
+  }
+  common::Duration BusyFor(common::Time now) const { return now - began_; }
+  void Observe(common::Duration min_length,
+               std::function<void(const BusyPeriod&)> observer) {
+    min_length_ = min_length;
+    observer_ = std::move(observer);
+  }
+
+ private:
+  void Report(common::Time now) {
+    if (observer_ && now - began_ >= min_length_ && !period_.spent.empty()) {
+      period_.length = now - began_;
+      observer_(period_);
+    }
+    period_ = {};
+    reported_ = now;
+  }
+
+  std::optional<common::Time> waits_since_;
+  common::Time began_{};
+  common::Time reported_{};
+  common::Duration min_length_ = common::Duration::max();
+  std::function<void(const BusyPeriod&)> observer_;
+  // Since the last report.
+  BusyPeriod period_;
+};
+
+common::Time BootTime() {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return common::Time(std::chrono::duration_cast<common::Duration>(
+      std::chrono::seconds(now.tv_sec) +
+      std::chrono::nanoseconds(now.tv_nsec)));
+}
+
+// Runs handlers and measures them.
+class LoopClock {
+ public:
+  template <typename Handler>
+  void Measure(std::string_view activity, const Handler& handler) {
+    const common::Time from = BootTime();
+    meter_.OnWaitEnded(from);
+    handler();
+    meter_.OnHandled(activity, from, BootTime());
+  }
+  BusyMeter& meter() { return meter_; }
+
+ private:
+  BusyMeter meter_;
+};
 
 // The overridden method names come from ACE.
 class DescriptorHandler final : public ACE_Event_Handler {
  public:
-  DescriptorHandler(int descriptor, Watcher* watcher)
-      : descriptor_(descriptor), watcher_(watcher) {}
+  DescriptorHandler(int descriptor, Watcher* watcher, LoopClock& clock)
+      : descriptor_(descriptor), watcher_(watcher), clock_(clock) {}
 
   ACE_HANDLE get_handle() const override { return descriptor_; }
   int handle_input(ACE_HANDLE) override {
     if (watcher_ != nullptr && interest_.readable) {
-      watcher_->OnReadable();
+      clock_.Measure(watcher_->activity(), [this] { watcher_->OnReadable(); });
     }
     return 0;
   }
   int handle_output(ACE_HANDLE) override {
     if (watcher_ != nullptr && interest_.writable) {
-      watcher_->OnWritable();
+      clock_.Measure(watcher_->activity(), [this] { watcher_->OnWritable(); });
     }
     return 0;
   }
@@ -51,6 +136,7 @@
  private:
   int descriptor_;
   Watcher* watcher_;
+  LoopClock& clock_;
   Interest interest_;
 };
 
@@ -109,18 +195,11 @@
     }
   }
 
-  static common::Time Now() {
-    timespec now{};
-    clock_gettime(CLOCK_BOOTTIME, &now);
-    return common::Time(std::chrono::duration_cast<common::Duration>(
-        std::chrono::seconds(now.tv_sec) +
-        std::chrono::nanoseconds(now.tv_nsec)));
-  }
-
   void Watch(int descriptor, Watcher* watcher, Interest interest) {
     std::unique_ptr<DescriptorHandler>& handler = handlers_[descriptor];
     if (handler == nullptr) {
-      handler = std::make_unique<DescriptorHandler>(descriptor, watcher);
+      handler =
+          std::make_unique<DescriptorHandler>(descriptor, watcher, clock_);
     }
     const Interest before = handler->interest();
     if (before == interest) {
@@ -163,9 +242,12 @@
     handlers_.erase(found);
   }
 
-  TimerId RunAt(common::Time when, std::function<void()> task) {
+  TimerId RunAt(common::Time when,
+                std::function<void()> task,
+                const char* activity) {
     const TimerId id = next_timer_++;
-    timers_.emplace(std::make_pair(when, id), std::move(task));
+    timers_.emplace(std::make_pair(when, id),
+                    Task{.run = std::move(task), .activity = activity});
     due_times_.emplace(id, when);
     return id;
   }
@@ -179,7 +261,15 @@
     due_times_.erase(found);
   }
 
-  void Post(std::function<void()> task) { posted_.push_back(std::move(task)); }
+  void Post(std::function<void()> task, const char* activity) {
+    posted_.push_back({.run = std::move(task), .activity = activity});
+  }
+
+  common::Duration BusyFor() { return clock_.meter().BusyFor(BootTime()); }
+  void ObserveBusyPeriods(common::Duration min_length,
+                          std::function<void(const BusyPeriod&)> observer) {
+    clock_.meter().Observe(min_length, std::move(observer));
+  }
 
   void OnSignal(int signal, std::function<void()> handler) {
     signal_handlers_.push_back(
@@ -193,7 +283,9 @@
     stopped_ = false;
     while (!stopped_) {
       ACE_Time_Value wait = WaitTime();
+      clock_.meter().OnWait(BootTime());
       reactor_.handle_events(wait);
+      clock_.meter().OnWaitEnded(BootTime());
       for (size_t i = 0; i < signal_handlers_.size(); ++i) {
         signal_handlers_[i]->RunIfPending();
       }
@@ -206,6 +298,11 @@
   void Stop() { stopped_ = true; }
 
  private:
+  struct Task {
+    std::function<void()> run;
+    const char* activity;
+  };
+
   void RemoveFromReactor(DescriptorHandler& handler) {
     reactor_.remove_handler(&handler, ACE_Event_Handler::ALL_EVENTS_MASK |
                                           ACE_Event_Handler::DONT_CALL);
@@ -217,7 +314,7 @@
     }
     common::Duration wait = kMaxWait;
     if (!timers_.empty()) {
-      wait = std::min(wait, timers_.begin()->first.first - Now());
+      wait = std::min(wait, timers_.begin()->first.first - BootTime());
     }
     wait = std::max(wait, common::Duration::zero());
     // Rounded up because the kernel waits in whole milliseconds: a wait that
@@ -226,34 +323,35 @@
   }
 
   void RunDueTimers() {
-    const common::Time now = Now();
+    const common::Time now = BootTime();
     while (!timers_.empty() && timers_.begin()->first.first <= now) {
       const auto first = timers_.begin();
-      const std::function<void()> task = std::move(first->second);
+      const Task task = std::move(first->second);
       due_times_.erase(first->first.second);
       timers_.erase(first);
-      task();
+      clock_.Measure(task.activity, task.run);
     }
   }
 
   void RunPosted() {
-    std::vector<std::function<void()>> tasks;
+    std::vector<Task> tasks;
     tasks.swap(posted_);
-    for (const auto& task : tasks) {
-      task();
+    for (const Task& task : tasks) {
+      clock_.Measure(task.activity, task.run);
     }
   }
 
   ACE_Reactor reactor_;
+  LoopClock clock_;
   std::unordered_map<int, std::unique_ptr<DescriptorHandler>> handlers_;
   // Unregistered handlers that the reactor may still be calling; destroyed at
   // the end of the loop's iteration.
   std::vector<std::unique_ptr<DescriptorHandler>> retired_;
   std::vector<std::unique_ptr<SignalHandler>> signal_handlers_;
-  std::map<std::pair<common::Time, TimerId>, std::function<void()>> timers_;
+  std::map<std::pair<common::Time, TimerId>, Task> timers_;
   std::unordered_map<TimerId, common::Time> due_times_;
   TimerId next_timer_ = 1;
-  std::vector<std::function<void()>> posted_;
+  std::vector<Task> posted_;
   bool stopped_ = false;
 };
 
@@ -262,7 +360,7 @@
 EventLoop::~EventLoop() = default;
 
 common::Time EventLoop::Now() const {
-  return Impl::Now();
+  return BootTime();
 }
 
 void EventLoop::Watch(int descriptor, Watcher* watcher, Interest interest) {
@@ -273,23 +371,40 @@
   impl_->Unwatch(descriptor);
 }
 
-TimerId EventLoop::RunAt(common::Time when, std::function<void()> task) {
-  return impl_->RunAt(when, std::move(task));
+TimerId EventLoop::RunAt(common::Time when,
+                         std::function<void()> task,
+                         const char* activity) {
+  return impl_->RunAt(when, std::move(task), activity);
 }
 
-void EventLoop::Every(common::Duration period, std::function<void()> task) {
-  RunAfter(period, [this, period, task = std::move(task)] {
-    task();
-    Every(period, task);
-  });
+void EventLoop::Every(common::Duration period,
+                      std::function<void()> task,
+                      const char* activity) {
+  RunAfter(
+      period,
+      [this, period, task = std::move(task), activity] {
+        task();
+        Every(period, task, activity);
+      },
+      activity);
 }
 
 void EventLoop::Cancel(TimerId timer) {
   impl_->Cancel(timer);
 }
 
-void EventLoop::Post(std::function<void()> task) {
-  impl_->Post(std::move(task));
+void EventLoop::Post(std::function<void()> task, const char* activity) {
+  impl_->Post(std::move(task), activity);
+}
+
+common::Duration EventLoop::busy_for() const {
+  return impl_->BusyFor();
+}
+
+void EventLoop::ObserveBusyPeriods(
+    common::Duration min_length,
+    std::function<void(const BusyPeriod&)> observer) {
+  impl_->ObserveBusyPeriods(min_length, std::move(observer));
 }
 
 void EventLoop::OnSignal(int signal, std::function<void()> handler) {
--- a/packages/transport/stream_socket/stream_socket.h
+++ b/packages/transport/stream_socket/stream_socket.h
@@ -42,6 +42,8 @@
   common::Duration silence_timeout = common::seconds(4);
   // Reading pauses while this much input is unconsumed.
   size_t max_input_bytes = 1 << 20;
+  // What the connection is for, in one word, for event_loop::BusyPeriod.
+  std::string_view activity = "connection";
 };
 
 // One TCP connection. The handler must outlive it. A callback must not destroy
@@ -90,6 +92,7 @@
 
   void OnReadable() override;
   void OnWritable() override;
+  std::string_view activity() const override { return options_.activity; }
 
  private:
   enum class State { kConnecting, kOpen, kClosed };
--- a/tests/unit/transport/event_loop/event_loop_test.cc
+++ b/tests/unit/transport/event_loop/event_loop_test.cc
@@ -9,6 +9,7 @@
 #include <string>
 #include <tuple>
 #include <utility>
+#include <vector>
 
 namespace wagtailshore::event_loop {
 namespace {
@@ -147,5 +148,47 @@
   loop_.Unwatch(pair_[0]);
 }
 
+class BusyPeriodTest : public EventLoopTest {
+ protected:
+  void Hold(common::Duration duration) {
+    const common::Time end = loop_.Now() + duration;
+    while (loop_.Now() < end) {
+    }
+  }
+};
+
+TEST_F(BusyPeriodTest, NamesWhatHeldTheLoop) {
+  std::vector<BusyPeriod> periods;
+  loop_.ObserveBusyPeriods(
+      common::milliseconds(30),
+      [&](const BusyPeriod& period) { periods.push_back(period); });
+  loop_.RunAfter(
+      common::milliseconds(1), [&] { Hold(common::milliseconds(40)); }, "map");
+  Run();
+  ASSERT_EQ(periods.size(), 1U);
+  EXPECT_GE(periods.front().length, common::milliseconds(40));
+  EXPECT_EQ(periods.front().longest_activity, "map");
+  EXPECT_GE(periods.front().longest, common::milliseconds(40));
+  EXPECT_GE(periods.front().spent.at("map"), common::milliseconds(40));
+}
+
+TEST_F(BusyPeriodTest, EventsThatWaitedAreHandledInIt) {
+  CountingWatcher watcher(pair_[0]);
+  loop_.Watch(pair_[0], &watcher, {.readable = true});
+  common::Duration busy{};
+  watcher.set_on_readable([&] { busy = loop_.busy_for(); });
+  loop_.RunAfter(common::milliseconds(5), [&] {
+    Send();
+    Hold(common::milliseconds(25));
+  });
+  Run();
+  Run();
+  EXPECT_GE(busy, common::milliseconds(25));
+  loop_.RunAfter(common::milliseconds(5), [&] { Send(); });
+  Run();
+  EXPECT_LT(busy, common::milliseconds(25));
+  loop_.Unwatch(pair_[0]);
+}
+
 }  // namespace
 }  // namespace wagtailshore::event_loop
