--- a/packages/transport/event_loop/event_loop.cc
+++ b/packages/transport/event_loop/event_loop.cc
@@ -29,6 +29,8 @@
 // Measures the busy periods of a loop.
 class BusyMeter {
  public:
+  explicit BusyMeter(common::Time now) : began_(now), reported_(now) {}
+
   // The loop begins to wait for an event.
   void OnWait(common::Time now) { waits_since_ = now; }
   // A handler is called, or the wait ended without one.
@@ -75,8 +77,8 @@
   }
 
   std::optional<common::Time> waits_since_;
-  common::Time began_{};
-  common::Time reported_{};
+  common::Time began_;
+  common::Time reported_;
   common::Duration min_length_ = common::Duration::max();
   std::function<void(const BusyPeriod&)> observer_;
   // Since the last report.
@@ -104,7 +106,7 @@
   BusyMeter& meter() { return meter_; }
 
  private:
-  BusyMeter meter_;
+  BusyMeter meter_{BootTime()};
 };
 
 // The overridden method names come from ACE.
