--- a/tests/unit/coordination/quarantine/quarantine_test.cc
+++ b/tests/unit/coordination/quarantine/quarantine_test.cc
@@ -2,6 +2,10 @@
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
+#include <time.h>
+
+#include <chrono>
+#include <tuple>
 
 #include "common/strings.h"
 #include "support/scenario.h"
@@ -406,6 +410,59 @@
   common::Duration now_{};
 };
 
+// Processor time, as other load must not decide.
+common::Duration ProcessorTime() {
+  timespec now{};
+  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &now);
+  return std::chrono::duration_cast<common::Duration>(
+      std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
+}
+
+// A failure domain goes down with so many requests in flight, no two alike,
+// with parts that many share. Returns the processor time for taking over the
+// reports of it and for the requests in between.
+common::Duration TimeToTakeOver(int requests) {
+  constexpr int kEndpoints = 70;
+  constexpr int kParts = 60;
+  // Reports that are read together, and requests until the next ones.
+  constexpr int kReportsRead = 100;
+  constexpr int kRequestsBetween = 10;
+  Quarantine quarantine({});
+  const common::Time now = kStart;
+  const common::Duration began = ProcessorTime();
+  int reports = 0;
+  for (int i = 0; i < requests; ++i) {
+    const std::string process = common::StrCat("e", i % kEndpoints, "/1");
+    for (const std::string& digest :
+         {common::StrCat("content", i),
+          PromptPartFactor(common::StrCat("part", i % kParts), "m")}) {
+      quarantine.OnEndpointLost(process, "d", now, now);
+      quarantine.Merge({{.digest = digest,
+                         .crashes = {process + "#0"},
+                         .ends_in = seconds(600)}},
+                       now);
+      if (++reports % kReportsRead != 0) {
+        continue;
+      }
+      for (int request = 0; request < kRequestsBetween; ++request) {
+        const Factors factors = {common::StrCat("own", reports, request)};
+        std::ignore = quarantine.Check(factors, now);
+        quarantine.OnEnded(quarantine.OnSent(factors, "other/1"),
+                           /*crashed=*/false, /*answered=*/true, now);
+      }
+    }
+  }
+  return ProcessorTime() - began;
+}
+
+// At the target size 70 of 1,400 endpoints go down together, with 20 requests
+// each. A gateway has a quarter of a core, and half a second until callers
+// notice.
+TEST(QuarantineCostTest, ReportsOfAFailureDomainDoNotHoldUpTheGateway) {
+  constexpr int kRequests = 70 * 20;
+  EXPECT_LT(TimeToTakeOver(kRequests), milliseconds(125));
+}
+
 TEST(QuarantineScenarioTest, QuarantineCrashingContent) {
   FleetWorld world;
   const absl::Status run = scenario::RunFile(
