Quarantine: judged once for many reports, and losses are found by their time

Each crash report made the quarantine judge all its records, three times, and each crash of each record looked through all losses. The class: work that grows with the square of a failure, done for each event of it.

A change now only marks the decision as old; it is made when a request or the log needs it, so once for the reports that are read together. Losses are indexed by failure domain and time, and the search ends at the second that counts. What newly is quarantined is logged once after each portion, no longer for each report.

--- a/packages/coordination/quarantine/quarantine.cc
+++ b/packages/coordination/quarantine/quarantine.cc
@@ -104,8 +104,29 @@
          !AnsweredOf(digest).LastAnswered(digest).has_value();
 }
 
-bool Quarantine::IsRefused(const Factors& factors,
-                           const std::string& digest) const {
+void Quarantine::OnChange(common::Time now) {
+  changed_at_ = now;
+}
+
+void Quarantine::JudgeIfChanged() {
+  if (changed_at_.has_value()) {
+    Judge(*std::exchange(changed_at_, std::nullopt));
+  }
+}
+
+bool Quarantine::IsQuarantined(const std::string& digest) {
+  JudgeIfChanged();
+  return quarantined_.contains(digest);
+}
+
+std::vector<std::string> Quarantine::TakeNewlyQuarantined() {
+  JudgeIfChanged();
+  const std::set<std::string> taken = std::exchange(newly_quarantined_, {});
+  return {taken.begin(), taken.end()};
+}
+
+bool Quarantine::IsRefused(const Factors& factors, const std::string& digest) {
+  JudgeIfChanged();
   const auto quarantined = quarantined_.find(digest);
   if (quarantined == quarantined_.end()) {
     return false;
@@ -179,13 +200,16 @@
       own.insert(EndpointNameOf(ProcessOfName(name)));
     }
   }
-  std::set<std::string> others;
-  for (const auto& [process, other] : losses_) {
-    const common::Duration apart = other.at - lost->second.at;
-    if (other.failure_domain == lost->second.failure_domain &&
-        std::chrono::abs(apart) <= options_.outage_window &&
-        !own.contains(other.endpoint)) {
-      others.insert(other.endpoint);
+  const auto domain = losses_by_domain_.find(lost->second.failure_domain);
+  WS_INVARIANT(domain != losses_by_domain_.end()) << "losses are indexed";
+  const auto end =
+      domain->second.upper_bound(lost->second.at + options_.outage_window);
+  std::set<std::string_view> others;
+  for (auto other =
+           domain->second.lower_bound(lost->second.at - options_.outage_window);
+       other != end && others.size() < options_.outage_losses; ++other) {
+    if (!own.contains(other->second)) {
+      others.insert(other->second);
     }
   }
   return others.size() >= options_.outage_losses;
@@ -240,8 +264,11 @@
                     ? candidates.erase(candidate)
                     : std::next(candidate);
   }
-  quarantined_.clear();
+  const auto before = std::exchange(quarantined_, {});
   for (const auto& [digest, crashes] : candidates) {
+    if (!before.contains(digest)) {
+      newly_quarantined_.insert(digest);
+    }
     Rivals& rivals = quarantined_[digest];
     if (KindOf(digest) != FactorKind::kPromptPart ||
         essential.contains(digest)) {
@@ -263,7 +290,7 @@
         return found != records_.end() && found->second.until <= now;
       });
   if (expired) {
-    Judge(now);
+    OnChange(now);
   }
   std::set<std::string> restricted;
   for (const std::string& digest : factors) {
@@ -347,7 +374,7 @@
   }
   if (!cleared.empty()) {
     TrimRecords();
-    Judge(now);
+    OnChange(now);
   }
   return cleared;
 }
@@ -385,6 +412,7 @@
            .last = now};
   const std::string name =
       common::StrCat(ended.endpoint, "#", ended.crash_count);
+  JudgeIfChanged();
   const auto were_quarantined = quarantined_;
   EndedAttempt result;
   for (const std::string& digest : suspects) {
@@ -395,7 +423,8 @@
     }
   }
   TrimRecords();
-  Judge(now);
+  OnChange(now);
+  JudgeIfChanged();
   result.quarantines = std::any_of(suspects.begin(), suspects.end(),
                                    [&](const std::string& digest) {
                                      return quarantined_.contains(digest) &&
@@ -408,15 +437,40 @@
                                 const std::string& failure_domain,
                                 common::Time lost_at,
                                 common::Time now) {
-  std::erase_if(losses_, [&](const auto& item) {
-    return item.second.at + options_.retention <= now;
-  });
-  losses_.try_emplace(endpoint, Loss{.endpoint = EndpointNameOf(endpoint),
-                                     .failure_domain = failure_domain,
-                                     .at = lost_at});
-  TrimTo(options_.max_losses, losses_,
-         [](const Loss& loss) { return loss.at; });
-  Judge(now);
+  const auto [added, is_new] =
+      losses_.try_emplace(endpoint, Loss{.endpoint = EndpointNameOf(endpoint),
+                                         .failure_domain = failure_domain,
+                                         .at = lost_at});
+  if (!is_new) {
+    return;
+  }
+  losses_by_domain_[failure_domain].emplace(lost_at, added->second.endpoint);
+  for (auto loss = losses_.begin(); loss != losses_.end();) {
+    const auto next = std::next(loss);
+    if (loss->second.at + options_.retention <= now) {
+      RemoveLoss(loss);
+    }
+    loss = next;
+  }
+  while (losses_.size() > options_.max_losses) {
+    RemoveLoss(std::min_element(losses_.begin(), losses_.end(),
+                                [](const auto& left, const auto& right) {
+                                  return left.second.at < right.second.at;
+                                }));
+  }
+  OnChange(now);
+}
+
+void Quarantine::RemoveLoss(std::map<std::string, Loss>::iterator loss) {
+  const auto domain = losses_by_domain_.find(loss->second.failure_domain);
+  const auto [first, last] = domain->second.equal_range(loss->second.at);
+  domain->second.erase(std::find_if(first, last, [&](const auto& item) {
+    return item.second == loss->second.endpoint;
+  }));
+  if (domain->second.empty()) {
+    losses_by_domain_.erase(domain);
+  }
+  losses_.erase(loss);
 }
 
 std::vector<Crash> Quarantine::WithdrawEndpoint(const std::string& endpoint,
@@ -433,8 +487,10 @@
     Withdraw(crash, now);
   }
   crash_counts_.erase(endpoint);
-  losses_.erase(endpoint);
-  Judge(now);
+  if (const auto loss = losses_.find(endpoint); loss != losses_.end()) {
+    RemoveLoss(loss);
+  }
+  OnChange(now);
   return withdrawn;
 }
 
@@ -446,7 +502,7 @@
   if (found->second.crashes.empty()) {
     records_.erase(found);
   }
-  Judge(now);
+  OnChange(now);
 }
 
 std::set<std::string> Quarantine::CrashesOf(const std::string& digest) const {
@@ -494,7 +550,7 @@
     }
   }
   TrimRecords();
-  Judge(now);
+  OnChange(now);
 }
 
 bool Quarantine::WasAnswered(const std::string& digest,
--- a/packages/coordination/quarantine/quarantine.h
+++ b/packages/coordination/quarantine/quarantine.h
@@ -151,9 +151,9 @@
   // Whether the crash is recorded and held against its factor.
   bool Counts(const Crash& crash) const;
   // Whether the factor has crashed as many endpoints as it may.
-  bool IsQuarantined(const std::string& digest) const {
-    return quarantined_.contains(digest);
-  }
+  bool IsQuarantined(const std::string& digest);
+  // Returns the factors that became quarantined since the last call.
+  std::vector<std::string> TakeNewlyQuarantined();
 
   // Returns the records to send to the other entries.
   std::vector<SharedRecord> Export(common::Time now) const;
@@ -189,7 +189,7 @@
   using Rivals = std::set<std::string>;
 
   // Whether a request with these factors is refused for this one.
-  bool IsRefused(const Factors& factors, const std::string& digest) const;
+  bool IsRefused(const Factors& factors, const std::string& digest);
   // Whether attempts with the factor run one at a time.
   bool IsRestricted(const std::string& digest) const;
   // The factor's crashes that are held against it.
@@ -203,9 +203,14 @@
   bool IsOutage(const std::string& digest,
                 const Record& record,
                 const std::string& crash) const;
+  void RemoveLoss(std::map<std::string, Loss>::iterator loss);
   void TrimRecords();
-  // Decides anew which factors are quarantined; to be called after each change
-  // of the records.
+  // Records or losses have changed.
+  void OnChange(common::Time now);
+  // Decides anew which factors are quarantined, if anything has changed. Each
+  // decision goes through all records, and reports come many at a time, so it
+  // is made when its result is needed.
+  void JudgeIfChanged();
   void Judge(common::Time now);
   // Factors with enough crashes, and those crashes.
   std::map<std::string, CrashNames> Candidates(common::Time now) const;
@@ -233,6 +238,12 @@
   std::map<std::string, CrashCount> crash_counts_;
   // By endpoint process.
   std::map<std::string, Loss> losses_;
+  // Endpoints by when they were lost, by failure domain; the same as losses_.
+  std::map<std::string, std::multimap<common::Time, std::string>>
+      losses_by_domain_;
+  // Time of the last change that quarantined_ does not reflect yet.
+  std::optional<common::Time> changed_at_;
+  std::set<std::string> newly_quarantined_;
   uint64_t next_attempt_ = 1;
 };
 
--- a/packages/daemon/gateway/crash_watch.cc
+++ b/packages/daemon/gateway/crash_watch.cc
@@ -202,8 +202,8 @@
   for (const quarantine::Crash& crash : ended.recorded) {
     Report(crash, lost);
     common::LogEvent(common::EventId::kContentSuspected, FieldsOf(crash));
-    LogIfQuarantined(crash, /*was_quarantined=*/!ended.quarantines);
   }
+  LogQuarantinedLater();
 }
 
 void CrashWatch::Report(const quarantine::Crash& crash,
@@ -287,7 +287,6 @@
     return;
   }
   const quarantine::Crash& crash = report.crash;
-  const bool was_quarantined = quarantine_.IsQuarantined(crash.digest);
   quarantine_.OnEndpointLost(ProcessOf(crash), report.failure_domain,
                              detected_at, now);
   if (quarantine_.WasAnswered(crash.digest, detected_at)) {
@@ -303,13 +302,26 @@
                     now);
   // Only a quarantine is logged: each gateway gets every report, and the one
   // that observed the crash has logged it.
-  LogIfQuarantined(crash, was_quarantined);
+  LogQuarantinedLater();
 }
 
-void CrashWatch::LogIfQuarantined(const quarantine::Crash& crash,
-                                  bool was_quarantined) {
-  if (!was_quarantined && quarantine_.IsQuarantined(crash.digest)) {
-    common::LogEvent(common::EventId::kContentQuarantined, FieldsOf(crash));
+void CrashWatch::LogQuarantinedLater() {
+  if (std::exchange(log_pending_, true)) {
+    return;
+  }
+  loop_.Post([this] {
+    log_pending_ = false;
+    LogQuarantined();
+  });
+}
+
+void CrashWatch::LogQuarantined() {
+  for (const std::string& digest : quarantine_.TakeNewlyQuarantined()) {
+    const std::set<std::string> crashes = quarantine_.CrashesOf(digest);
+    if (!crashes.empty()) {
+      common::LogEvent(common::EventId::kContentQuarantined,
+                       FieldsOf({.digest = digest, .name = *crashes.rbegin()}));
+    }
   }
 }
 
--- a/packages/daemon/gateway/crash_watch.h
+++ b/packages/daemon/gateway/crash_watch.h
@@ -136,9 +136,10 @@
   void VerifyLoss(const std::string& process, common::Time lost_at);
   void OnReported(const crash_report::CrashReport& report,
                   common::Time detected_at);
-  // Logs that a crash that was added quarantines its factor, unless the factor
-  // was quarantined before.
-  void LogIfQuarantined(const quarantine::Crash& crash, bool was_quarantined);
+  // Logs the factors that were quarantined meanwhile, after the callbacks in
+  // progress: reports come many at a time.
+  void LogQuarantinedLater();
+  void LogQuarantined();
   // The crash for the log.
   std::string FieldsOf(const quarantine::Crash& crash) const;
 
@@ -152,6 +153,7 @@
   // By process.
   std::map<std::string, Unresolved> unresolved_;
   size_t unresolved_attempts_ = 0;
+  bool log_pending_ = false;
   // Processes lost recently. Attempts may end after their endpoint is known to
   // be lost.
   std::map<std::string, LostProcess> lost_;
