Tests: the port of a link that was stopped stays reserved

hosted_soak_3 failed once beside other tests, with answers "ok" and "id: 0" that no endpoint of the soak gives: scripts of the gateway's tests do. The soak ends an endpoint's link, and another test's endpoint took its port while a gateway without the store still had the address. Only the endpoint behind the link kept its port.

--- a/tests/soak/tcp_proxy.cc
+++ b/tests/soak/tcp_proxy.cc
@@ -120,7 +120,9 @@
 }
 
 void TcpProxy::Stop() {
+  const uint16_t port = listener_->port();
   listener_.reset();
+  reservation_ = std::make_unique<PortReservation>(port);
   for (const auto& link : links_) {
     if (!link->ended()) {
       link->Reset();
--- a/tests/soak/tcp_proxy.h
+++ b/tests/soak/tcp_proxy.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "support/port_reservation.h"
 #include "transport/event_loop/event_loop.h"
 #include "transport/stream_socket/listener.h"
 #include "transport/stream_socket/stream_socket.h"
@@ -44,6 +45,8 @@
   std::string target_;
   LinkFault fault_ = LinkFault::kNone;
   std::unique_ptr<stream_socket::Listener> listener_;
+  // Null until Stop().
+  std::unique_ptr<PortReservation> reservation_;
   std::vector<std::unique_ptr<Link>> links_;
 };
 
--- a/tests/support/hosted_world.cc
+++ b/tests/support/hosted_world.cc
@@ -1,9 +1,5 @@
 #include "support/hosted_world.h"
 
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <algorithm>
 #include <utility>
 
@@ -283,11 +279,7 @@
   Listen(kAnyPort);
 }
 
-FakeEndpoint::~FakeEndpoint() {
-  if (reservation_ >= 0) {
-    close(reservation_);
-  }
-}
+FakeEndpoint::~FakeEndpoint() = default;
 
 void FakeEndpoint::StopListening() {
   if (listener_ == nullptr) {
@@ -295,16 +287,7 @@
   }
   const uint16_t port = listener_->port();
   listener_.reset();
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(port);
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  const int reuse = 1;
-  reservation_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  setsockopt(reservation_, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
-  WS_INVARIANT(bind(reservation_, reinterpret_cast<sockaddr*>(&address),
-                    sizeof(address)) == 0)
-      << "the endpoint's address is free";
+  reservation_ = std::make_unique<PortReservation>(port);
 }
 
 void FakeEndpoint::Listen(const std::string& address) {
@@ -333,9 +316,7 @@
 }
 
 void FakeEndpoint::Restart() {
-  if (reservation_ >= 0) {
-    close(std::exchange(reservation_, -1));
-  }
+  reservation_.reset();
   Listen(address_);
 }
 
--- a/tests/support/hosted_world.h
+++ b/tests/support/hosted_world.h
@@ -13,6 +13,7 @@
 
 #include "daemon/gateway/gateway.h"
 #include "protocol/http1/message_reader.h"
+#include "support/port_reservation.h"
 #include "transport/event_loop/event_loop.h"
 #include "transport/http_channel/channel_server.h"
 #include "transport/http_channel/endpoint_pool.h"
@@ -149,8 +150,8 @@
   std::string address_;
   // Null while the endpoint is down.
   std::unique_ptr<stream_socket::Listener> listener_;
-  // Bound to the address while the endpoint is down; -1 otherwise.
-  int reservation_ = -1;
+  // Null while the endpoint is up.
+  std::unique_ptr<PortReservation> reservation_;
   std::vector<std::unique_ptr<Connection>> connections_;
   std::vector<Received> received_;
   int closed_ = 0;
