Gateway: an endpoint's request for rest is decoded and logged

A refusal with Retry-After was no different from one without, so the logs could not tell when an endpoint asked which gateway for how long. Seconds, with fractions, and dates are read; a date counts from the answer's own, as clocks differ. Nothing acts on it yet.

--- a/packages/common/event_log.cc
+++ b/packages/common/event_log.cc
@@ -74,6 +74,10 @@
               "An answer named another limit than before, in requests a second "
               "over all gateways, or none any more.",
               "If frequent, check the endpoint's load."},
+    EventSpec{EventId::kEndpointRests, Severity::kInfo, "endpoint rests",
+              "An endpoint refused a request and wants no other one from this "
+              "process for rest_ms.",
+              "If frequent, check the endpoint's load."},
     EventSpec{
         EventId::kAttemptFailed, Severity::kWarning, "attempt failed",
         "An endpoint refused an attempt, its connection broke, or it sent "
--- a/packages/common/event_log.h
+++ b/packages/common/event_log.h
@@ -26,6 +26,7 @@
   kEndpointLost = 1205,
   kEndpointProbed = 1206,
   kEndpointLimit = 1207,
+  kEndpointRests = 1208,
   kAttemptFailed = 1301,
   kRequestRefused = 1302,
   kStreamResumed = 1303,
--- a/packages/daemon/gateway/proxied_run.cc
+++ b/packages/daemon/gateway/proxied_run.cc
@@ -341,6 +341,13 @@
                           now());
   }
   NoteLimit(answer);
+  if (answer.rest.has_value()) {
+    common::LogEvent(
+        common::EventId::kEndpointRests,
+        common::StrCat("endpoint=", endpoint_process_,
+                       " rest_ms=", common::ToMilliseconds(*answer.rest),
+                       " request=", request_.attempt_id));
+  }
   streaming_ = route_->kind == serving::RequestKind::kStream &&
                IsSuccess(answer.status) && answer.sealed && !answer.encoded;
   if (!answer.not_run) {
--- a/packages/protocol/proxied/proxied.h
+++ b/packages/protocol/proxied/proxied.h
@@ -80,6 +80,9 @@
   // Requests a second that the endpoint takes from all gateways together, while
   // its answers say so.
   std::optional<double> request_limit;
+  // How long the endpoint wants no further request from this gateway; set in
+  // refusals only.
+  std::optional<common::Duration> rest;
   // Address of the endpoint that caused the refusal, if it is not the answering
   // one.
   std::string faulty_endpoint_address;
--- a/tests/unit/platform/requests_test.cc
+++ b/tests/unit/platform/requests_test.cc
@@ -188,5 +188,47 @@
   EXPECT_EQ(DecodeEndpointAnswer({.status = 200}).request_limit, std::nullopt);
 }
 
+struct RestCase {
+  const char* name;
+  const char* header;
+  std::optional<common::Duration> rest;
+  int status = 503;
+  const char* date = "Fri, 04 Dec 2026 10:00:00 GMT";
+};
+
+class RestTest : public testing::TestWithParam<RestCase> {};
+
+TEST_P(RestTest, OnlyARefusalWithATimeToComeAsksForRest) {
+  http1::ResponseHead head{.status = GetParam().status};
+  head.headers.Add("Retry-After", GetParam().header);
+  head.headers.Add("Date", GetParam().date);
+  EXPECT_EQ(DecodeEndpointAnswer(head).rest, GetParam().rest);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Headers,
+    RestTest,
+    testing::Values(
+        RestCase{"Seconds", "3", common::seconds(3)},
+        RestCase{"Fraction", "0.25", common::milliseconds(250)},
+        RestCase{"Zero", "0", std::nullopt},
+        RestCase{"Negative", "-2", std::nullopt},
+        RestCase{"Huge", "1e300", common::seconds(24 * 3600)},
+        RestCase{"Infinite", "inf", common::seconds(24 * 3600)},
+        RestCase{"NotANumber", "nan", std::nullopt},
+        RestCase{"Text", "soon", std::nullopt},
+        RestCase{"Empty", "", std::nullopt},
+        RestCase{"Date", "Fri, 04 Dec 2026 10:00:05 GMT", common::seconds(5)},
+        RestCase{"PastDate", "Fri, 04 Dec 2026 09:00:00 GMT", std::nullopt},
+        RestCase{.name = "DateWithoutOneToCompare",
+                 .header = "Fri, 04 Dec 2026 10:00:05 GMT",
+                 .rest = std::nullopt,
+                 .date = "now"},
+        RestCase{.name = "NotARefusal",
+                 .header = "3",
+                 .rest = std::nullopt,
+                 .status = 500}),
+    [](const auto& info) { return info.param.name; });
+
 }  // namespace
 }  // namespace wagtailshore::platform
