Gateway: endpoints that ask for rest get no request until it is over

Callers lost the time of an attempt that was refused; the endpoint got requests that it had said it could not take. Nothing read the Retry-After of an endpoint's refusal.

What endpoints ask for is now held by one class, Backpressure: limits and rest. It says which endpoints must not get a request now and when each is free again; the choice, retries, resumed streams, requests whose connection is still opening and the Retry-After of a refusal all go by it. A rest belongs to the endpoint's process, the longest one counts, and each gateway adds up to a tenth.

--- a/packages/coordination/endpoint_limits/endpoint_limits.cc
+++ b/packages/coordination/endpoint_limits/endpoint_limits.cc
@@ -104,22 +104,23 @@
   }
 }
 
-std::optional<common::Duration> EndpointLimits::NextPermit(
+std::optional<common::Duration> EndpointLimits::TimeToPermit(
+    const std::string& endpoint,
     const std::optional<Share>& share,
     common::Time now) const {
-  std::optional<common::Duration> next;
-  for (const auto& [endpoint, limit] : limits_) {
-    if (!share.has_value()) {
-      break;
-    }
-    const int64_t ahead =
-        FirstPermit(limit, *share, now) - NumberAt(limit, *share, now);
-    const common::Duration wait = std::chrono::duration_cast<common::Duration>(
-        std::chrono::duration<double>(
-            static_cast<double>(std::max<int64_t>(0, ahead)) / RateOf(limit)));
-    next = next.has_value() ? std::min(*next, wait) : wait;
+  const auto found = limits_.find(endpoint);
+  if (found == limits_.end()) {
+    return common::Duration::zero();
+  }
+  if (!share.has_value()) {
+    return std::nullopt;
   }
-  return next;
+  const Limit& limit = found->second;
+  const int64_t ahead =
+      FirstPermit(limit, *share, now) - NumberAt(limit, *share, now);
+  return std::chrono::duration_cast<common::Duration>(
+      std::chrono::duration<double>(
+          static_cast<double>(std::max<int64_t>(0, ahead)) / RateOf(limit)));
 }
 
 }  // namespace wagtailshore::endpoint_limits
--- a/packages/coordination/endpoint_limits/endpoint_limits.h
+++ b/packages/coordination/endpoint_limits/endpoint_limits.h
@@ -60,10 +60,12 @@
   void OnSent(const std::string& endpoint,
               const std::optional<Share>& share,
               common::Time now);
-  // Returns the time until this gateway's next permit for any endpoint; nullopt
-  // without a share or a limit.
-  std::optional<common::Duration> NextPermit(const std::optional<Share>& share,
-                                             common::Time now) const;
+  // Returns the time until this gateway's next permit for the endpoint, 0 if it
+  // has one now or the endpoint has no limit; nullopt without a share.
+  std::optional<common::Duration> TimeToPermit(
+      const std::string& endpoint,
+      const std::optional<Share>& share,
+      common::Time now) const;
 
   // Number of endpoints with a limit.
   size_t size() const { return limits_.size(); }
--- a/packages/daemon/gateway/gateway.cc
+++ b/packages/daemon/gateway/gateway.cc
@@ -243,8 +243,8 @@
   crash_watch_.OnFleetChange();
   for (const std::string& id : change.started) {
     router_.OnRestarted(id);
-    core_.limits.OnRestarted(id);
     const fleet::EndpointRecord* endpoint = fleet_.Find(id);
+    core_.backpressure.OnListed(id, fleet::ProcessName(*endpoint));
     common::LogEvent(
         common::EventId::kEndpointListed,
         common::StrCat("endpoint=", id, " address=", endpoint->address,
@@ -256,7 +256,7 @@
                      common::StrCat("endpoint=", id, " why=draining"));
   }
   for (const std::string& id : change.gone) {
-    core_.limits.OnRestarted(id);
+    core_.backpressure.OnUnlisted(id);
     common::LogEvent(common::EventId::kEndpointLeaving,
                      common::StrCat("endpoint=", id, " why=unlisted"));
   }
@@ -280,7 +280,9 @@
   metrics_.SetGauge("wagtailshore_gateway_retry_reserve_share",
                     registry_.ReserveShare(loop_.Now()));
   metrics_.SetGauge("wagtailshore_gateway_limited_endpoints",
-                    static_cast<double>(core_.limits.size()));
+                    static_cast<double>(core_.backpressure.limited()));
+  metrics_.SetGauge("wagtailshore_gateway_resting_endpoints",
+                    static_cast<double>(core_.backpressure.resting()));
   metrics_.SetGauge("wagtailshore_gateway_suspect_contents",
                     static_cast<double>(crash_watch_.suspects()));
   metrics_.SetGauge("wagtailshore_gateway_shared_crashes",
--- a/packages/daemon/gateway/gateway_core.h
+++ b/packages/daemon/gateway/gateway_core.h
@@ -7,7 +7,7 @@
 #include <string>
 
 #include "coordination/admission/admission.h"
-#include "coordination/endpoint_limits/endpoint_limits.h"
+#include "coordination/backpressure/backpressure.h"
 #include "coordination/freshness/freshness.h"
 #include "coordination/retry_window/retry_window.h"
 #include "daemon/gateway/crash_watch.h"
@@ -37,7 +37,7 @@
   // By service.
   std::map<std::string, retry_window::RetryWindow> retry_windows;
   std::map<std::string, admission::AdmissionControl> admissions;
-  endpoint_limits::EndpointLimits limits{{}};
+  backpressure::Backpressure backpressure{{}};
   // Bytes of answers that are buffered until they are complete, over all
   // requests.
   size_t buffered_bytes = 0;
--- a/packages/daemon/gateway/proxied_run.cc
+++ b/packages/daemon/gateway/proxied_run.cc
@@ -261,7 +261,7 @@
 
 std::set<std::string> ProxiedRun::UnusableEndpoints() const {
   std::set<std::string> unusable =
-      core_.limits.Exhausted(core_.registry.LimitShare(now()), now());
+      core_.backpressure.Blocked(core_.registry.LimitShare(now()), now());
   unusable.insert(tried_endpoints_.begin(), tried_endpoints_.end());
   return unusable;
 }
@@ -289,10 +289,32 @@
     Fail("no_endpoint", kRetryWhenFull);
     return;
   }
-  const auto next =
-      core_.limits.NextPermit(core_.registry.LimitShare(now()), now());
-  Fail("endpoints_limited", std::clamp(next.value_or(kRetryWhenOverloaded),
-                                       kRetryWhenFull, kRetryWhenOverloaded));
+  // At most the time after which an overloaded service is tried again, as the
+  // endpoints may take requests of other gateways before.
+  Fail("endpoints_limited",
+       std::clamp(TimeUntilEndpoint().value_or(kRetryWhenOverloaded),
+                  kRetryWhenFull, kRetryWhenOverloaded));
+}
+
+bool ProxiedRun::CanRetry() const {
+  return core_.router.CanPick(
+      {.target = service_, .avoid = UnusableEndpoints()});
+}
+
+std::optional<common::Duration> ProxiedRun::TimeUntilEndpoint() const {
+  const auto share = core_.registry.LimitShare(now());
+  std::optional<common::Duration> first;
+  for (const auto& [id, endpoint] : core_.fleet.endpoints()) {
+    if (endpoint.service != service_ || tried_endpoints_.contains(id) ||
+        core_.fleet.FindUsable(id) == nullptr) {
+      continue;
+    }
+    const auto time = core_.backpressure.TimeUntilFree(id, share, now());
+    if (time.has_value() && (!first.has_value() || *time < *first)) {
+      first = time;
+    }
+  }
+  return first;
 }
 
 void ProxiedRun::SendTo(const fleet::EndpointRecord& endpoint) {
@@ -313,7 +335,8 @@
                                  .urgency = Urgency(),
                                  .resume_after = last_event_id_};
   ++attempts_;
-  core_.limits.OnSent(endpoint.id, core_.registry.LimitShare(now()), now());
+  core_.backpressure.OnSent(endpoint.id, core_.registry.LimitShare(now()),
+                            now());
   content_attempt_ = core_.crashes.OnSent(factors_, endpoint_process_);
   exchange_ = &core_.pool.Acquire(endpoint_process_, endpoint.address);
   exchange_->Send(platform::EncodeForwardedRequest(request_, forwarding), *this,
@@ -321,7 +344,19 @@
 }
 
 bool ProxiedRun::OnReadyToSend() {
-  return !channel_.CloseIfCallerLeft();
+  if (channel_.CloseIfCallerLeft()) {
+    return false;
+  }
+  // Connecting took time, in which the endpoint may have answered others.
+  if (core_.fleet.FindUsable(endpoint_id_) != nullptr &&
+      !core_.backpressure.IsResting(endpoint_id_, now())) {
+    return true;
+  }
+  exchange_->Abandon();
+  EndAttempt("withdrawn");
+  --attempts_;
+  Dispatch();
+  return false;
 }
 
 http_channel::ResponseOrigin ProxiedRun::OnHead(
@@ -340,14 +375,7 @@
                            .slots = answer.load->slots},
                           now());
   }
-  NoteLimit(answer);
-  if (answer.rest.has_value()) {
-    common::LogEvent(
-        common::EventId::kEndpointRests,
-        common::StrCat("endpoint=", endpoint_process_,
-                       " rest_ms=", common::ToMilliseconds(*answer.rest),
-                       " request=", request_.attempt_id));
-  }
+  NoteDemands(answer);
   streaming_ = route_->kind == serving::RequestKind::kStream &&
                IsSuccess(answer.status) && answer.sealed && !answer.encoded;
   if (!answer.not_run) {
@@ -357,21 +385,35 @@
   return http_channel::ResponseOrigin::kThisExchange;
 }
 
-void ProxiedRun::NoteLimit(const proxied::EndpointAnswer& answer) {
-  // Another endpoint answered at the address.
-  const bool foreign = answer.status == http1::kMisdirected;
-  // What a stalled group or a full queue refuses says nothing about the limit.
-  const bool may_end = answer.sealed && !answer.not_run;
-  if (foreign || (!answer.request_limit.has_value() && !may_end) ||
-      !core_.limits.OnAnswer(endpoint_id_, answer.request_limit,
-                             attempt_started_at_, now())) {
+void ProxiedRun::NoteDemands(const proxied::EndpointAnswer& answer) {
+  // Another endpoint answered at the address, or the process has been replaced.
+  const fleet::EndpointRecord* listed = core_.fleet.Find(endpoint_id_);
+  if (answer.status == http1::kMisdirected ||
+      (listed != nullptr && fleet::ProcessName(*listed) != endpoint_process_)) {
     return;
   }
-  common::LogEvent(common::EventId::kEndpointLimit,
-                   common::StrCat("endpoint=", endpoint_process_, " limit=",
-                                  answer.request_limit.has_value()
-                                      ? common::StrCat(*answer.request_limit)
-                                      : "none"));
+  std::uniform_real_distribution<double> spread(0, 1);
+  const bool limit_changed = core_.backpressure.OnAnswer(
+      endpoint_id_, endpoint_process_,
+      {.request_limit = answer.request_limit,
+       // What a stalled group or a full queue refuses says nothing about the
+       // limit.
+       .may_end_limit = answer.sealed && !answer.not_run,
+       .rest = answer.rest},
+      spread(core_.random), attempt_started_at_, now());
+  if (limit_changed) {
+    common::LogEvent(common::EventId::kEndpointLimit,
+                     common::StrCat("endpoint=", endpoint_process_, " limit=",
+                                    answer.request_limit.has_value()
+                                        ? common::StrCat(*answer.request_limit)
+                                        : "none"));
+  }
+  if (answer.rest.has_value()) {
+    common::LogEvent(common::EventId::kEndpointRests,
+                     common::StrCat("endpoint=", endpoint_process_, " rest_ms=",
+                                    common::ToMilliseconds(*answer.rest),
+                                    " request=", request_.attempt_id));
+  }
 }
 
 void ProxiedRun::OnBody(std::string_view data) {
@@ -478,9 +520,7 @@
     return;
   }
   const bool failed = answer.status >= http1::kInternalError;
-  if (failed && !stream_started_ && serving::MayRepeat(*route_) &&
-      core_.router.CanPick(
-          {.target = service_, .avoid = UnusableEndpoints()}) &&
+  if (failed && !stream_started_ && serving::MayRepeat(*route_) && CanRetry() &&
       TryTakeRetry()) {
     EndAttempt(common::StrCat("status_", answer.status));
     Dispatch();
@@ -514,11 +554,17 @@
     core_.fleet.OnMisdirected(endpoint_id_);
     core_.router.OnLeaving(endpoint_id_);
   }
-  EndAttempt(misdirected ? "misdirected" : "busy");
+  EndAttempt(misdirected                 ? "misdirected"
+             : answer_->rest.has_value() ? "resting"
+                                         : "busy");
   if (group_stalled) {
     Fail("group_stalled", kRetryWhenGroupStalled);
     return;
   }
+  if (!CanRetry()) {
+    FailWithoutEndpoint();
+    return;
+  }
   if (TryTakeRetry()) {
     Dispatch();
     return;
@@ -636,7 +682,8 @@
   } else if (result.starts_with("status_")) {
     core_.router.OnErrorResponse(endpoint_id_, ended);
   } else if (result == "caller_gone" || result == "deadline" ||
-             result == "caller_not_reading" || result == "misdirected") {
+             result == "caller_not_reading" || result == "misdirected" ||
+             result == "resting" || result == "withdrawn") {
     core_.router.OnAbandoned(endpoint_id_, ended);
   } else {
     core_.router.OnFailure(endpoint_id_, ended);
@@ -651,6 +698,7 @@
   const bool endpoint_responds =
       result.starts_with("status_") || result == "busy" ||
       result == "misdirected" || result == "unreachable" ||
+      result == "resting" || result == "withdrawn" ||
       result == "answer_spoilt" || result == "answer_too_large" ||
       result == "event_too_large" || result == "caller_not_reading" ||
       result == "event_missing";
--- a/packages/daemon/gateway/proxied_run.h
+++ b/packages/daemon/gateway/proxied_run.h
@@ -58,10 +58,15 @@
   // the attempt in the router.
   std::optional<std::string> PickEndpoint(const quarantine::MayRun& rules);
   // Endpoints that must not get the request: it was sent to them before, or
-  // their limit allows no more for now.
+  // they want none for now.
   std::set<std::string> UnusableEndpoints() const;
   // Fails the request because PickEndpoint() found none.
   void FailWithoutEndpoint();
+  // Whether another endpoint could get the request now.
+  bool CanRetry() const;
+  // Time until one of the service's endpoints that the request was not sent to
+  // wants requests again; nullopt if there is none or it is not known.
+  std::optional<common::Duration> TimeUntilEndpoint() const;
   void SendTo(const fleet::EndpointRecord& endpoint);
   // Applies the service's admission control to streams with a latency
   // objective. Answers the caller and returns false when the request is
@@ -83,8 +88,8 @@
   void Fail(std::string_view cause, common::Duration retry_after);
   void OnDeadline();
 
-  // Takes over the endpoint's limit from its answer.
-  void NoteLimit(const proxied::EndpointAnswer& answer);
+  // Takes over what the endpoint asks for in its answer.
+  void NoteDemands(const proxied::EndpointAnswer& answer);
   void OnBufferedAnswer();
   void DropBufferedBody();
   void OnRefusedByEndpoint();
--- a/tests/unit/coordination/endpoint_limits/endpoint_limits_test.cc
+++ b/tests/unit/coordination/endpoint_limits/endpoint_limits_test.cc
@@ -103,7 +103,7 @@
   limits.OnAnswer(kEndpoint, 100, kStart, kStart);
   EXPECT_TRUE(
       limits.Exhausted(std::nullopt, kStart + seconds(60)).contains(kEndpoint));
-  EXPECT_EQ(limits.NextPermit(std::nullopt, kStart), std::nullopt);
+  EXPECT_EQ(limits.TimeToPermit(kEndpoint, std::nullopt, kStart), std::nullopt);
 }
 
 TEST(EndpointLimitsTest, LimitEndsWithAnAnswerToALaterRequest) {
@@ -150,7 +150,8 @@
   limits.OnSent(kEndpoint, before, now);
   const Share after{.epoch = common::Time(seconds(50000))};
   EXPECT_FALSE(limits.Exhausted(after, now + seconds(2)).contains(kEndpoint));
-  EXPECT_LE(*limits.NextPermit(after, now + seconds(2)), seconds(1));
+  EXPECT_LE(*limits.TimeToPermit(kEndpoint, after, now + seconds(2)),
+            seconds(1));
 }
 
 }  // namespace
