Gateway: endpoints that say in their answers that they leave get no new request

Only the list was read, so an endpoint got requests until its entry was, and while the store was away all the time.

The fleet takes the announcement like an entry that is draining. It belongs to the process: a list or an older copy of it that still says ready does not undo it, nor an entry that goes and comes back; a new process with the id does.

--- a/packages/daemon/gateway/proxied_run.cc
+++ b/packages/daemon/gateway/proxied_run.cc
@@ -408,6 +408,14 @@
                                         ? common::StrCat(*answer.request_limit)
                                         : "none"));
   }
+  if (answer.leaving &&
+      core_.fleet.OnLeaving(endpoint_id_, endpoint_process_, now())) {
+    core_.router.OnLeaving(endpoint_id_);
+    core_.crashes.OnFleetChange();
+    common::LogEvent(
+        common::EventId::kEndpointLeaving,
+        common::StrCat("endpoint=", endpoint_id_, " why=announced"));
+  }
   if (answer.rest.has_value()) {
     common::LogEvent(common::EventId::kEndpointRests,
                      common::StrCat("endpoint=", endpoint_process_, " rest_ms=",
--- a/packages/protocol/proxied/proxied.h
+++ b/packages/protocol/proxied/proxied.h
@@ -83,6 +83,8 @@
   // How long the endpoint wants no further request from this gateway; set in
   // refusals only.
   std::optional<common::Duration> rest;
+  // Whether the endpoint is leaving and wants no new requests.
+  bool leaving = false;
   // Address of the endpoint that caused the refusal, if it is not the answering
   // one.
   std::string faulty_endpoint_address;
--- a/packages/state/fleet/fleet.cc
+++ b/packages/state/fleet/fleet.cc
@@ -1,6 +1,7 @@
 #include "state/fleet/fleet.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "common/strings.h"
 
@@ -22,7 +23,12 @@
   });
   FleetChange change;
   std::set<std::string> listed;
-  for (const EndpointRecord& record : records) {
+  for (EndpointRecord record : records) {
+    const auto announced = announced_.find(ProcessName(record));
+    if (announced != announced_.end()) {
+      announced->second = requested_at;
+      record.draining = true;
+    }
     if (rewriting && HasDeparted(record)) {
       continue;
     }
@@ -69,6 +75,9 @@
     return true;
   });
   listed_since_.insert(listed.begin(), listed.end());
+  std::erase_if(announced_, [&](const auto& item) {
+    return item.second + options_.departure_memory < requested_at;
+  });
   FindReplaced();
   return change;
 }
@@ -95,6 +104,17 @@
   }
 }
 
+bool Fleet::OnLeaving(const std::string& id,
+                      const std::string& process,
+                      common::Time now) {
+  announced_[process] = now;
+  const auto found = endpoints_.find(id);
+  if (found == endpoints_.end() || ProcessName(found->second) != process) {
+    return false;
+  }
+  return !std::exchange(found->second.draining, true);
+}
+
 bool Fleet::HasDeparted(const EndpointRecord& record) const {
   return departed_.contains(ProcessName(record));
 }
--- a/packages/state/fleet/fleet.h
+++ b/packages/state/fleet/fleet.h
@@ -71,6 +71,11 @@
   // Another process than the one listed as `id` answered at its address: the
   // endpoint gets no new work until it restarts.
   void OnMisdirected(const std::string& id);
+  // The process has said itself that it is leaving: it gets no new work,
+  // whatever the list says. Returns whether that is new.
+  bool OnLeaving(const std::string& id,
+                 const std::string& process,
+                 common::Time now);
   // The list could not be read.
   void OnListUnavailable();
   // The list went back to an older copy of itself. Until endpoints have written
@@ -115,6 +120,9 @@
   // Endpoints listed since the end of the outage: if they are missing later,
   // they did not lapse in it.
   std::set<std::string> listed_since_;
+  // Processes that said themselves that they are leaving, and when they were
+  // last listed or said so. An entry may be removed and come back unchanged.
+  std::map<std::string, common::Time> announced_;
   // When processes left the list, by name.
   std::map<std::string, common::Time> departed_;
   // Until then the list may contain departed processes and lack live ones.
--- a/tests/unit/platform/requests_test.cc
+++ b/tests/unit/platform/requests_test.cc
@@ -188,6 +188,27 @@
   EXPECT_EQ(DecodeEndpointAnswer({.status = 200}).request_limit, std::nullopt);
 }
 
+struct LeavingHeaderCase {
+  const char* name;
+  const char* header;
+  bool leaving;
+};
+
+class LeavingHeaderTest : public testing::TestWithParam<LeavingHeaderCase> {};
+
+TEST_P(LeavingHeaderTest, OnlyItsOneValueSaysSo) {
+  http1::ResponseHead head{.status = 200};
+  head.headers.Add("Server-Leaving", GetParam().header);
+  EXPECT_EQ(DecodeEndpointAnswer(head).leaving, GetParam().leaving);
+}
+
+INSTANTIATE_TEST_SUITE_P(Headers,
+                         LeavingHeaderTest,
+                         testing::Values(LeavingHeaderCase{"One", "1", true},
+                                         LeavingHeaderCase{"Zero", "0", false},
+                                         LeavingHeaderCase{"Empty", "", false}),
+                         [](const auto& info) { return info.param.name; });
+
 struct RestCase {
   const char* name;
   const char* header;
--- a/tests/unit/state/fleet/fleet_test.cc
+++ b/tests/unit/state/fleet/fleet_test.cc
@@ -48,6 +48,28 @@
   EXPECT_EQ(fleet.FindUsable("a"), nullptr);
 }
 
+TEST(FleetTest, AnnouncedLeavingOutlastsTheList) {
+  Fleet fleet({});
+  fleet.OnList({Record("a", "1")}, At(0));
+  EXPECT_TRUE(fleet.OnLeaving("a", "a/1", At(10)));
+  EXPECT_FALSE(fleet.OnLeaving("a", "a/1", At(20)));
+  EXPECT_EQ(fleet.FindUsable("a"), nullptr);
+  fleet.OnList({Record("a", "1")}, At(1000));
+  EXPECT_EQ(fleet.FindUsable("a"), nullptr);
+  fleet.OnList({}, At(2000));
+  fleet.OnList({Record("a", "1")}, At(3000));
+  EXPECT_EQ(fleet.FindUsable("a"), nullptr);
+  fleet.OnList({Record("a", "1", 2)}, At(4000));
+  EXPECT_NE(fleet.FindUsable("a"), nullptr);
+}
+
+TEST(FleetTest, AnnouncementOfAnEarlierProcessDoesNotConcernTheNextOne) {
+  Fleet fleet({});
+  fleet.OnList({Record("a", "1", 2)}, At(0));
+  EXPECT_FALSE(fleet.OnLeaving("a", "a/1", At(10)));
+  EXPECT_NE(fleet.FindUsable("a"), nullptr);
+}
+
 TEST(FleetTest, RestartUnderOneIdIsANewLife) {
   Fleet fleet({});
   EndpointRecord record = Record("a", "1");
