Soak: endpoints ask for rest and announce that they leave, callers leave early

The new rules had tests of single cases only. The soak's endpoints now refuse with a time of rest, or say in their answers that they leave before they are replaced, and some callers leave before their answer. DemandLedger checks that gateways keep to it; pauses, restarts and disturbed links excuse what came before them.

--- a/tests/soak/hosted_soak.cc
+++ b/tests/soak/hosted_soak.cc
@@ -19,6 +19,7 @@
 #include "common/strings.h"
 #include "e2e/child_process.h"
 #include "protocol/http1/serialize.h"
+#include "soak/demand_ledger.h"
 #include "soak/soak_ledger.h"
 #include "soak/tcp_proxy.h"
 #include "support/hosted_world.h"
@@ -49,6 +50,15 @@
 constexpr char kCrashingPart[] = "bad";
 constexpr int kFirstParts = 3;
 constexpr int kSecondParts = 10;
+// Endpoints ask for rest by this header now and then; further ones name the
+// endpoint and say that it leaves.
+constexpr common::Duration kRest = common::milliseconds(1500);
+constexpr char kEndpointHeader[] = "Endpoint";
+constexpr char kLeavingHeader[] = "Server-Leaving";
+// Within this time a gateway knows that an endpoint leaves.
+constexpr common::Duration kDrainBound = common::seconds(2);
+// Callers that leave before their answer.
+constexpr int kLeavingCallersPercent = 5;
 // Endpoints that each of them may crash for each gateway process that was
 // started: a gateway that is cut off from the store knows only its own crashes,
 // and other endpoints that end at the same time look like an outage.
@@ -70,10 +80,14 @@
   bool may_end = false;
   // Whether the process is paused by SIGSTOP.
   bool paused = false;
+  // Its position among the gateways.
+  int index = 0;
 };
 
 struct EndpointProcess {
   std::string id;
+  // Whether its answers say that it leaves.
+  bool leaving = false;
   int incarnation = 0;
   std::unique_ptr<FakeEndpoint> server;
   std::unique_ptr<TcpProxy> link;
@@ -84,6 +98,8 @@
   http_channel::ResponseOrigin OnHead(
       const http1::ResponseHead& head) override {
     answer.status = head.status;
+    answer.headers = head.headers;
+    on_head(*this);
     return http_channel::ResponseOrigin::kThisExchange;
   }
   void OnBody(std::string_view data) override { answer.body += data; }
@@ -97,7 +113,9 @@
     channel = nullptr;
   }
 
+  std::function<void(const Caller&)> on_head;
   std::string id;
+  int gateway = 0;
   // First part of the request's prompt.
   std::string first_part;
   hosted_world::CallerAnswer answer;
@@ -120,11 +138,15 @@
     }
     gateways_.resize(kGateways);
     for (GatewayProcess& gateway : gateways_) {
+      gateway.index = static_cast<int>(&gateway - gateways_.data());
       gateway.store_link = std::make_unique<TcpProxy>(loop_, store_.address());
       gateway.caller_address = common::StrCat("127.0.0.1:", FreePort(loop_));
       StartGateway(gateway);
     }
     callers_.resize(kCallers);
+    for (Caller& caller : callers_) {
+      caller.on_head = [this](const Caller& answered) { OnHead(answered); };
+    }
   }
 
   bool Run(common::Duration length) {
@@ -168,6 +190,7 @@
   }
 
   const SoakLedger& ledger() const { return ledger_; }
+  const DemandLedger& demands() const { return demands_; }
 
  private:
   int Pick(int least, int most) {
@@ -191,8 +214,20 @@
     store_.SetConfiguration(configuration);
   }
 
+  // Time at which what the event loop handles now has arrived, at the earliest.
+  common::Time ArrivalTime() const { return loop_.Now() - loop_.busy_for(); }
+
+  void OnHead(const Caller& caller) {
+    const std::string* endpoint = caller.answer.headers.Find(kEndpointHeader);
+    if (endpoint != nullptr &&
+        caller.answer.headers.Find(kLeavingHeader) != nullptr) {
+      demands_.OnLeavingPassedOn(caller.gateway, *endpoint, loop_.Now());
+    }
+  }
+
   void StartEndpoint(int index) {
     EndpointProcess& endpoint = endpoints_[index];
+    endpoint.leaving = false;
     if (!endpoint.id.empty()) {
       store_.RemoveEndpoint(endpoint.id);
       endpoint.server->Crash();
@@ -234,6 +269,7 @@
         gateway.settings_path + ".log");
     gateway.may_end = false;
     gateway.paused = false;
+    demands_.OnGatewayDisturbed(gateway.index);
   }
 
   // Crashes the endpoint after the callbacks in progress, unless it has been
@@ -260,11 +296,58 @@
       return {.bytes = common::StrCat(
                   HeadOf(request, 421, "Content-Length: 0\r\n"), "\r\n")};
     }
+    const auto sent = sent_.find(*id);
+    if (sent != sent_.end()) {
+      demands_.OnArrival({.gateway = sent->second.gateway,
+                          .endpoint = endpoint_id,
+                          .request = *id,
+                          .sent_at = sent->second.at,
+                          .at = ArrivalTime()});
+    }
+    Reply reply = Answer(index, endpoint_id, request, *id);
+    const size_t status_end = reply.bytes.find("\r\n");
+    if (status_end != std::string::npos) {
+      reply.bytes.insert(
+          status_end + 2,
+          common::StrCat(kEndpointHeader, ": ", endpoint_id, "\r\n",
+                         endpoints_[index].leaving
+                             ? common::StrCat(kLeavingHeader, ": 1\r\n")
+                             : std::string()));
+    }
+    return reply;
+  }
+
+  // A refusal that asks the gateway for rest.
+  Reply AskForRest(const std::string& endpoint_id,
+                   const EndpointProcess& endpoint,
+                   const Received& request,
+                   const std::string& id) {
+    const auto sent = sent_.find(id);
+    if (sent != sent_.end() && endpoint.link->fault() == LinkFault::kNone &&
+        !gateways_[sent->second.gateway].paused) {
+      demands_.OnRest(sent->second.gateway, endpoint_id, loop_.Now(), kRest);
+    }
+    return {.bytes = common::StrCat(
+                HeadOf(request, 503,
+                       common::StrCat(
+                           "X-Wagtailshore-Not-Executed: 1\r\nRetry-After: ",
+                           std::chrono::duration<double>(kRest).count(),
+                           "\r\nContent-Length: 0\r\n")),
+                "\r\n")};
+  }
+
+  Reply Answer(int index,
+               const std::string& endpoint_id,
+               const Received& request,
+               const std::string& id) {
     const int chance = faults_ended_ ? 100 : Pick(1, 100);
+    if (chance == 1) {
+      return AskForRest(endpoint_id, endpoints_[index], request, id);
+    }
     if (chance <= 4) {
       return hosted_world::Refusal(request);
     }
-    ledger_.OnRun(*id, loop_.Now());
+    ledger_.OnRun(id, loop_.Now());
     if (request.body == kCrashingBody) {
       CrashEndpoint(index, endpoint_id, "the crashing content");
       return {};
@@ -282,8 +365,8 @@
       return {};
     }
     return request.head.target.starts_with("/stream/")
-               ? ServeStream(request, *id, chance)
-               : ServePlain(request, *id, chance);
+               ? ServeStream(request, id, chance)
+               : ServePlain(request, id, chance);
   }
 
   Reply ServePlain(const Received& request, const std::string& id, int chance) {
@@ -327,6 +410,10 @@
       if (caller.busy && now >= caller.timeout_at) {
         caller.channel->Abandon();
         caller.busy = false;
+        const GatewayProcess& gateway = gateways_[caller.gateway];
+        if (!gateway.paused && !gateway.may_end) {
+          demands_.OnCallerLeft(caller.gateway, caller.id, now);
+        }
       }
       if (caller.busy) {
         continue;
@@ -352,7 +439,12 @@
     caller.id = common::StrCat("r", ++requests_);
     caller.answer = {};
     caller.busy = true;
-    caller.timeout_at = loop_.Now() + common::milliseconds(kTimeLeftMs + 300);
+    caller.timeout_at =
+        loop_.Now() + common::milliseconds(Happens(kLeavingCallersPercent)
+                                               ? Pick(0, 200)
+                                               : kTimeLeftMs + 300);
+    caller.gateway = Pick(0, kGateways - 1);
+    sent_[caller.id] = {.gateway = caller.gateway, .at = loop_.Now()};
     ledger_.OnSent(caller.id,
                    {.kind = kind, .key = key, .sent_at = loop_.Now()});
     http1::Headers headers;
@@ -374,7 +466,7 @@
     } else if (Happens(kCrashingPercent)) {
       body = kCrashingBody;
     }
-    const GatewayProcess& gateway = gateways_[Pick(0, kGateways - 1)];
+    const GatewayProcess& gateway = gateways_[caller.gateway];
     caller.channel =
         &pool_.Acquire(gateway.caller_address, gateway.caller_address);
     caller.channel->SetIdleLimit(common::seconds(10));
@@ -400,7 +492,7 @@
   }
 
   void StartFault() {
-    switch (Pick(0, 8)) {
+    switch (Pick(0, 9)) {
       case 0:
       case 1:
         InjectLinkFault(*endpoints_[Pick(0, kEndpoints - 1)].link);
@@ -425,13 +517,37 @@
       case 7:
         StartEndpoint(Pick(0, kEndpoints - 1));
         return;
+      case 8:
+        Leave(Pick(0, kEndpoints - 1));
+        return;
       default:
         ChangeKeys();
         return;
     }
   }
 
+  // The endpoint says that it leaves, without a change of its entry, and is
+  // replaced later.
+  void Leave(int index) {
+    EndpointProcess& endpoint = endpoints_[index];
+    if (endpoint.leaving) {
+      return;
+    }
+    endpoint.leaving = true;
+    loop_.RunAfter(common::milliseconds(Pick(500, 5000)),
+                   [this, index, id = endpoint.id] {
+                     if (endpoints_[index].id == id) {
+                       StartEndpoint(index);
+                     }
+                   });
+  }
+
   void InjectLinkFault(TcpProxy& link) {
+    for (const EndpointProcess& endpoint : endpoints_) {
+      if (endpoint.link.get() == &link) {
+        demands_.OnEndpointDisturbed(endpoint.id);
+      }
+    }
     link.SetFault(static_cast<LinkFault>(Pick(1, 5)));
     // The proxy may be replaced before the fault ends, so the callback first
     // checks that it is still in use.
@@ -439,6 +555,7 @@
       for (const EndpointProcess& endpoint : endpoints_) {
         if (endpoint.link.get() == &link) {
           link.SetFault(LinkFault::kNone);
+          demands_.OnEndpointDisturbed(endpoint.id);
         }
       }
       for (const GatewayProcess& gateway : gateways_) {
@@ -455,15 +572,18 @@
     }
     gateway.paused = true;
     gateway.process->Signal(SIGSTOP);
-    loop_.RunAfter(common::milliseconds(Pick(100, 4000)), [&gateway] {
+    demands_.OnGatewayDisturbed(gateway.index);
+    loop_.RunAfter(common::milliseconds(Pick(100, 4000)), [this, &gateway] {
       if (gateway.paused) {
         gateway.process->Signal(SIGCONT);
         gateway.paused = false;
+        demands_.OnGatewayDisturbed(gateway.index);
       }
     });
   }
 
-  static void End(GatewayProcess& gateway, int signal) {
+  void End(GatewayProcess& gateway, int signal) {
+    demands_.OnGatewayDisturbed(gateway.index);
     gateway.may_end = true;
     gateway.process->Signal(signal);
     if (gateway.paused) {
@@ -513,6 +633,15 @@
   std::vector<GatewayProcess> gateways_;
   std::vector<Caller> callers_;
   SoakLedger ledger_{kRevocationBound};
+  DemandLedger demands_{kDrainBound, [this](const std::string& what) {
+                          ledger_.OnViolation(what);
+                        }};
+  // What was sent, by id.
+  struct Sent {
+    int gateway = 0;
+    common::Time at{};
+  };
+  std::map<std::string, Sent> sent_;
   std::vector<std::string> keys_;
   // Includes revoked keys, which callers continue to use.
   std::vector<std::string> all_keys_ = {"key0", "key1", "key2",
@@ -548,7 +677,9 @@
   const SoakLedger& ledger = soak.ledger();
   std::cout << "seed " << seed.getValue() << ": " << ledger.complete()
             << " complete, " << ledger.refused() << " refused, "
-            << ledger.other() << " other\n";
+            << ledger.other() << " other; " << soak.demands().rests()
+            << " rests, " << soak.demands().leavings() << " endpoints leaving, "
+            << soak.demands().departures() << " callers gone\n";
   for (const std::string& violation : ledger.violations()) {
     std::cout << "violation: " << violation << "\n";
   }
--- a/tests/soak/tcp_proxy.h
+++ b/tests/soak/tcp_proxy.h
@@ -35,6 +35,7 @@
 
   std::string address() const;
   void SetFault(LinkFault fault);
+  LinkFault fault() const { return fault_; }
   // Resets every connection and refuses new ones from now on.
   void Stop();
 
