Gateway: a permit that would lapse is used to ask the limited endpoint

Callers lost the capacity of an endpoint whose limit had ended: only its answers tell, and where the router prefers other endpoints, permits for it lapse and nobody asks.

A permit that has been unused for half of its time makes its endpoint the first choice for the next first attempt, unless the endpoint is ejected, slow or at rest. The endpoint gets at most what it allows, and each gateway asks once a turn.

--- a/packages/coordination/backpressure/backpressure.cc
+++ b/packages/coordination/backpressure/backpressure.cc
@@ -58,6 +58,15 @@
   return blocked;
 }
 
+std::set<std::string> Backpressure::Overdue(const std::optional<Share>& share,
+                                            common::Time now) const {
+  std::set<std::string> overdue = limits_.Overdue(share, now);
+  std::erase_if(overdue, [&](const std::string& endpoint) {
+    return IsResting(endpoint, now);
+  });
+  return overdue;
+}
+
 bool Backpressure::IsResting(const std::string& endpoint,
                              common::Time now) const {
   const auto rest = rests_.find(endpoint);
--- a/packages/coordination/backpressure/backpressure.h
+++ b/packages/coordination/backpressure/backpressure.h
@@ -62,6 +62,10 @@
   // that have a limit are among them.
   std::set<std::string> Blocked(const std::optional<Share>& share,
                                 common::Time now);
+  // Returns the endpoints that should get the next request though others are
+  // preferred.
+  std::set<std::string> Overdue(const std::optional<Share>& share,
+                                common::Time now) const;
   bool IsResting(const std::string& endpoint, common::Time now) const;
   // Returns the time until the endpoint may get a request, 0 if it may now;
   // nullopt if it has a limit and there is no share.
--- a/packages/coordination/endpoint_limits/endpoint_limits.cc
+++ b/packages/coordination/endpoint_limits/endpoint_limits.cc
@@ -95,6 +95,19 @@
   return exhausted;
 }
 
+std::set<std::string> EndpointLimits::Overdue(const std::optional<Share>& share,
+                                              common::Time now) const {
+  std::set<std::string> overdue;
+  for (const auto& [endpoint, limit] : limits_) {
+    if (share.has_value() &&
+        FirstPermit(limit, *share, now) <=
+            NumberAt(limit, *share, now - options_.overdue_age)) {
+      overdue.insert(endpoint);
+    }
+  }
+  return overdue;
+}
+
 void EndpointLimits::OnSent(const std::string& endpoint,
                             const std::optional<Share>& share,
                             common::Time now) {
--- a/packages/coordination/endpoint_limits/endpoint_limits.h
+++ b/packages/coordination/endpoint_limits/endpoint_limits.h
@@ -17,6 +17,8 @@
   // A permit may be used this much later than its time, so that a gateway with
   // few requests gets to use it. A window gets the permits of this time more.
   common::Duration carry = common::seconds(1);
+  // Age of an unused permit at which it is overdue.
+  common::Duration overdue_age = common::milliseconds(500);
   // Lower limits count as this many requests a second, as only an answer can
   // show that the limit has ended.
   double min_per_second = 0.25;
@@ -55,6 +57,11 @@
   // these are all that have a limit.
   std::set<std::string> Exhausted(const std::optional<Share>& share,
                                   common::Time now) const;
+  // Returns the endpoints for which a permit lapses soon. One of them should
+  // get the next request though others are preferred: only an answer can show
+  // that its limit has changed or ended.
+  std::set<std::string> Overdue(const std::optional<Share>& share,
+                                common::Time now) const;
   // A request is sent to an endpoint that is not exhausted. Uses a permit if it
   // has a limit.
   void OnSent(const std::string& endpoint,
--- a/packages/daemon/gateway/proxied_run.cc
+++ b/packages/daemon/gateway/proxied_run.cc
@@ -272,6 +272,10 @@
   // one rank of a lock-step group, and all others wait for it in every step.
   const std::set<std::string> unusable = UnusableEndpoints();
   routing::PickRequest request{.target = service_, .avoid = unusable};
+  if (attempts_ == 0) {
+    request.prefer =
+        core_.backpressure.Overdue(core_.registry.LimitShare(now()), now());
+  }
   for (const std::string& process : rules.avoid) {
     request.avoid.insert(quarantine::EndpointNameOf(process));
   }
--- a/packages/state/routing/router.cc
+++ b/packages/state/routing/router.cc
@@ -366,13 +366,27 @@
   return other.candidate == nullptr || own_is_better ? own : other;
 }
 
+Candidate* Router::FindPreferred(const PickRequest& request, common::Time now) {
+  for (const std::string& endpoint : request.prefer) {
+    Candidate* candidate = Find(endpoint);
+    if (candidate != nullptr && candidate->target == request.target &&
+        !candidate->slow && IsUsable(*candidate, request, now, false)) {
+      return candidate;
+    }
+  }
+  return nullptr;
+}
+
 std::optional<std::string> Router::Pick(const PickRequest& request,
                                         common::Time now) {
   const auto found = pools_.find(request.target);
   if (found == pools_.end()) {
     return std::nullopt;
   }
-  Choice choice = BestInPool(found->second, request, now, false);
+  Choice choice{.candidate = FindPreferred(request, now)};
+  if (choice.candidate == nullptr) {
+    choice = BestInPool(found->second, request, now, false);
+  }
   if (choice.candidate == nullptr) {
     // Without another endpoint, an ejected one is used.
     choice = BestInPool(found->second, request, now, true);
--- a/packages/state/routing/router.h
+++ b/packages/state/routing/router.h
@@ -98,6 +98,9 @@
   std::string target;
   // Endpoints that must not be picked.
   std::set<std::string> avoid;
+  // Endpoints that are picked before others if they are neither ejected nor
+  // slow.
+  std::set<std::string> prefer = {};
   // Longest first; empty for requests without a prompt.
   std::vector<Prefix> prefixes;
   // Number of times that an endpoint without a free slot has refused the
@@ -222,6 +225,8 @@
                     const PickRequest& request,
                     common::Time now,
                     bool with_ejected);
+  // The first preferred endpoint that works well; null if there is none.
+  Candidate* FindPreferred(const PickRequest& request, common::Time now);
   bool MayEject(const Candidate& candidate, common::Time now) const;
 
   RouterOptions options_;
--- a/tests/unit/coordination/endpoint_limits/endpoint_limits_test.cc
+++ b/tests/unit/coordination/endpoint_limits/endpoint_limits_test.cc
@@ -134,6 +134,24 @@
   EXPECT_LE(sent, 11);
 }
 
+TEST(EndpointLimitsTest, PermitIsOverdueBeforeItLapses) {
+  EndpointLimits limits({});
+  limits.OnAnswer(kEndpoint, 0.5, kStart, kStart);
+  const Share share;
+  int overdue = 0;
+  for (common::Time now = kStart; now < kStart + seconds(20);
+       now += milliseconds(10)) {
+    if (limits.Overdue(share, now).contains(kEndpoint)) {
+      EXPECT_FALSE(limits.Exhausted(share, now).contains(kEndpoint));
+      limits.OnSent(kEndpoint, share, now);
+      ++overdue;
+    }
+  }
+  EXPECT_GE(overdue, 9);
+  EXPECT_LE(overdue, 10);
+  EXPECT_TRUE(limits.Overdue(std::nullopt, kStart + seconds(30)).empty());
+}
+
 TEST(EndpointLimitsTest, RestartedEndpointHasNoLimit) {
   EndpointLimits limits({});
   limits.OnAnswer(kEndpoint, 1, kStart, kStart);
--- a/tests/unit/daemon/gateway/endpoint_limit_test.cc
+++ b/tests/unit/daemon/gateway/endpoint_limit_test.cc
@@ -38,6 +38,9 @@
   bool store_down = false;
   // Factor by which the limit changes with each answer.
   double variation = 1;
+  // An endpoint that names a limit reports that all of its slots are taken, so
+  // that the others are preferred.
+  bool reports_load = false;
 };
 
 std::ostream& operator<<(std::ostream& out, const LimitCase& param) {
@@ -121,6 +124,11 @@
     if (index < param_.limited && limit_.has_value()) {
       const double factor = ++answers_ % 2 == 0 ? param_.variation : 1;
       extra = common::StrCat("Server-Limit: ", *limit_ * factor, "\r\n");
+      if (param_.reports_load) {
+        extra += "X-Wagtailshore-Server-Load: 4,8,4\r\n";
+      }
+    } else if (param_.reports_load) {
+      extra = "X-Wagtailshore-Server-Load: 0,0,4\r\n";
     }
     if (request.head.target.starts_with("/stream/")) {
       return {
@@ -202,8 +210,10 @@
         LimitCase{.name = "VaryingLimit", .variation = 0.5}),
     [](const auto& info) { return info.param.name; });
 
-TEST(EndpointLimitEndTest, EndpointThatNamesNoLimitAnyMoreGetsItsShareAgain) {
-  LimitWorld limited({.name = "end"});
+class EndpointLimitEndTest : public testing::TestWithParam<LimitCase> {};
+
+TEST_P(EndpointLimitEndTest, EndpointThatNamesNoLimitAnyMoreGetsItsShareAgain) {
+  LimitWorld limited(GetParam());
   limited.Run(common::seconds(2));
   limited.SetLimit(1);
   limited.Run(kTimeToAdapt);
@@ -219,7 +229,14 @@
   EXPECT_GE(limited.Arrivals(0, from, limited.Now()), 30U);
 }
 
-TEST(EndpointLimitEndTest, RefusalThatNamesNoLimitDoesNotEndIt) {
+INSTANTIATE_TEST_SUITE_P(Limits,
+                         EndpointLimitEndTest,
+                         testing::Values(LimitCase{.name = "Preferred"},
+                                         LimitCase{.name = "OthersPreferred",
+                                                   .reports_load = true}),
+                         [](const auto& info) { return info.param.name; });
+
+TEST(EndpointLimitRefusalTest, RefusalThatNamesNoLimitDoesNotEndIt) {
   HostedWorld world(
       HostedWorldOptions{.retry_window = common::milliseconds(200)});
   const common::Time known = world.loop().Now() + common::milliseconds(500);
@@ -243,7 +260,7 @@
   EXPECT_EQ(world.arrivals(), 2U);
 }
 
-TEST(EndpointLimitEndTest, RefusalAtLimitedEndpointsIsATrueOneWithATime) {
+TEST(EndpointLimitRefusalTest, RefusalAtLimitedEndpointsIsATrueOneWithATime) {
   LimitWorld limited({.name = "refusal", .limited = kEndpoints});
   limited.SetLimit(0);
   limited.Run(common::seconds(1));
