--- a/packages/daemon/gateway/gateway.cc
+++ b/packages/daemon/gateway/gateway.cc
@@ -35,24 +35,6 @@
 // About a tenth of the latency that callers expect, so that an unreachable
 // endpoint is detected early enough to try another one.
 constexpr common::Duration kConnectTimeout = common::milliseconds(250);
-// The loop is logged as late after this time without idleness: callers wait as
-// long for their requests to be read.
-constexpr common::Duration kMinLoggedBusyPeriod = common::milliseconds(250);
-
-void LogBusyPeriod(const event_loop::BusyPeriod& period) {
-  std::string spent;
-  for (const auto& [activity, time] : period.spent) {
-    common::StrAppend(&spent, spent.empty() ? "" : ",", activity, ":",
-                      common::ToMilliseconds(time));
-  }
-  common::LogEvent(
-      common::EventId::kLoopLate,
-      common::StrCat("busy_ms=", common::ToMilliseconds(period.length),
-                     " spent_ms=", spent,
-                     " longest_ms=", common::ToMilliseconds(period.longest),
-                     " longest_in=", period.longest_activity));
-}
-
 // Predicted wait added to endpoints in other failure domains: a few round
 // trips.
 constexpr double kOtherDomainPenaltyMs = 5;
@@ -175,7 +157,6 @@
   if (!listening.ok()) {
     return listening;
   }
-  loop_.ObserveBusyPeriods(kMinLoggedBusyPeriod, LogBusyPeriod);
   store_watch_.Start();
   registry_.Start();
   crash_watch_.Start();
--- a/packages/daemon/main.cc
+++ b/packages/daemon/main.cc
@@ -15,6 +15,7 @@
 #include "daemon/gateway/gateway.h"
 #include "daemon/settings/settings.h"
 #include "platform/settings.h"
+#include "transport/event_loop/busy_log.h"
 #include "transport/event_loop/event_loop.h"
 #include "transport/http_client/http_client.h"
 #include "transport/log_output/log_output.h"
@@ -104,6 +105,7 @@
   signal(SIGPIPE, SIG_IGN);
   event_loop::EventLoop loop;
   log_output::LogOutput log(loop, {});
+  event_loop::LogBusyPeriods(loop);
   const auto& hosted_settings = std::get<serving::HostedSettings>(result);
   if (settings.role == settings::Role::kCompanion) {
     companion::Companion role(loop, hosted_settings, {});
