Log output: each message is written once

Each warning was written twice and each error three times, at the same microsecond, and counted against the lines allowed in a second: glog gives a message to the loggers of all levels below its own too, and one logger was registered for each level.

Only the lowest level's logger writes now. log_output_test failed before with 6 lines for 3 messages.

--- a/packages/transport/log_output/log_output.cc
+++ b/packages/transport/log_output/log_output.cc
@@ -6,6 +6,16 @@
 #include "common/strings.h"
 
 namespace wagtailshore::log_output {
+namespace {
+
+class DiscardingLogger final : public google::base::Logger {
+ public:
+  void Write(bool, time_t, const char*, size_t) override {}
+  void Flush() override {}
+  google::uint32 LogSize() override { return 0; }
+};
+
+}  // namespace
 
 LogOutput::LogOutput(event_loop::EventLoop& loop, LogOutputOptions options)
     : loop_(loop), options_(options) {
@@ -16,8 +26,13 @@
   FLAGS_logtostdout = false;
   FLAGS_alsologtostderr = false;
   FLAGS_stderrthreshold = google::GLOG_FATAL;
-  for (int level = google::GLOG_INFO; level < google::NUM_SEVERITIES; ++level) {
-    google::base::SetLogger(level, this);
+  // A message also goes to the loggers of all levels below its own, so that of
+  // the lowest one gets each message once.
+  google::base::SetLogger(google::GLOG_INFO, this);
+  static DiscardingLogger discarding;
+  for (int level = google::GLOG_INFO + 1; level < google::NUM_SEVERITIES;
+       ++level) {
+    google::base::SetLogger(level, &discarding);
   }
   loop_.Every(options_.flush_period, [this] { Flush(); });
 }
