--- a/tests/soak/hosted_soak.cc
+++ b/tests/soak/hosted_soak.cc
@@ -50,14 +50,14 @@
 constexpr char kCrashingPart[] = "bad";
 constexpr int kFirstParts = 3;
 constexpr int kSecondParts = 10;
-// Endpoints ask for rest by this header now and then; further ones name the
-// endpoint and say that it leaves.
+// Now and then an endpoint refuses a request and asks for this much rest.
 constexpr common::Duration kRest = common::milliseconds(1500);
+// Answers name their endpoint, and say whether it leaves.
 constexpr char kEndpointHeader[] = "Endpoint";
 constexpr char kLeavingHeader[] = "Server-Leaving";
 // Within this time a gateway knows that an endpoint leaves.
 constexpr common::Duration kDrainBound = common::seconds(2);
-// Callers that leave before their answer.
+// Share of callers that leave early.
 constexpr int kLeavingCallersPercent = 5;
 // Endpoints that each of them may crash for each gateway process that was
 // started: a gateway that is cut off from the store knows only its own crashes,
