Tests: one way to wait, to list an endpoint and to answer as a leaving one

Five tests had a RunFor of their own, or its lines, five wrote out the same entry of an endpoint, and the leaving test its answer three times. They are HostedWorld::RunFor, RunUntilTime and EndpointEntry now, and LeavingAnswer.

--- a/tests/support/hosted_world.cc
+++ b/tests/support/hosted_world.cc
@@ -335,6 +335,13 @@
           {"tenants", {{{"name", "c"}, {"api_keys", {"key", "other"}}}}}};
 }
 
+json HostedWorld::EndpointEntry(const std::string& address,
+                                int64_t born,
+                                const std::string& state) {
+  return {{"service", "s"}, {"address", address}, {"zone", "z"},
+          {"slots", 4},     {"state", state},     {"born", born}};
+}
+
 HostedWorld::HostedWorld(int endpoints, common::Duration revocation_bound)
     : HostedWorld(HostedWorldOptions{.endpoints = endpoints,
                                      .revocation_bound = revocation_bound}) {}
@@ -393,16 +400,11 @@
 }
 
 void HostedWorld::ListEndpoint(int index) {
-  store_->SetEndpoint(
-      common::StrCat("e", index),
-      {{"service", "s"},
-       {"address", endpoints_[index]->address()},
-       {"zone", options_.failure_domains == 1
-                    ? "z"
-                    : common::StrCat("z", index % options_.failure_domains)},
-       {"slots", 4},
-       {"state", "ready"},
-       {"born", ++last_start_ms_}});
+  json entry = EndpointEntry(endpoints_[index]->address(), ++last_start_ms_);
+  if (options_.failure_domains > 1) {
+    entry["zone"] = common::StrCat("z", index % options_.failure_domains);
+  }
+  store_->SetEndpoint(common::StrCat("e", index), entry);
 }
 
 void HostedWorld::EndEndpoint(int index,
@@ -448,6 +450,10 @@
   return condition();
 }
 
+void HostedWorld::RunUntilTime(common::Time time) {
+  RunUntil([&] { return loop_.Now() >= time; });
+}
+
 std::string HostedWorld::Format(const CallerRequestOptions& options) const {
   http1::Headers headers;
   headers.Add("Host", "h.example");
@@ -522,8 +528,7 @@
   AnswerCollector collector;
   http_channel::EndpointChannel& channel = ConnectTo(options.gateway);
   channel.Send(Format(options), collector, false);
-  const common::Time disconnect_at = loop_.Now() + delay;
-  RunUntil([&] { return loop_.Now() >= disconnect_at; });
+  RunFor(delay);
   if (!collector.ended) {
     channel.Abandon();
   }
--- a/tests/support/hosted_world.h
+++ b/tests/support/hosted_world.h
@@ -233,9 +233,18 @@
   // Runs the event loop until `condition` holds. Returns false when it does not
   // hold within 20 s.
   bool RunUntil(const std::function<bool()>& condition);
+  // Runs the event loop until the time, or for the duration; 20 s at most.
+  void RunUntilTime(common::Time time);
+  void RunFor(common::Duration duration) {
+    RunUntilTime(loop_.Now() + duration);
+  }
 
   // Returns the initial configuration, with the given version.
   static nlohmann::json Configuration(int version);
+  // Returns the entry of an endpoint of service "s" in the failure domain "z".
+  static nlohmann::json EndpointEntry(const std::string& address,
+                                      int64_t born = 1,
+                                      const std::string& state = "ready");
 
  private:
   std::string Format(const CallerRequestOptions& options) const;
--- a/tests/unit/daemon/gateway/caller_gone_test.cc
+++ b/tests/unit/daemon/gateway/caller_gone_test.cc
@@ -152,22 +152,14 @@
  protected:
   CallerGoneTest() : world_(HostedWorldOptions{.endpoints = 0}) {
     for (int i = 0; i < kEndpoints; ++i) {
-      world_.store().SetEndpoint(common::StrCat("e", i),
-                                 {{"service", "s"},
-                                  {"address", endpoints_[i].address()},
-                                  {"zone", "z"},
-                                  {"slots", 4},
-                                  {"state", "ready"},
-                                  {"born", 1}});
+      world_.store().SetEndpoint(
+          common::StrCat("e", i),
+          HostedWorld::EndpointEntry(endpoints_[i].address()));
     }
     // Until the endpoint list has been read.
-    RunFor(common::milliseconds(2500));
+    world_.RunFor(common::milliseconds(2500));
   }
 
-  void RunFor(common::Duration duration) {
-    const common::Time end = world_.loop().Now() + duration;
-    world_.RunUntil([&] { return world_.loop().Now() >= end; });
-  }
   // Handles one event that is ready, if any.
   void RunOnce() {
     world_.loop().Post([this] { world_.loop().Stop(); });
@@ -224,14 +216,14 @@
   if (param.kept_connection) {
     // Refused without an endpoint.
     caller->Send(Request("/none/x", ""));
-    RunFor(kSettle);
+    world_.RunFor(kSettle);
   }
   caller->Send(Request(param.path, std::string(param.body_bytes, 'x')));
   if (param.more_input) {
     caller->Send(Request(param.path, std::string(param.body_bytes, 'y')));
   }
   caller->Leave(param.departure);
-  RunFor(kSettle);
+  world_.RunFor(kSettle);
   EXPECT_EQ(arrived(), 0);
 }
 
@@ -270,12 +262,12 @@
       callers.push_back(Connect());
       callers.back()->Send(Request("/safe/x", "open"));
     }
-    RunFor(kSettle);
+    world_.RunFor(kSettle);
     ASSERT_GT(arrived(), idle);
     for (RawEndpoint& endpoint : endpoints_) {
       EXPECT_TRUE(endpoint.Answer(Head(200)));
     }
-    RunFor(kSettle);
+    world_.RunFor(kSettle);
   }
 };
 
@@ -294,7 +286,7 @@
     }
     const int before = arrived();
     caller->Leave(Departure::kClose);
-    RunFor(kSettle);
+    world_.RunFor(kSettle);
     EXPECT_EQ(arrived(), before) << steps << " steps";
   }
 }
@@ -315,7 +307,7 @@
       endpoint.Answer(response);
     }
     caller->Leave(Departure::kClose);
-    RunFor(kSettle);
+    world_.RunFor(kSettle);
     EXPECT_EQ(arrived(), before) << response;
   }
 }
@@ -337,10 +329,10 @@
   ASSERT_TRUE(world_.RunUntil([&] { return arrived() > 0; }));
   for (size_t sent = 0; sent < kBytes; sent += kPieceBytes) {
     caller->Send(std::string(kPieceBytes, 'x'));
-    RunFor(common::milliseconds(5));
+    world_.RunFor(common::milliseconds(5));
   }
   caller->Leave(Departure::kClose);
-  RunFor(common::milliseconds(400));
+  world_.RunFor(common::milliseconds(400));
   EXPECT_EQ(endpoints_[0].open_connections() + endpoints_[1].open_connections(),
             0);
 }
--- a/tests/unit/daemon/gateway/crashing_content_test.cc
+++ b/tests/unit/daemon/gateway/crashing_content_test.cc
@@ -67,10 +67,7 @@
     return Request(path, kCrashingBody, gateway);
   }
 
-  void Run(common::Duration duration) {
-    const common::Time end = world_.loop().Now() + duration;
-    world_.RunUntil([&] { return world_.loop().Now() >= end; });
-  }
+  void Run(common::Duration duration) { world_.RunFor(duration); }
 
   // Repeats the content every `interval` for `duration`, `at_once` requests
   // each time, through the gateways in turn.
@@ -87,7 +84,7 @@
         request = Crashing(path, turn++ % options_.gateways);
       }
       world_.AskAll(requests);
-      world_.RunUntil([&] { return world_.loop().Now() >= next; });
+      world_.RunUntilTime(next);
     }
   }
 
--- a/tests/unit/daemon/gateway/crashing_prompt_part_test.cc
+++ b/tests/unit/daemon/gateway/crashing_prompt_part_test.cc
@@ -95,7 +95,7 @@
         ++restarts_;
         world_.RestartGateway(0);
       }
-      world_.RunUntil([&] { return Now() >= next; });
+      world_.RunUntilTime(next);
     }
   }
 
@@ -296,12 +296,10 @@
   world.AskAll(requests("lost"));
   world.Script(
       [](const Received& request) { return Plain(request, 200, "ok"); });
-  const common::Time up = world.loop().Now() + kDownTime;
-  world.RunUntil([&] { return world.loop().Now() >= up; });
+  world.RunFor(kDownTime);
   // The first of them may be served one at a time.
   world.AskAll({requests("first").front(), requests("first").back()});
-  const common::Time known = world.loop().Now() + kDownTime;
-  world.RunUntil([&] { return world.loop().Now() >= known; });
+  world.RunFor(kDownTime);
   for (const CallerAnswer& answer : world.AskAll(requests("later"))) {
     EXPECT_EQ(answer.status, 200);
   }
--- a/tests/unit/daemon/gateway/endpoint_leaving_test.cc
+++ b/tests/unit/daemon/gateway/endpoint_leaving_test.cc
@@ -28,6 +28,16 @@
   return out << param.name;
 }
 
+// A whole answer of an endpoint that leaves.
+Reply LeavingAnswer(const Received& request,
+                    int status,
+                    const std::string& extra) {
+  return {.bytes = common::StrCat(
+              HeadOf(request, status,
+                     common::StrCat(kLeaving, extra, "Content-Length: 2\r\n")),
+              "\r\nok")};
+}
+
 class LeavingWorld {
  public:
   explicit LeavingWorld(int endpoints)
@@ -37,17 +47,9 @@
   }
 
   HostedWorld& world() { return world_; }
-  void RunFor(common::Duration duration) {
-    const common::Time end = world_.loop().Now() + duration;
-    world_.RunUntil([&] { return world_.loop().Now() >= end; });
-  }
   void List(int64_t born) {
-    world_.store().SetEndpoint("e0", {{"service", "s"},
-                                      {"address", world_.endpoint(0).address()},
-                                      {"zone", "z"},
-                                      {"slots", 4},
-                                      {"state", "ready"},
-                                      {"born", born}});
+    world_.store().SetEndpoint(
+        "e0", HostedWorld::EndpointEntry(world_.endpoint(0).address(), born));
   }
   // Lets the endpoint answer requests until one has reached it.
   void AskUntilReached(const std::string& path) {
@@ -108,21 +110,21 @@
       break;
     case Event::kStoreDown:
       leaving.world().store().set_down(true);
-      leaving.RunFor(kListTime);
+      leaving.world().RunFor(kListTime);
       break;
     case Event::kListedAsReady:
       leaving.List(/*born=*/1);
-      leaving.RunFor(kListTime);
+      leaving.world().RunFor(kListTime);
       break;
     case Event::kRelisted:
       leaving.world().store().RemoveEndpoint("e0");
-      leaving.RunFor(kListTime);
+      leaving.world().RunFor(kListTime);
       leaving.List(/*born=*/1);
-      leaving.RunFor(kListTime);
+      leaving.world().RunFor(kListTime);
       break;
     case Event::kOlderCopy:
       leaving.world().store().RestoreCopy();
-      leaving.RunFor(kListTime);
+      leaving.world().RunFor(kListTime);
       break;
   }
   EXPECT_EQ(leaving.AskMany(), 20);
@@ -148,27 +150,19 @@
 
 TEST(EndpointLeavingEndTest, NewProcessIsUsed) {
   LeavingWorld leaving(1);
-  leaving.world().endpoint(0).set_script([](const Received& request) {
-    return Reply{.bytes = common::StrCat(
-                     HeadOf(request, 200,
-                            common::StrCat(kLeaving, "Content-Length: 2\r\n")),
-                     "\r\nok")};
-  });
+  leaving.world().endpoint(0).set_script(
+      [](const Received& request) { return LeavingAnswer(request, 200, ""); });
   leaving.AskUntilReached("/safe/x");
   leaving.world().endpoint(0).set_script(LeavingWorld::Serve);
   leaving.List(/*born=*/1000);
-  leaving.RunFor(kListTime);
+  leaving.world().RunFor(kListTime);
   EXPECT_EQ(leaving.AskMany(), 20);
 }
 
 TEST(EndpointLeavingEndTest, LastEndpointOfAServiceThatLeavesIsNotAwaited) {
   LeavingWorld leaving(1);
-  leaving.world().endpoint(0).set_script([](const Received& request) {
-    return Reply{.bytes = common::StrCat(
-                     HeadOf(request, 200,
-                            common::StrCat(kLeaving, "Content-Length: 2\r\n")),
-                     "\r\nok")};
-  });
+  leaving.world().endpoint(0).set_script(
+      [](const Received& request) { return LeavingAnswer(request, 200, ""); });
   leaving.AskUntilReached("/safe/x");
   const common::Time asked = leaving.world().loop().Now();
   const CallerAnswer answer = leaving.world().Ask({.id = "later"});
--- a/tests/unit/daemon/gateway/endpoint_limit_test.cc
+++ b/tests/unit/daemon/gateway/endpoint_limit_test.cc
@@ -88,7 +88,7 @@
       for (const CallerAnswer& answer : world_.AskAll(requests)) {
         unexpected_ += answer.status == 200 || answer.status == 503 ? 0 : 1;
       }
-      world_.RunUntil([&] { return Now() >= next; });
+      world_.RunUntilTime(next);
     }
   }
 
@@ -239,8 +239,7 @@
 TEST(EndpointLimitRefusalTest, RefusalThatNamesNoLimitDoesNotEndIt) {
   HostedWorld world(
       HostedWorldOptions{.retry_window = common::milliseconds(200)});
-  const common::Time known = world.loop().Now() + common::milliseconds(500);
-  world.RunUntil([&] { return world.loop().Now() >= known; });
+  world.RunFor(common::milliseconds(500));
   world.Script([](const Received& request) {
     return Reply{
         .bytes = common::StrCat(
--- a/tests/unit/daemon/gateway/endpoint_rest_test.cc
+++ b/tests/unit/daemon/gateway/endpoint_rest_test.cc
@@ -83,7 +83,7 @@
         refused_ += refused ? 1 : 0;
       }
       longest_round_ = std::max(longest_round_, Now() - asked);
-      world_.RunUntil([&] { return Now() >= next; });
+      world_.RunUntilTime(next);
     }
   }
 
@@ -193,12 +193,8 @@
     resting.world().store().RemoveEndpoint("e0");
     resting.Run(common::milliseconds(2500));
     resting.world().store().SetEndpoint(
-        "e0", {{"service", "s"},
-               {"address", resting.world().endpoint(0).address()},
-               {"zone", "z"},
-               {"slots", 4},
-               {"state", "ready"},
-               {"born", 1}});
+        "e0",
+        HostedWorld::EndpointEntry(resting.world().endpoint(0).address()));
   }
   while (resting.Now() < resting.RestsUntil()) {
     resting.Run(common::milliseconds(100));
--- a/tests/unit/daemon/gateway/gateway_test.cc
+++ b/tests/unit/daemon/gateway/gateway_test.cc
@@ -401,12 +401,9 @@
 
 TEST(GatewayTest, DrainingEndpointGetsNoMoreWork) {
   HostedWorld world(2);
-  world.store().SetEndpoint("e0", {{"service", "s"},
-                                   {"address", world.endpoint(0).address()},
-                                   {"zone", "z"},
-                                   {"slots", 4},
-                                   {"state", "draining"},
-                                   {"born", 1}});
+  world.store().SetEndpoint(
+      "e0",
+      HostedWorld::EndpointEntry(world.endpoint(0).address(), 1, "draining"));
   const int calls = world.store().calls();
   ASSERT_TRUE(
       world.RunUntil([&] { return world.store().calls() > calls + 40; }));
--- a/tests/unit/daemon/gateway/store_restored_test.cc
+++ b/tests/unit/daemon/gateway/store_restored_test.cc
@@ -19,11 +19,6 @@
 // Gateways read the list each 1.6 s.
 constexpr common::Duration kTwoReadsOfTheList = common::milliseconds(3500);
 
-void RunFor(HostedWorld& world, common::Duration duration) {
-  const common::Time end = world.loop().Now() + duration;
-  world.RunUntil([&] { return world.loop().Now() >= end; });
-}
-
 int StatusOf(HostedWorld& world, const std::string& key) {
   return world.Ask({.key = key}).status;
 }
@@ -58,17 +53,14 @@
     if (removed) {
       world.store().RemoveEndpoint("e0");
     } else {
-      world.store().SetEndpoint("e0", {{"service", "s"},
-                                       {"address", world.endpoint(0).address()},
-                                       {"zone", "z"},
-                                       {"slots", 4},
-                                       {"state", "draining"},
-                                       {"born", 1}});
+      world.store().SetEndpoint(
+          "e0", HostedWorld::EndpointEntry(world.endpoint(0).address(), 1,
+                                           "draining"));
     }
-    RunFor(world, kTwoReadsOfTheList);
+    world.RunFor(kTwoReadsOfTheList);
     const size_t before = world.endpoint(0).received().size();
     world.store().RestoreCopy();
-    RunFor(world, kTwoReadsOfTheList);
+    world.RunFor(kTwoReadsOfTheList);
     for (int i = 0; i < 20; ++i) {
       EXPECT_EQ(world.Ask({.id = common::StrCat("c", i)}).status, 200);
     }
