--- a/tests/unit/daemon/gateway/endpoint_leaving_test.cc
+++ b/tests/unit/daemon/gateway/endpoint_leaving_test.cc
@@ -97,11 +97,7 @@
                                              "Transfer-Encoding: chunked\r\n")),
                        "\r\n", Events(0, 3), "0\r\n\r\n")};
     }
-    return Reply{
-        .bytes = common::StrCat(HeadOf(request, param.status,
-                                       common::StrCat(kLeaving, param.extra,
-                                                      "Content-Length: 2\r\n")),
-                                "\r\nok")};
+    return LeavingAnswer(request, param.status, param.extra);
   });
   leaving.AskUntilReached(param.path);
   EXPECT_TRUE(leaving.last().complete);
