Review: case 3 removes the entry later after the drill; limits in the claims

The removal is confirmed three seconds after all has been written again, not only after the store's return.

--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -39,7 +39,8 @@
     SleepMs(300);
     site.store.Put("op", "config", config);
   }
-  SleepMs(kStabilityWindowMs + 100);
+  // The last server checks in within 1.2 s of the return.
+  SleepMs(1100 + kStabilityWindowMs);
   const int64_t confirmed_at = site.Leave(leaving);
   SleepMs(7000);
   site.Stop();
