Gateway: log silent connections and kept endpoints

No line told a connection that went silent from a store that does not answer, nor for which endpoints the grace after an outage holds and until when.

--- a/packages/common/event_log.cc
+++ b/packages/common/event_log.cc
@@ -78,6 +78,11 @@
               "An endpoint refused a request and wants no other one from this "
               "process for rest_ms.",
               "If frequent, check the endpoint's load."},
+    EventSpec{EventId::kEndpointsKept, Severity::kInfo, "endpoints kept",
+              "The platform's list lacks these endpoints. Their entries may "
+              "have lapsed or been lost with an outage, so they stay in use "
+              "for left_ms at most.",
+              "None."},
     EventSpec{
         EventId::kAttemptFailed, Severity::kWarning, "attempt failed",
         "An endpoint refused an attempt, its connection broke, or it sent "
@@ -155,6 +160,12 @@
               "again, and each process writes its own rows again.",
               "Check the platform; changes by hand in the last seconds may be "
               "lost."},
+    EventSpec{EventId::kConnectionSilent, Severity::kWarning,
+              "connection silent",
+              "A call on a connection that had answered before got no byte of "
+              "an answer in time. Unless WS-1501 follows, only connections "
+              "were lost, and a new one is answered.",
+              "If frequent, check the network to the address."},
     EventSpec{
         EventId::kCoordinatorTaken, Severity::kInfo, "coordinator taken over",
         "This companion now coordinates its group's expert maps.", "None."},
--- a/packages/daemon/gateway/store_watch.cc
+++ b/packages/daemon/gateway/store_watch.cc
@@ -206,6 +206,7 @@
   if (!change.empty()) {
     on_fleet_change_(change);
   }
+  LogKeptEndpoints();
   common::Time next = requested_at + options_.endpoints_period;
   if (const auto lapses_end = fleet_.relisting_ends_at()) {
     next = std::min(next, *lapses_end);
@@ -214,6 +215,23 @@
            [this] { ReadEndpoints({}); });
 }
 
+void StoreWatch::LogKeptEndpoints() {
+  if (kept_logged_ == fleet_.unlisted()) {
+    return;
+  }
+  kept_logged_ = fleet_.unlisted();
+  std::string ids;
+  for (const std::string& id : kept_logged_) {
+    common::StrAppend(&ids, ids.empty() ? "" : ",", id);
+  }
+  const auto end = fleet_.relisting_ends_at();
+  common::LogEvent(
+      common::EventId::kEndpointsKept,
+      common::StrCat(
+          "endpoints=", ids.empty() ? "none" : ids, " left_ms=",
+          end.has_value() ? common::ToMilliseconds(*end - loop_.Now()) : -1));
+}
+
 void StoreWatch::UpdateAvailability(const absl::Status& status) {
   if (status.ok() || absl::IsFailedPrecondition(status)) {
     if (!available_) {
--- a/packages/daemon/gateway/store_watch.h
+++ b/packages/daemon/gateway/store_watch.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -84,6 +85,9 @@
   void FinishEndpoints(common::Time requested_at);
   // The store came back from an older copy: reads everything again.
   void OnStoreRestored();
+  // Logs which endpoints are kept though the list lacks them, when that
+  // changes.
+  void LogKeptEndpoints();
   // Records whether the store is available and logs each change.
   void UpdateAvailability(const absl::Status& status);
   // Runs the function later, unless the store goes back before.
@@ -120,6 +124,7 @@
   uint32_t unreadable_entries_ = 0;
   uint32_t unreadable_entries_logged_ = 0;
   std::string unreadable_key_;
+  std::set<std::string> kept_logged_;
 };
 
 }  // namespace wagtailshore::gateway
--- a/packages/state/fleet/fleet.cc
+++ b/packages/state/fleet/fleet.cc
@@ -63,10 +63,15 @@
   const bool relisting_possible =
       relisting_end.has_value() && requested_at < *relisting_end;
   was_unavailable_ = relisting_possible;
+  unlisted_.clear();
   std::erase_if(endpoints_, [&](const auto& item) {
     const bool may_be_relisted =
         relisting_possible && !listed_since_.contains(item.first);
-    if (listed.contains(item.first) || may_be_relisted || rewriting) {
+    if (listed.contains(item.first)) {
+      return false;
+    }
+    if (may_be_relisted || rewriting) {
+      unlisted_.insert(item.first);
       return false;
     }
     departed_[ProcessName(item.second)] = requested_at;
--- a/packages/state/fleet/fleet.h
+++ b/packages/state/fleet/fleet.h
@@ -100,6 +100,8 @@
                ? std::optional(*available_since_ + options_.relisting_time)
                : std::nullopt;
   }
+  // Endpoints that are kept though the last list that was read lacks them.
+  const std::set<std::string>& unlisted() const { return unlisted_; }
   // Time at which the last list that was read had been requested.
   std::optional<common::Time> read_at() const { return read_at_; }
 
@@ -120,6 +122,7 @@
   // Endpoints listed since the end of the outage: if they are missing later,
   // they did not lapse in it.
   std::set<std::string> listed_since_;
+  std::set<std::string> unlisted_;
   // Processes that said themselves that they are leaving, and when they were
   // last listed or said so. An entry may be removed and come back unchanged.
   std::map<std::string, common::Time> announced_;
--- a/packages/transport/http_channel/endpoint_channel.cc
+++ b/packages/transport/http_channel/endpoint_channel.cc
@@ -27,13 +27,15 @@
     : loop_(loop),
       socket_(loop, address, *this, options),
       on_state_change_(std::move(on_state_change)),
-      reader_(http1::ReaderOptions{}) {}
+      reader_(http1::ReaderOptions{}),
+      heard_at_(loop.Now()) {}
 
 void EndpointChannel::Send(std::string_view request,
                            ExchangeListener& listener,
                            bool without_body) {
   WS_INVARIANT(idle()) << "one exchange at a time";
   listener_ = &listener;
+  ++exchanges_;
   without_body_ = without_body;
   ResetReader();
   if (socket_.connected()) {
@@ -44,6 +46,7 @@
 }
 
 void EndpointChannel::OnConnected() {
+  heard_at_ = loop_.Now();
   const std::string request = std::exchange(waiting_request_, {});
   if (listener_ != nullptr && listener_->OnReadyToSend()) {
     socket_.Write(request);
@@ -72,6 +75,7 @@
 }
 
 void EndpointChannel::OnData() {
+  heard_at_ = loop_.Now();
   while (open_ && !socket_.input().empty()) {
     if (listener_ == nullptr) {
       // No request is in progress, so this data belongs to none.
--- a/packages/transport/http_channel/endpoint_channel.h
+++ b/packages/transport/http_channel/endpoint_channel.h
@@ -1,6 +1,7 @@
 #ifndef TRANSPORT_HTTP_CHANNEL_ENDPOINT_CHANNEL_H_
 #define TRANSPORT_HTTP_CHANNEL_ENDPOINT_CHANNEL_H_
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -75,6 +76,10 @@
   // Whether the connection is idle and within its idle limit, so that it can
   // carry another exchange.
   bool IsReusable(common::Time now) const;
+  // Whether the connection had carried an exchange before the latest one.
+  bool kept() const { return exchanges_ > 1; }
+  // Time at which the connection was opened or last received anything.
+  common::Time heard_at() const { return heard_at_; }
 
   void OnConnected() override;
   void OnData() override;
@@ -99,6 +104,9 @@
   ResponseOrigin response_origin_ = ResponseOrigin::kThisExchange;
   std::optional<common::Duration> idle_limit_;
   common::Time idle_since_{};
+  // Number of exchanges started so far.
+  uint64_t exchanges_ = 0;
+  common::Time heard_at_;
 };
 
 }  // namespace wagtailshore::http_channel
--- a/packages/transport/http_channel/http_call.cc
+++ b/packages/transport/http_channel/http_call.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "common/event_log.h"
 #include "common/strings.h"
 #include "protocol/http1/serialize.h"
 
@@ -34,16 +35,27 @@
   void Start(const std::string& address,
              const Call& call,
              common::Duration timeout) {
-    timer_ = caller_.loop_.RunAfter(timeout, [this] {
-      timer_ = event_loop::kNoTimer;
-      channel_->Abandon();
-      caller_.End(
-          id_, absl::DeadlineExceededError("no response within the timeout"));
-    });
+    address_ = address;
+    sent_at_ = caller_.loop_.Now();
+    timer_ = caller_.loop_.RunAfter(timeout, [this] { OnTimeout(); });
     channel_ = &caller_.pool_.Acquire(address, address);
     channel_->SetIdleLimit(kIdleLimit);
     channel_->Send(Format(address, call), *this, /*without_body=*/false);
   }
+  void OnTimeout() {
+    timer_ = event_loop::kNoTimer;
+    const common::Time now = caller_.loop_.Now();
+    if (channel_->kept() && channel_->heard_at() < sent_at_) {
+      common::LogEvent(
+          common::EventId::kConnectionSilent,
+          common::StrCat("address=", address_, " waited_ms=",
+                         common::ToMilliseconds(now - sent_at_), " silent_ms=",
+                         common::ToMilliseconds(now - channel_->heard_at())));
+    }
+    channel_->Abandon();
+    caller_.End(id_,
+                absl::DeadlineExceededError("no response within the timeout"));
+  }
   void Cancel() {
     caller_.loop_.Cancel(timer_);
     channel_->Abandon();
@@ -81,6 +93,8 @@
   HttpCaller& caller_;
   uint64_t id_;
   std::function<void(CallResult)> done_;
+  std::string address_;
+  common::Time sent_at_{};
   EndpointChannel* channel_ = nullptr;
   CallAnswer answer_;
   bool too_large_ = false;
