Transport: tell a silent connection from a server that does not answer

Cause: a call without an answer counted as an outage of the store, whatever connection it was on. Its repeat took another silent connection, the list's "outage" began a grace for entries that may have lapsed though the store was never away, and the long poll waited for its own time.

Change: HttpCaller repeats a read that fails on a reused connection, or gets no byte there within 400 ms, on a new one, and closes the other connections to the address that are silent since; long polls on them end as Aborted and the configuration is read at once. Writes are never repeated. It works because a new connection is not affected: the read that finds the silence is answered 0.4 s later, and nothing counts as an outage unless that fails too.

Other side: a slow server gets each call once and keeps its connections, and one that answers on no connection is reported.

The fake store answers long polls after the time that they ask for, gateways reach it over a link that can go silent, and its clock has fractions, as the estimate of an answer's time was off by the rounding.

--- a/packages/daemon/gateway/crash_exchange.cc
+++ b/packages/daemon/gateway/crash_exchange.cc
@@ -120,6 +120,10 @@
 
 void CrashExchange::OnFeed(const http_channel::CallResult& result) {
   const auto changes = platform::DecodeRows(result);
+  if (absl::IsAborted(changes.status())) {
+    AwaitChange();
+    return;
+  }
   const bool history_gone = absl::IsFailedPrecondition(changes.status());
   UpdateAvailability(reads_available_, "read",
                      history_gone ? absl::OkStatus() : changes.status());
--- a/packages/daemon/gateway/store_watch.cc
+++ b/packages/daemon/gateway/store_watch.cc
@@ -88,6 +88,12 @@
 void StoreWatch::OnConfigurationAnswer(common::Time requested_at,
                                        const http_channel::CallResult& result) {
   const auto rows = platform::DecodeRows(result);
+  if (absl::IsAborted(rows.status())) {
+    // A read is answered at once, and confirms the configuration sooner than
+    // another poll.
+    ReadConfiguration();
+    return;
+  }
   if (!rows.ok()) {
     UpdateAvailability(rows.status());
     const bool history_gone = absl::IsFailedPrecondition(rows.status());
--- a/packages/transport/http_channel/endpoint_channel.cc
+++ b/packages/transport/http_channel/endpoint_channel.cc
@@ -35,7 +35,6 @@
                            bool without_body) {
   WS_INVARIANT(idle()) << "one exchange at a time";
   listener_ = &listener;
-  ++exchanges_;
   without_body_ = without_body;
   ResetReader();
   if (socket_.connected()) {
@@ -65,6 +64,14 @@
   on_state_change_(*this);
 }
 
+void EndpointChannel::CloseSilent() {
+  if (open_) {
+    Fail({.nothing_sent = !socket_.sent_any(),
+          .silent = true,
+          .detail = "connection_silent"});
+  }
+}
+
 bool EndpointChannel::IsReusable(common::Time now) const {
   if (!idle() || !socket_.connected()) {
     return false;
@@ -86,8 +93,8 @@
     }
     auto progress = reader_.Read(socket_.input());
     if (!progress.ok()) {
-      Fail(/*nothing_sent=*/false, common::StrCat("not an HTTP response: ",
-                                                  progress.status().message()));
+      Fail({.detail = common::StrCat("not an HTTP response: ",
+                                     progress.status().message())});
       return;
     }
     socket_.Consume(progress->consumed);
@@ -112,7 +119,7 @@
     }
     if (response_origin_ == ResponseOrigin::kEarlierExchange &&
         reader_.head().until_close) {
-      Fail(/*nothing_sent=*/false, "foreign_answer_without_end");
+      Fail({.detail = "foreign_answer_without_end"});
       return false;
     }
   }
@@ -149,13 +156,12 @@
   on_state_change_(*this);
 }
 
-void EndpointChannel::Fail(bool nothing_sent, std::string detail) {
+void EndpointChannel::Fail(const ExchangeFailure& failure) {
   ExchangeListener* listener = std::exchange(listener_, nullptr);
   open_ = false;
   socket_.Close(/*reset=*/true);
   if (listener != nullptr) {
-    listener->OnFailed(
-        {.nothing_sent = nothing_sent, .detail = std::move(detail)});
+    listener->OnFailed(failure);
   }
   on_state_change_(*this);
 }
@@ -172,10 +178,11 @@
   const bool nothing_sent =
       reason == stream_socket::CloseReason::kNotConnected ||
       !socket_.sent_any();
-  Fail(nothing_sent, reason == stream_socket::CloseReason::kNotConnected
-                         ? "not_connected"
-                     : in_order ? "closed_before_the_end"
-                                : "connection_broken");
+  Fail({.nothing_sent = nothing_sent,
+        .detail = reason == stream_socket::CloseReason::kNotConnected
+                      ? "not_connected"
+                  : in_order ? "closed_before_the_end"
+                             : "connection_broken"});
 }
 
 }  // namespace wagtailshore::http_channel
--- a/packages/transport/http_channel/endpoint_channel.h
+++ b/packages/transport/http_channel/endpoint_channel.h
@@ -1,7 +1,6 @@
 #ifndef TRANSPORT_HTTP_CHANNEL_ENDPOINT_CHANNEL_H_
 #define TRANSPORT_HTTP_CHANNEL_ENDPOINT_CHANNEL_H_
 
-#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -16,6 +15,8 @@
 struct ExchangeFailure {
   // Whether it is certain that no byte of the request reached the endpoint.
   bool nothing_sent = false;
+  // Whether the connection was closed by CloseSilent().
+  bool silent = false;
   // Short reason for logs, usually one word.
   std::string detail;
 };
@@ -65,6 +66,9 @@
   // Cancels the exchange and resets the connection. The listener is not called
   // any more.
   void Abandon();
+  // Resets the connection because nothing arrives on it any more. The exchange
+  // in progress fails.
+  void CloseSilent();
   // Sets how long the endpoint keeps an idle connection open. Without a value,
   // a short default applies.
   void SetIdleLimit(std::optional<common::Duration> limit) {
@@ -73,11 +77,10 @@
 
   bool idle() const { return open_ && listener_ == nullptr; }
   bool open() const { return open_; }
+  bool connected() const { return socket_.connected(); }
   // Whether the connection is idle and within its idle limit, so that it can
   // carry another exchange.
   bool IsReusable(common::Time now) const;
-  // Whether the connection had carried an exchange before the latest one.
-  bool kept() const { return exchanges_ > 1; }
   // Time at which the connection was opened or last received anything.
   common::Time heard_at() const { return heard_at_; }
 
@@ -88,7 +91,7 @@
  private:
   // Returns whether to continue reading from the connection.
   bool OnProgress(const http1::Progress& progress);
-  void Fail(bool nothing_sent, std::string detail);
+  void Fail(const ExchangeFailure& failure);
   void Finish(bool reusable);
   void ResetReader();
 
@@ -104,8 +107,6 @@
   ResponseOrigin response_origin_ = ResponseOrigin::kThisExchange;
   std::optional<common::Duration> idle_limit_;
   common::Time idle_since_{};
-  // Number of exchanges started so far.
-  uint64_t exchanges_ = 0;
   common::Time heard_at_;
 };
 
--- a/packages/transport/http_channel/endpoint_pool.cc
+++ b/packages/transport/http_channel/endpoint_pool.cc
@@ -29,13 +29,37 @@
   if (found != nullptr) {
     return *found;
   }
+  return Open(key, address);
+}
+
+EndpointChannel& EndpointPool::Open(const std::string& key,
+                                    const std::string& address) {
   ++opened_;
+  Channels& channels = channels_[key];
   channels.push_back(std::make_unique<EndpointChannel>(
       loop_, address, options_,
       [this, key](EndpointChannel& channel) { OnStateChange(key, channel); }));
   return *channels.back();
 }
 
+size_t EndpointPool::CloseSilent(const std::string& key, common::Time since) {
+  const auto found = channels_.find(key);
+  if (found == channels_.end()) {
+    return 0;
+  }
+  // Collected first, as a failing exchange may open connections.
+  std::vector<EndpointChannel*> silent;
+  for (const auto& channel : found->second) {
+    if (channel->open() && channel->heard_at() < since) {
+      silent.push_back(channel.get());
+    }
+  }
+  for (EndpointChannel* channel : silent) {
+    channel->CloseSilent();
+  }
+  return silent.size();
+}
+
 void EndpointPool::OnStateChange(const std::string& key,
                                  EndpointChannel& channel) {
   if (!channel.open()) {
--- a/packages/transport/http_channel/endpoint_pool.h
+++ b/packages/transport/http_channel/endpoint_pool.h
@@ -24,6 +24,14 @@
   // or new. `key` identifies the endpoint's process; a connection is only
   // reused for the key that it was opened for.
   EndpointChannel& Acquire(const std::string& key, const std::string& address);
+  // Returns a new connection. For a request that failed on a reused one.
+  EndpointChannel& Open(const std::string& key, const std::string& address);
+
+  // Closes all connections for `key` from which nothing was received since
+  // `since`: one that was open then has proved silent, and what silenced it may
+  // have silenced these. Exchanges on them fail. Returns the number of
+  // connections.
+  size_t CloseSilent(const std::string& key, common::Time since);
 
   // Number of connections opened so far.
   uint64_t opened() const { return opened_; }
--- a/packages/transport/http_channel/http_call.cc
+++ b/packages/transport/http_channel/http_call.cc
@@ -14,6 +14,9 @@
 // Upper bound on a response body; larger than any stored object.
 constexpr size_t kMaxAnswerBytes = 16 << 20;
 
+// A timer that runs later than this shows that the process was suspended.
+constexpr common::Duration kMaxTimerDelay = common::milliseconds(100);
+
 std::string Format(const std::string& address, const Call& call) {
   http1::Headers headers;
   headers.Add("Host", address);
@@ -36,36 +39,26 @@
              const Call& call,
              common::Duration timeout) {
     address_ = address;
-    sent_at_ = caller_.loop_.Now();
-    timer_ = caller_.loop_.RunAfter(timeout, [this] { OnTimeout(); });
-    channel_ = &caller_.pool_.Acquire(address, address);
-    channel_->SetIdleLimit(kIdleLimit);
-    channel_->Send(Format(address, call), *this, /*without_body=*/false);
-  }
-  void OnTimeout() {
-    timer_ = event_loop::kNoTimer;
-    const common::Time now = caller_.loop_.Now();
-    if (channel_->kept() && channel_->heard_at() < sent_at_) {
-      common::LogEvent(
-          common::EventId::kConnectionSilent,
-          common::StrCat("address=", address_, " waited_ms=",
-                         common::ToMilliseconds(now - sent_at_), " silent_ms=",
-                         common::ToMilliseconds(now - channel_->heard_at())));
-    }
-    channel_->Abandon();
-    caller_.End(id_,
-                absl::DeadlineExceededError("no response within the timeout"));
+    request_ = Format(address, call);
+    wait_ = call.wait;
+    repeatable_ = call.method == "GET" && wait_ == common::Duration::zero();
+    timeout_ = timeout;
+    Send(caller_.pool_.Acquire(address_, address_));
   }
   void Cancel() {
     caller_.loop_.Cancel(timer_);
+    caller_.loop_.Cancel(silence_timer_);
     channel_->Abandon();
   }
   std::function<void(CallResult)> TakeDone() {
     caller_.loop_.Cancel(timer_);
+    caller_.loop_.Cancel(silence_timer_);
     return std::move(done_);
   }
 
   ResponseOrigin OnHead(const http1::ResponseHead& head) override {
+    caller_.loop_.Cancel(silence_timer_);
+    silence_timer_ = event_loop::kNoTimer;
     answer_.status = head.status;
     answer_.headers = head.headers;
     return ResponseOrigin::kThisExchange;
@@ -86,19 +79,108 @@
     caller_.End(id_, std::move(answer_));
   }
   void OnFailed(const ExchangeFailure& failure) override {
+    if (repeatable_ && (reused_ || failure.silent)) {
+      Repeat();
+      return;
+    }
+    if (failure.silent && wait_ > common::Duration::zero()) {
+      EndSilentPoll();
+      return;
+    }
     caller_.End(id_, absl::UnavailableError(common::AsAbsl(failure.detail)));
   }
 
  private:
+  void Send(EndpointChannel& channel) {
+    channel_ = &channel;
+    reused_ = channel.connected();
+    sent_at_ = caller_.loop_.Now();
+    timer_ = caller_.loop_.RunAfter(timeout_, [this] { OnTimeout(); });
+    if (reused_ && repeatable_ && kSilenceLimit < timeout_) {
+      silence_timer_ =
+          caller_.loop_.RunAfter(kSilenceLimit, [this] { OnSilence(); });
+    }
+    channel_->SetIdleLimit(kIdleLimit);
+    channel_->Send(request_, *this, /*without_body=*/false);
+  }
+
+  void Repeat() {
+    caller_.loop_.Cancel(timer_);
+    caller_.loop_.Cancel(silence_timer_);
+    silence_timer_ = event_loop::kNoTimer;
+    answer_ = {};
+    too_large_ = false;
+    Send(caller_.pool_.Open(address_, address_));
+  }
+
+  void OnSilence() {
+    silence_timer_ = event_loop::kNoTimer;
+    const common::Duration late =
+        caller_.loop_.Now() - sent_at_ - kSilenceLimit;
+    if (late > kMaxTimerDelay) {
+      // This process was suspended: the answer may have arrived unread.
+      sent_at_ = caller_.loop_.Now();
+      caller_.loop_.Cancel(timer_);
+      timer_ = caller_.loop_.RunAfter(timeout_, [this] { OnTimeout(); });
+      silence_timer_ =
+          caller_.loop_.RunAfter(kSilenceLimit, [this] { OnSilence(); });
+      return;
+    }
+    GiveUpConnection();
+    Repeat();
+  }
+
+  void OnTimeout() {
+    timer_ = event_loop::kNoTimer;
+    if (GiveUpConnection() && wait_ > common::Duration::zero()) {
+      EndSilentPoll();
+      return;
+    }
+    caller_.End(id_,
+                absl::DeadlineExceededError("no response within the timeout"));
+  }
+
+  void EndSilentPoll() {
+    caller_.End(id_, absl::AbortedError("the connection went silent"));
+  }
+
+  // Closes the connection, and the others to the address if this one has proved
+  // silent. Returns whether it has.
+  bool GiveUpConnection() {
+    const common::Time now = caller_.loop_.Now();
+    const common::Time heard_at = channel_->heard_at();
+    channel_->Abandon();
+    if (!reused_ || heard_at >= sent_at_ ||
+        now - sent_at_ < wait_ + kSilenceLimit) {
+      return false;
+    }
+    const size_t closed = caller_.pool_.CloseSilent(address_, sent_at_);
+    common::LogEvent(
+        common::EventId::kConnectionSilent,
+        common::StrCat("address=", address_,
+                       " waited_ms=", common::ToMilliseconds(now - sent_at_),
+                       " silent_ms=", common::ToMilliseconds(now - heard_at),
+                       " others_closed=", closed));
+    return true;
+  }
+
   HttpCaller& caller_;
   uint64_t id_;
   std::function<void(CallResult)> done_;
   std::string address_;
+  std::string request_;
+  bool repeatable_ = false;
+  common::Duration wait_{};
+  common::Duration timeout_{};
+  // Of the latest try: whether its connection was open before, and when it was
+  // sent.
+  bool reused_ = false;
   common::Time sent_at_{};
   EndpointChannel* channel_ = nullptr;
   CallAnswer answer_;
   bool too_large_ = false;
   event_loop::TimerId timer_ = event_loop::kNoTimer;
+  event_loop::TimerId silence_timer_ = event_loop::kNoTimer;
 };
 
 HttpCaller::HttpCaller(event_loop::EventLoop& loop, EndpointPool& pool)
--- a/packages/transport/http_channel/http_call.h
+++ b/packages/transport/http_channel/http_call.h
@@ -22,7 +22,9 @@
 
 // Unavailable when the connection failed and DeadlineExceeded after the
 // timeout; the call may have been executed in both cases, unless the message is
-// "not_connected". ResourceExhausted when the response is too large.
+// "not_connected". Aborted when the connection of a long poll went silent,
+// which says nothing about the server. ResourceExhausted when the response is
+// too large.
 using CallResult = absl::StatusOr<CallAnswer>;
 
 // A complete request, without its framing.
@@ -31,11 +33,25 @@
   // Path and query.
   std::string target;
   std::string body;
+  // How long the server may hold its answer back, as in a long poll.
+  common::Duration wait = {};
 };
 
 // Makes calls with a timeout over pooled connections.
+//
+// A connection may go silent without being closed, which says nothing about the
+// server. A GET that fails on a reused connection, or gets no byte of an answer
+// there within kSilenceLimit, is therefore repeated on a new one, with its
+// whole timeout. Long polls end instead, as their caller may want a current
+// answer first, and so do calls that the server may have executed. Once a
+// connection has proved silent, all others to its address from which nothing
+// arrived since are closed with it.
 class HttpCaller {
  public:
+  // A server that has an answer begins to send it within this time, also when
+  // it is slow.
+  static constexpr common::Duration kSilenceLimit = common::milliseconds(400);
+
   HttpCaller(event_loop::EventLoop& loop, EndpointPool& pool);
   ~HttpCaller();
   HttpCaller(const HttpCaller&) = delete;
--- a/tests/support/hosted_world.cc
+++ b/tests/support/hosted_world.cc
@@ -1,6 +1,7 @@
 #include "support/hosted_world.h"
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 #include "absl/strings/escaping.h"
@@ -14,9 +15,6 @@
 using nlohmann::json;
 
 constexpr common::Duration kRunTimeout = common::seconds(20);
-// How long a feed request waits for changes. With the real store the client
-// sets this time.
-constexpr common::Duration kFeedWait = common::milliseconds(100);
 constexpr const char* kAnyPort = "127.0.0.1:0";
 
 std::string Loopback(uint16_t port) {
@@ -140,7 +138,10 @@
   return json{
       {"rows", rows},
       {"row_version", revision_},
-      {"now_ms", common::ToMilliseconds(loop_.Now().time_since_epoch())}}
+      // With fractions: without a network the answer takes less than 1 ms.
+      {"now_ms",
+       std::chrono::duration<double, std::milli>(loop_.Now().time_since_epoch())
+           .count()}}
       .dump();
 }
 
@@ -217,7 +218,10 @@
     return;
   }
   waiting_[&channel] = {.table = table, .after_revision = after};
-  loop_.RunAfter(kFeedWait, [this, &channel] { AnswerFeed(channel); });
+  const common::Duration wait = std::min<common::Duration>(
+      feed_wait_,
+      common::milliseconds(std::stoll(QueryField(head.target, "wait_ms"))));
+  loop_.RunAfter(wait, [this, &channel] { AnswerFeed(channel); });
 }
 
 void FakeStore::OnCallerGone(http_channel::CallerChannel& channel) {
@@ -347,7 +351,10 @@
                                      .revocation_bound = revocation_bound}) {}
 
 HostedWorld::HostedWorld(const HostedWorldOptions& options)
-    : options_(options), store_(std::make_unique<FakeStore>(loop_)) {
+    : options_(options),
+      store_(std::make_unique<FakeStore>(loop_)),
+      store_link_(std::make_unique<soak::TcpProxy>(loop_, store_->address())) {
+  store_->set_feed_wait(options_.feed_wait);
   store_->SetConfiguration(Configuration(1));
   for (int i = 0; i < options_.endpoints; ++i) {
     endpoints_.push_back(std::make_unique<FakeEndpoint>(
@@ -379,7 +386,7 @@
                               .failure_domain = "z",
                               .ip = "127.0.0.1",
                               .caller_address = kAnyPort,
-                              .store_address = store_->address(),
+                              .store_address = store_link_->address(),
                               .revocation_bound = options_.revocation_bound,
                               .endpoint_heartbeat = options_.endpoint_heartbeat,
                               // Each request may be retried, also one alone.
--- a/tests/support/hosted_world.h
+++ b/tests/support/hosted_world.h
@@ -13,6 +13,7 @@
 
 #include "daemon/gateway/gateway.h"
 #include "protocol/http1/message_reader.h"
+#include "soak/tcp_proxy.h"
 #include "support/port_reservation.h"
 #include "transport/event_loop/event_loop.h"
 #include "transport/http_channel/channel_server.h"
@@ -37,6 +38,8 @@
   // Answers 503 while set.
   void set_down(bool down) { down_ = down; }
   int calls() const { return calls_; }
+  // How long a feed request waits for changes at most, whatever it asks for.
+  void set_feed_wait(common::Duration wait) { feed_wait_ = wait; }
   // Takes a copy of the contents, and goes back to it: writes since then are
   // lost, revisions are used again, and the era rises.
   void TakeCopy();
@@ -96,6 +99,7 @@
   uint64_t copied_revision_ = 1;
   uint64_t era_ = 1;
   bool down_ = false;
+  common::Duration feed_wait_ = common::milliseconds(100);
   int calls_ = 0;
 };
 
@@ -191,6 +195,8 @@
   common::Duration endpoint_heartbeat = common::milliseconds(1200);
   // Also the time for which gateways' counts of each other are valid.
   common::Duration retry_window = common::seconds(10);
+  // How long the store's feed requests wait for changes at most.
+  common::Duration feed_wait = common::milliseconds(100);
 };
 
 // How an endpoint ends.
@@ -206,6 +212,8 @@
   FakeStore& store() { return *store_; }
   FakeEndpoint& endpoint(int index) { return *endpoints_[index]; }
   gateway::Gateway& gateway(int index = 0) { return *gateways_[index]; }
+  // The link between the gateways and the store.
+  soak::TcpProxy& store_link() { return *store_link_; }
   // Starts one more gateway.
   void AddGateway();
   // Replaces a gateway by a new process without memory.
@@ -256,6 +264,7 @@
   HostedWorldOptions options_;
   event_loop::EventLoop loop_;
   std::unique_ptr<FakeStore> store_;
+  std::unique_ptr<soak::TcpProxy> store_link_;
   std::vector<std::unique_ptr<FakeEndpoint>> endpoints_;
   // Endpoints that have ended and not restarted yet.
   std::set<int> ended_;
