Fleet: an endpoint removed after an older copy is gone in time

Cause: one time of 6 s stood for two facts. Entries of processes that had left may be listed until they lapse, and entries of live endpoints may be missing until they are written again. For all that time no missing endpoint counted as gone, also one that was listed since the return.

Change: missing endpoints are kept as after any outage, for 2.2 s from the first list, which is read again at the end; processes that had left before the return stay gone for 6 s, as before. It works because the platform gives live servers about two seconds to be listed again, less than the 3 s after which the store is stable and a removal counts. A process that left after the return and is listed again is no remainder of the copy and is used at once; before, it was not used for the rest of the 6 s.

Other side: live endpoints that the copy lacks stay in use.

--- a/packages/state/fleet/fleet.cc
+++ b/packages/state/fleet/fleet.cc
@@ -17,9 +17,10 @@
     available_since_ = requested_at;
   }
   read_at_ = requested_at;
-  const bool rewriting = requested_at < rewritten_at_;
+  const bool may_resurrect = MayResurrect(requested_at);
   std::erase_if(departed_, [&](const auto& item) {
-    return !rewriting && item.second + options_.departure_memory < requested_at;
+    return !may_resurrect &&
+           item.second + options_.departure_memory < requested_at;
   });
   FleetChange change;
   std::set<std::string> listed;
@@ -29,12 +30,12 @@
       announced->second = requested_at;
       record.draining = true;
     }
-    if (rewriting && HasDeparted(record)) {
+    if (may_resurrect && HasDeparted(record)) {
       continue;
     }
     listed.insert(record.id);
     const auto found = endpoints_.find(record.id);
-    if (found != endpoints_.end() && rewriting &&
+    if (found != endpoints_.end() && may_resurrect &&
         record.started_at_ms < found->second.started_at_ms) {
       // An entry of the process before it.
       continue;
@@ -63,14 +64,16 @@
   const bool relisting_possible =
       relisting_end.has_value() && requested_at < *relisting_end;
   was_unavailable_ = relisting_possible;
+  older_copy_ = older_copy_ && relisting_possible;
   unlisted_.clear();
   std::erase_if(endpoints_, [&](const auto& item) {
     const bool may_be_relisted =
-        relisting_possible && !listed_since_.contains(item.first);
+        relisting_possible &&
+        (older_copy_ || !listed_since_.contains(item.first));
     if (listed.contains(item.first)) {
       return false;
     }
-    if (may_be_relisted || rewriting) {
+    if (may_be_relisted) {
       unlisted_.insert(item.first);
       return false;
     }
@@ -120,12 +123,20 @@
   return !std::exchange(found->second.draining, true);
 }
 
+bool Fleet::MayResurrect(common::Time requested_at) const {
+  return restored_at_.has_value() &&
+         requested_at < *restored_at_ + options_.resurrection_time;
+}
+
 bool Fleet::HasDeparted(const EndpointRecord& record) const {
-  return departed_.contains(ProcessName(record));
+  const auto found = departed_.find(ProcessName(record));
+  return found != departed_.end() && found->second <= *restored_at_;
 }
 
 void Fleet::OnListRestored(common::Time now) {
-  rewritten_at_ = now + options_.rewriting_time;
+  restored_at_ = now;
+  older_copy_ = true;
+  OnListUnavailable();
 }
 
 void Fleet::OnListUnavailable() {
--- a/packages/state/fleet/fleet.h
+++ b/packages/state/fleet/fleet.h
@@ -38,10 +38,10 @@
   // again whose entries lapsed during it. The platform's contract says "about
   // two seconds"; the list is available again slightly before it is first read.
   common::Duration relisting_time = common::milliseconds(2200);
-  // Time after which a list that went back to an older copy has all endpoints'
-  // own changes again: three heartbeats, after which silent entries lapse, and
-  // two more for writing.
-  common::Duration rewriting_time = common::milliseconds(6000);
+  // Time for which a list that went back to an older copy may contain processes
+  // that had left: three heartbeats, after which silent entries lapse, and two
+  // more for the platform to remove them.
+  common::Duration resurrection_time = common::milliseconds(6000);
   // How long processes that left the list are remembered.
   common::Duration departure_memory = common::seconds(60);
 };
@@ -78,9 +78,10 @@
                  common::Time now);
   // The list could not be read.
   void OnListUnavailable();
-  // The list went back to an older copy of itself. Until endpoints have written
-  // their entries again, processes that had left stay gone, whatever it says,
-  // and missing ones are kept.
+  // The list went back to an older copy of itself. Live endpoints are listed
+  // again as after an outage. Entries of the copy may lapse before that, so
+  // unlike then a listed entry proves nothing. Processes that had left may be
+  // listed for longer and stay gone.
   void OnListRestored(common::Time now);
 
   // Returns the endpoint, or null if it is unknown or must not get new work: it
@@ -93,8 +94,8 @@
   // Whether the list has been read at least once.
   bool has_list() const { return read_at_.has_value(); }
   // Until this time a missing entry may have lapsed during an outage of the
-  // list, and its endpoint is kept. nullopt if the list is unavailable or no
-  // entry can have lapsed.
+  // list or been lost with it, and its endpoint is kept. nullopt if the list is
+  // unavailable or no entry can be missing for that reason.
   std::optional<common::Time> relisting_ends_at() const {
     return was_unavailable_ && available_since_.has_value()
                ? std::optional(*available_since_ + options_.relisting_time)
@@ -107,6 +108,10 @@
 
  private:
   void FindReplaced();
+  // Whether the list may still contain processes that left before it went back
+  // to an older copy.
+  bool MayResurrect(common::Time requested_at) const;
+  // Whether the process had left before the list went back to an older copy.
   bool HasDeparted(const EndpointRecord& record) const;
 
   FleetOptions options_;
@@ -128,8 +133,10 @@
   std::map<std::string, common::Time> announced_;
   // When processes left the list, by name.
   std::map<std::string, common::Time> departed_;
-  // Until then the list may contain departed processes and lack live ones.
-  common::Time rewritten_at_{};
+  // When the list last went back to an older copy.
+  std::optional<common::Time> restored_at_;
+  // Whether the last outage ended with an older copy.
+  bool older_copy_ = false;
 };
 
 }  // namespace wagtailshore::fleet
--- a/tests/unit/daemon/gateway/store_restored_test.cc
+++ b/tests/unit/daemon/gateway/store_restored_test.cc
@@ -69,6 +69,48 @@
   }
 }
 
+// Guards against work for an endpoint that is removed once the store is stable
+// again: its entry was listed after the return, so it is not one that was lost.
+TEST(StoreRestoredTest, EndpointRemovedLaterGetsNothing) {
+  // Of the platform's contract: the store is stable this long after its return,
+  // and a removal must be known this long after it.
+  constexpr common::Duration kStabilityWindow = common::seconds(3);
+  constexpr common::Duration kDrainBound = common::seconds(2);
+  HostedWorld world(2);
+  world.store().TakeCopy();
+  world.store().RestoreCopy();
+  world.RunFor(kStabilityWindow);
+  world.store().RemoveEndpoint("e0");
+  world.RunFor(kDrainBound);
+  const size_t before = world.endpoint(0).received().size();
+  for (int i = 0; i < 20; ++i) {
+    EXPECT_EQ(world.Ask({.id = common::StrCat("d", i)}).status, 200);
+  }
+  EXPECT_EQ(world.endpoint(0).received().size(), before);
+}
+
+// Endpoints that the older copy lacks stay in use until they are listed again.
+TEST(StoreRestoredTest, LiveEndpointsStayInUse) {
+  HostedWorld world({.endpoints = 1, .revocation_bound = common::seconds(60)});
+  const json entry =
+      HostedWorld::EndpointEntry(world.endpoint(0).address(), /*born=*/1);
+  world.store().RemoveEndpoint("e0");
+  world.store().TakeCopy();
+  world.store().SetEndpoint("e0", entry);
+  world.store().RestoreCopy();
+  int asked = 0;
+  const auto ask_for = [&](common::Duration duration) {
+    const common::Time end = world.loop().Now() + duration;
+    while (world.loop().Now() < end) {
+      EXPECT_EQ(world.Ask({.id = common::StrCat("l", ++asked)}).status, 200);
+      world.RunFor(common::milliseconds(50));
+    }
+  };
+  ask_for(common::milliseconds(1900));
+  world.store().SetEndpoint("e0", entry);
+  ask_for(kTwoReadsOfTheList);
+}
+
 // Guards against losing what gateways wrote: each writes its rows again.
 TEST(StoreRestoredTest, GatewaysRegisterAgain) {
   HostedWorld world(HostedWorldOptions{.gateways = 3});
--- a/tests/unit/state/fleet/fleet_test.cc
+++ b/tests/unit/state/fleet/fleet_test.cc
@@ -125,6 +125,77 @@
   EXPECT_FALSE(fleet.relisting_ends_at().has_value());
 }
 
+// When an endpoint leaves after the list went back to an older copy.
+struct RestoredCase {
+  const char* name;
+  // After the return: until then the entry is listed, and when the list is
+  // checked.
+  int listed_until_ms;
+  int check_ms;
+  bool kept;
+};
+
+class FleetRestoredTest : public testing::TestWithParam<RestoredCase> {};
+
+// Guards against work for an endpoint that was removed after a drill of the
+// store, and against dropping live ones while entries are written again.
+TEST_P(FleetRestoredTest, EntryIsMissedOnlyWhileItMayBeWrittenAgain) {
+  constexpr int kReturnMs = 5000;
+  constexpr int kPeriodMs = 200;
+  Fleet fleet({});
+  fleet.OnList({Record("a", "1"), Record("b", "2")}, At(0));
+  fleet.OnListRestored(At(kReturnMs));
+  for (int ms = 0; ms <= GetParam().check_ms; ms += kPeriodMs) {
+    std::vector<EndpointRecord> records = {Record("b", "2")};
+    if (ms < GetParam().listed_until_ms) {
+      records.push_back(Record("a", "1"));
+    }
+    fleet.OnList(records, At(kReturnMs + ms));
+  }
+  EXPECT_EQ(fleet.FindUsable("a") != nullptr, GetParam().kept);
+  EXPECT_NE(fleet.FindUsable("b"), nullptr);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Removals,
+    FleetRestoredTest,
+    testing::Values(RestoredCase{"LostEntryIsAwaited", 0, 2000, true},
+                    RestoredCase{"LapsedEntryIsAwaited", 600, 2000, true},
+                    RestoredCase{"NotForLonger", 0, 2400, false},
+                    RestoredCase{"RemovedAtOnce", 600, 2400, false},
+                    RestoredCase{"RemovedLater", 3000, 3000, false},
+                    RestoredCase{"RemovedMuchLater", 5000, 5000, false}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+// Guards against ignoring a live endpoint that is written again late: it left
+// the list after the return, so its entry is no remainder of the copy.
+TEST(FleetTest, EndpointListedAgainLateAfterAnOlderCopyIsUsed) {
+  Fleet fleet({});
+  fleet.OnList({Record("a", "1")}, At(0));
+  fleet.OnListRestored(At(1000));
+  fleet.OnList({}, At(1000));
+  EXPECT_EQ(fleet.OnList({}, At(3300)).gone, std::vector<std::string>{"a"});
+  fleet.OnList({Record("a", "1")}, At(3500));
+  EXPECT_NE(fleet.FindUsable("a"), nullptr);
+}
+
+// A process that had left before the list went back stays gone while the copy's
+// entry may last, and two times in a row.
+TEST(FleetTest, ProcessOfAnOlderCopyStaysGone) {
+  Fleet fleet({});
+  fleet.OnList({Record("a", "1"), Record("b", "2")}, At(0));
+  fleet.OnList({Record("b", "2")}, At(1000));
+  for (const int restored_ms : {2000, 4000}) {
+    fleet.OnListRestored(At(restored_ms));
+    for (int ms = 0; ms < 2000; ms += 500) {
+      fleet.OnList({Record("a", "1"), Record("b", "2")}, At(restored_ms + ms));
+      EXPECT_EQ(fleet.FindUsable("a"), nullptr);
+    }
+  }
+  fleet.OnList({Record("a", "1"), Record("b", "2")}, At(12'000));
+  EXPECT_NE(fleet.FindUsable("a"), nullptr);
+}
+
 // After all endpoints restart, the entries of the previous processes are listed
 // with the new ones until they lapse.
 TEST(FleetTest, OfTwoAtOneAddressOnlyTheLaterIsUsable) {
