Gateway: find the store's return in time for the list's grace

Requests reached an endpoint more than 3 s after the store's return, although its entry had been removed before the store stopped to answer.

Cause: the times add up. A read lost just before the return was given up after 0.9 s and repeated up to 0.6 s later; then missing entries are kept for 2.2 s, as they may have lapsed. That makes 3.7 s, and the store counts as stable after 3 s.

Change: reads of the list are given up after 0.5 s and the next one starts within 0.15 s, so the return is found at most 0.65 s late. After a refusal the next read waits for the same time instead of 0.15 to 0.6 s, so an outage costs fewer calls.

--- a/packages/daemon/gateway/store_watch.cc
+++ b/packages/daemon/gateway/store_watch.cc
@@ -22,7 +22,9 @@
       fleet_(fleet),
       on_fleet_change_(std::move(on_fleet_change)),
       on_store_back_(std::move(on_store_back)),
-      retry_delay_(options_.retry_min, options_.retry_max) {
+      retry_delay_(options_.retry_min, options_.retry_max),
+      endpoints_retry_jitter_(common::Duration::zero(),
+                              options_.endpoints_retry_jitter) {
   era_.OnRestored([this] { OnStoreRestored(); });
 }
 
@@ -167,7 +169,7 @@
     unreadable_entries_ = 0;
     list_requested_at_ = requested_at;
   }
-  Call(platform::ReadEndpointsCall(start_key), options_.call_timeout,
+  Call(platform::ReadEndpointsCall(start_key), options_.endpoints_timeout,
        [this, requested_at](const http_channel::CallResult& result) {
          OnEndpointsAnswer(requested_at, result);
        });
@@ -179,7 +181,10 @@
   if (!rows.ok()) {
     UpdateAvailability(rows.status());
     fleet_.OnListUnavailable();
-    RunAfter(retry_delay_.Next(), [this] { ReadEndpoints({}); });
+    const common::Time next = requested_at + options_.endpoints_timeout;
+    RunAfter(std::max(next - loop_.Now(), common::Duration::zero()) +
+                 endpoints_retry_jitter_.Next(),
+             [this] { ReadEndpoints({}); });
     return;
   }
   UpdateAvailability(absl::OkStatus());
--- a/packages/daemon/gateway/store_watch.h
+++ b/packages/daemon/gateway/store_watch.h
@@ -32,8 +32,14 @@
   common::Duration change_pause = common::milliseconds(400);
   // Time between reads of the endpoint list.
   common::Duration endpoints_period = common::milliseconds(1000);
-  // Timeout of calls that are not long polls; added to the wait of those that
-  // are.
+  // Timeout of a read of the endpoint list, and the time from the start of one
+  // that failed to the next one. Missing endpoints are kept for a time after
+  // the store's return; this and the list's jitter bound how much later than
+  // the return that time begins.
+  common::Duration endpoints_timeout = common::milliseconds(500);
+  common::Duration endpoints_retry_jitter = common::milliseconds(150);
+  // Timeout of other calls that are not long polls; added to the wait of those
+  // that are.
   common::Duration call_timeout = common::milliseconds(900);
   // Range of the random delay before a failed call is repeated.
   common::Duration retry_min = common::milliseconds(150);
@@ -116,6 +122,7 @@
   std::vector<fleet::EndpointRecord> records_;
   common::Time list_requested_at_{};
   common::RandomDelay retry_delay_;
+  common::RandomDelay endpoints_retry_jitter_;
   bool available_ = false;
   bool ever_available_ = false;
   uint64_t calls_ = 0;
--- a/tests/support/hosted_world.cc
+++ b/tests/support/hosted_world.cc
@@ -146,7 +146,7 @@
 }
 
 void FakeStore::AnswerFeed(http_channel::CallerChannel& channel) {
-  if (waiting_.erase(&channel) == 0) {
+  if (waiting_.erase(&channel) == 0 || silent_) {
     return;
   }
   Respond(channel, down_ ? 503 : 200, AnswerWith(json::array()));
@@ -194,6 +194,9 @@
                           const http1::RequestHead& head,
                           std::string body) {
   ++calls_;
+  if (silent_) {
+    return;
+  }
   if (down_) {
     Respond(channel, 503, {});
     return;
--- a/tests/support/hosted_world.h
+++ b/tests/support/hosted_world.h
@@ -37,6 +37,8 @@
   void RemoveEndpoint(const std::string& id);
   // Answers 503 while set.
   void set_down(bool down) { down_ = down; }
+  // Accepts calls and answers none of them while set, nor later.
+  void set_silent(bool silent) { silent_ = silent; }
   int calls() const { return calls_; }
   // How long a feed request waits for changes at most, whatever it asks for.
   void set_feed_wait(common::Duration wait) { feed_wait_ = wait; }
@@ -99,6 +101,7 @@
   uint64_t copied_revision_ = 1;
   uint64_t era_ = 1;
   bool down_ = false;
+  bool silent_ = false;
   common::Duration feed_wait_ = common::milliseconds(100);
   int calls_ = 0;
 };
--- a/tests/unit/daemon/gateway/silent_store_connections_test.cc
+++ b/tests/unit/daemon/gateway/silent_store_connections_test.cc
@@ -193,5 +193,31 @@
                            return std::string(info.param.name);
                          });
 
+// How long the store answers no call.
+class StoreSilenceTest : public testing::TestWithParam<int> {};
+
+// Guards against work for an endpoint that was removed just before the store
+// stopped to answer: once the store is stable again, the gateway knows.
+TEST_P(StoreSilenceTest, EndpointRemovedBeforeItGetsNothingInTime) {
+  HostedWorld world({.endpoints = 2,
+                     .revocation_bound = common::seconds(60),
+                     .feed_wait = kFeedWait});
+  world.RunFor(common::milliseconds(500));
+  world.store().RemoveEndpoint("e0");
+  world.store().set_silent(true);
+  world.RunFor(common::milliseconds(GetParam()));
+  world.store().set_silent(false);
+  world.RunFor(kStabilityWindow);
+  const size_t before = world.endpoint(0).received().size();
+  for (int i = 0; i < 20; ++i) {
+    EXPECT_EQ(world.Ask({.id = common::StrCat("s", i)}).status, 200);
+  }
+  EXPECT_EQ(world.endpoint(0).received().size(), before);
+}
+
+INSTANTIATE_TEST_SUITE_P(Milliseconds,
+                         StoreSilenceTest,
+                         testing::Values(2700, 3000, 3300, 3600, 3900));
+
 }  // namespace
 }  // namespace wagtailshore::hosted_world
