Transport: end long polls that a server lost while it answered nothing

A configuration changed 0.9 s after the store's return was not in force 3 s after it: requests ran by the older one.

Cause: a long poll sent while the store answers nothing gets no answer later either and waits for its whole time, 4.1 s, although other calls have found the store back. The crash reports repaired this for themselves, the configuration did not.

Change: at the first answer of an address that had left a call on a new connection unanswered, HttpCaller closes the connections from which nothing arrived since that call was sent; long polls on them end and are started again. A connection opened since, or heard since, is kept.

--- a/packages/transport/http_channel/http_call.cc
+++ b/packages/transport/http_channel/http_call.cc
@@ -71,6 +71,9 @@
     }
   }
   void OnComplete() override {
+    if (caller_.unanswered_.erase(address_) > 0) {
+      caller_.CloseSilent(address_, sent_at_, "answers_again=1");
+    }
     if (too_large_) {
       caller_.End(id_, absl::ResourceExhaustedError(
                            "response body exceeds the size limit"));
@@ -150,17 +153,17 @@
     const common::Time now = caller_.loop_.Now();
     const common::Time heard_at = channel_->heard_at();
     channel_->Abandon();
-    if (!reused_ || heard_at >= sent_at_ ||
-        now - sent_at_ < wait_ + kSilenceLimit) {
+    if (answer_.status != 0 || now - sent_at_ < wait_ + kSilenceLimit) {
+      return false;
+    }
+    if (!reused_) {
+      caller_.unanswered_.insert(address_);
       return false;
     }
-    const size_t closed = caller_.pool_.CloseSilent(address_, sent_at_);
-    common::LogEvent(
-        common::EventId::kConnectionSilent,
-        common::StrCat("address=", address_,
-                       " waited_ms=", common::ToMilliseconds(now - sent_at_),
-                       " silent_ms=", common::ToMilliseconds(now - heard_at),
-                       " others_closed=", closed));
+    caller_.CloseSilent(
+        address_, sent_at_,
+        common::StrCat("waited_ms=", common::ToMilliseconds(now - sent_at_),
+                       " silent_ms=", common::ToMilliseconds(now - heard_at)));
     return true;
   }
 
@@ -203,6 +206,15 @@
   started.Start(address, call, timeout);
 }
 
+void HttpCaller::CloseSilent(const std::string& address,
+                             common::Time since,
+                             const std::string& fields) {
+  const size_t closed = pool_.CloseSilent(address, since);
+  common::LogEvent(common::EventId::kConnectionSilent,
+                   common::StrCat("address=", address, " ", fields,
+                                  " others_closed=", closed));
+}
+
 void HttpCaller::End(uint64_t id, CallResult result) {
   const auto found = exchanges_.find(id);
   if (found == exchanges_.end()) {
--- a/packages/transport/http_channel/http_call.h
+++ b/packages/transport/http_channel/http_call.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "absl/status/statusor.h"
@@ -45,7 +46,9 @@
 // whole timeout. Long polls end instead, as their caller may want a current
 // answer first, and so do calls that the server may have executed. Once a
 // connection has proved silent, all others to its address from which nothing
-// arrived since are closed with it.
+// arrived since are closed with it. At the first answer of a server that had
+// left calls unanswered, so are those from which nothing arrived since the
+// answered call was sent: the server may have lost the calls on them.
 class HttpCaller {
  public:
   // A server that has an answer begins to send it within this time, also when
@@ -68,11 +71,19 @@
   class Exchange;
 
   void End(uint64_t id, CallResult result);
+  // Closes the connections to `address` from which nothing arrived since
+  // `since`, and logs it with `fields`.
+  void CloseSilent(const std::string& address,
+                   common::Time since,
+                   const std::string& fields);
 
   event_loop::EventLoop& loop_;
   EndpointPool& pool_;
   std::map<uint64_t, std::unique_ptr<Exchange>> exchanges_;
   uint64_t next_id_ = 1;
+  // Addresses at which a call on a new connection got no answer in time since
+  // the last answer.
+  std::set<std::string> unanswered_;
 };
 
 }  // namespace wagtailshore::http_channel
--- a/tests/unit/daemon/gateway/silent_store_connections_test.cc
+++ b/tests/unit/daemon/gateway/silent_store_connections_test.cc
@@ -215,6 +215,24 @@
   EXPECT_EQ(world.endpoint(0).received().size(), before);
 }
 
+// Guards against a long poll that goes on waiting for an answer that the store
+// lost: a change after the return is in force once the store is stable again.
+TEST_P(StoreSilenceTest, ConfigurationChangedAfterItIsInForceInTime) {
+  HostedWorld world(
+      {.revocation_bound = common::seconds(60), .feed_wait = kFeedWait});
+  world.RunFor(common::milliseconds(500));
+  world.store().set_silent(true);
+  world.RunFor(common::milliseconds(GetParam()));
+  world.store().set_silent(false);
+  const common::Time back_at = world.loop().Now();
+  world.RunFor(common::milliseconds(900));
+  json configuration = HostedWorld::Configuration(2);
+  configuration["routes"].erase(0);
+  world.store().SetConfiguration(configuration);
+  world.RunUntilTime(back_at + kStabilityWindow);
+  EXPECT_EQ(world.Ask({}).status, 404);
+}
+
 INSTANTIATE_TEST_SUITE_P(Milliseconds,
                          StoreSilenceTest,
                          testing::Values(2700, 3000, 3300, 3600, 3900));
--- a/tests/unit/transport/http_channel/http_call_test.cc
+++ b/tests/unit/transport/http_channel/http_call_test.cc
@@ -32,13 +32,15 @@
     return common::StrCat("127.0.0.1:", server_.port());
   }
   void set_delay(common::Duration delay) { delay_ = delay; }
+  // Answers nothing while set, nor later.
+  void set_silent(bool silent) { silent_ = silent; }
   int requests() const { return requests_; }
 
   void OnRequest(CallerChannel& channel,
                  const http1::RequestHead& head,
                  std::string) override {
     ++requests_;
-    if (head.target == kPoll.target) {
+    if (silent_ || head.target == kPoll.target) {
       return;
     }
     if (delay_ == common::Duration::zero()) {
@@ -53,6 +55,7 @@
   event_loop::EventLoop& loop_;
   ChannelServer server_;
   common::Duration delay_{};
+  bool silent_ = false;
   int requests_ = 0;
 };
 
@@ -200,6 +203,26 @@
   EXPECT_EQ(pool_.opened(), opened + 1);
 }
 
+// Guards against a long poll that waits for an answer which was lost while the
+// server answered nothing.
+TEST_F(HttpCallTest, LongPollEndsWhenTheServerAnswersAgain) {
+  server_.set_silent(true);
+  Outcome& lost = Start(kGet);
+  RunFor(kTimeout - common::milliseconds(100));
+  Outcome& poll = Start(kPoll, kPollWait + kTimeout);
+  RunFor(common::milliseconds(200));
+  ASSERT_TRUE(lost.result.has_value());
+  EXPECT_FALSE(poll.result.has_value());
+  server_.set_silent(false);
+  Outcome& later_poll = Start(kPoll, kPollWait + kTimeout);
+  Outcome& call = Start(kGet);
+  RunFor(common::milliseconds(100));
+  EXPECT_TRUE(call.result.has_value() && call.result->ok());
+  ASSERT_TRUE(poll.result.has_value());
+  EXPECT_TRUE(absl::IsAborted(poll.result->status())) << poll.result->status();
+  EXPECT_FALSE(later_poll.result.has_value());
+}
+
 // A connection that has answered since the call was sent is not closed with the
 // silent one.
 TEST_F(HttpCallTest, ConnectionHeardMeanwhileIsKept) {
