Platform: rows of other writers name no endpoint unless they are sound

What callers would have seen: no request reached a live endpoint beside whose address an entry of an unknown service with a later start was written; and a line break in an entry's key added headers to forwarded requests.

Cause: fields were checked for their type only. Whole numbers beyond the signed range turned negative, `born` of another type counted as 0, addresses and keys were taken as they were, and any entry displaced another one at its address.

Change: an entry needs a printable key, an IP address with a port, at least one slot and a start time that fits; only entries of services that the configuration names displace others.

Sound entries beside odd ones stay in use and are followed.

--- a/packages/common/msgpack.h
+++ b/packages/common/msgpack.h
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "absl/status/statusor.h"
+#include "common/msgpack_depth.h"
 
 // Values as MessagePack.
 namespace wagtailshore::common {
@@ -22,6 +23,11 @@
 template <typename Read>
 auto UnpackMsgpack(std::string_view text, Read read)
     -> absl::StatusOr<decltype(read(nlohmann::json()))> {
+  // A level takes a byte at least, so shorter texts cannot exhaust the stack.
+  constexpr size_t kHarmlessBytes = 1024;
+  if (text.size() > kHarmlessBytes && !NestsWithinLimit(text)) {
+    return absl::InvalidArgumentError("malformed or nested too deep");
+  }
   const nlohmann::json value =
       nlohmann::json::from_msgpack(text.begin(), text.end(),
                                    /*strict=*/true,
--- a/packages/daemon/companion/group_coordinator.cc
+++ b/packages/daemon/companion/group_coordinator.cc
@@ -344,6 +344,12 @@
       return std::nullopt;
     }
     for (size_t layer = 0; layer < layers; ++layer) {
+      const std::vector<int>& experts = known->second.layers[layer];
+      if (std::any_of(experts.begin(), experts.end(), [this](int expert) {
+            return expert < 0 || expert >= options_.engine.experts;
+          })) {
+        return std::nullopt;
+      }
       maps[layer].ranks.push_back(known->second.layers[layer]);
     }
   }
--- a/packages/daemon/gateway/gateway_registry.cc
+++ b/packages/daemon/gateway/gateway_registry.cc
@@ -21,10 +21,13 @@
   return common::StrCat(common::ToMilliseconds(store_time));
 }
 
-// A malformed row counts as written at the store's start, so that it expires.
-common::Duration DecodeRow(const platform::Row& row) {
+// A malformed row, or one that is written later than now, counts as written at
+// the store's start, so that it expires.
+common::Duration DecodeRow(const platform::Row& row,
+                           common::Duration store_time) {
   int64_t milliseconds = 0;
-  return absl::SimpleAtoi(row.value, &milliseconds)
+  return absl::SimpleAtoi(row.value, &milliseconds) && milliseconds >= 0 &&
+                 milliseconds <= common::ToMilliseconds(store_time)
              ? common::milliseconds(milliseconds)
              : common::Duration::zero();
 }
@@ -108,7 +111,8 @@
     std::vector<std::string>& expired) const {
   std::vector<std::string> live;
   for (const platform::Row& row : rows.rows) {
-    if (DecodeRow(row) + options_.row_expiry >= rows.store_time ||
+    if (DecodeRow(row, rows.store_time) + options_.row_expiry >=
+            rows.store_time ||
         row.key == options_.name) {
       live.push_back(row.key);
     } else if (expired.size() + 1 < platform::kMaxChanges) {
--- a/packages/daemon/gateway/store_watch.cc
+++ b/packages/daemon/gateway/store_watch.cc
@@ -157,6 +157,11 @@
   }
   routes_ =
       std::make_shared<const serving::RouteTable>(*std::move(configuration));
+  std::set<std::string> services;
+  for (const serving::Service& service : routes_->configuration().services) {
+    services.insert(service.name);
+  }
+  fleet_.OnServices(std::move(services));
   common::LogEvent(
       common::EventId::kManifestInForce,
       common::StrCat("version=", routes_->version(),
--- a/packages/protocol/companion_messages/companion_messages.cc
+++ b/packages/protocol/companion_messages/companion_messages.cc
@@ -178,8 +178,13 @@
   }
   switch (*kind) {
     case OrderKind::kPrepare: {
-      auto map =
-          DecodeMap(json::from_msgpack(value.at("map").get_binary()), known);
+      const auto& encoded = value.at("map").get_binary();
+      if (!common::NestsWithinLimit(
+              {reinterpret_cast<const char*>(encoded.data()),
+               encoded.size()})) {
+        return absl::InvalidArgumentError("malformed or too deep map");
+      }
+      auto map = DecodeMap(json::from_msgpack(encoded), known);
       if (!map.ok()) {
         return map.status();
       }
--- a/packages/protocol/crash_report/crash_report.cc
+++ b/packages/protocol/crash_report/crash_report.cc
@@ -35,13 +35,23 @@
   if (!crash.ok()) {
     return crash.status();
   }
-  return common::UnpackMsgpack(value, [&](const json& fields) {
+  // Longer than any store's clock runs.
+  constexpr int64_t kMaxStoreTimeMs = 100LL * 365 * 24 * 3600 * 1000;
+  int64_t store_time_ms = 0;
+  auto report = common::UnpackMsgpack(value, [&](const json& fields) {
+    store_time_ms = fields.at("store_time_ms").get<int64_t>();
     return CrashReport{
         .crash = *std::move(crash),
-        .failure_domain = fields.at("failure_domain").get<std::string>(),
-        .store_time =
-            common::milliseconds(fields.at("store_time_ms").get<int64_t>())};
+        .failure_domain = fields.at("failure_domain").get<std::string>()};
   });
+  if (!report.ok()) {
+    return report.status();
+  }
+  if (store_time_ms < 0 || store_time_ms > kMaxStoreTimeMs) {
+    return absl::InvalidArgumentError("store_time_ms is out of range");
+  }
+  report->store_time = common::milliseconds(store_time_ms);
+  return report;
 }
 
 }  // namespace wagtailshore::crash_report
--- a/packages/state/fleet/fleet.cc
+++ b/packages/state/fleet/fleet.cc
@@ -94,6 +94,9 @@
 void Fleet::FindReplaced() {
   std::map<std::string, const EndpointRecord*> latest;
   for (const auto& [id, record] : endpoints_) {
+    if (!services_.contains(record.service)) {
+      continue;
+    }
     const EndpointRecord*& at_address = latest[record.address];
     if (at_address == nullptr) {
       at_address = &record;
@@ -107,6 +110,11 @@
   }
 }
 
+void Fleet::OnServices(std::set<std::string> services) {
+  services_ = std::move(services);
+  FindReplaced();
+}
+
 void Fleet::OnMisdirected(const std::string& id) {
   if (endpoints_.contains(id)) {
     replaced_.insert(id);
--- a/packages/state/fleet/fleet.h
+++ b/packages/state/fleet/fleet.h
@@ -70,6 +70,9 @@
   FleetChange OnList(const std::vector<EndpointRecord>& records,
                      common::Time requested_at,
                      common::Time received_at);
+  // Sets the services that the configuration names. An entry of any other
+  // service names no endpoint to use and does not displace one at its address.
+  void OnServices(std::set<std::string> services);
   // Another process than the one listed as `id` answered at its address: the
   // endpoint gets no new work until it restarts.
   void OnMisdirected(const std::string& id);
@@ -117,6 +120,7 @@
   bool HasDeparted(const EndpointRecord& record) const;
 
   FleetOptions options_;
+  std::set<std::string> services_;
   std::map<std::string, EndpointRecord> endpoints_;
   // Endpoints whose address belongs to a later process, by the list or by
   // OnMisdirected().
--- a/tests/unit/platform/store_test.cc
+++ b/tests/unit/platform/store_test.cc
@@ -180,10 +180,61 @@
         BadTextCase{"NumberForText",
                     R"({"service":3,"address":"1.2.3.4:5","zone":"z",)"
                     R"("slots":1,"state":"ready"})"},
+        BadTextCase{"PortOutOfRange",
+                    R"({"service":"s","address":"1.2.3.4:70000","zone":"z",)"
+                    R"("slots":1,"state":"ready"})"},
+        BadTextCase{"NoPort",
+                    R"({"service":"s","address":"1.2.3.4","zone":"z",)"
+                    R"("slots":1,"state":"ready"})"},
+        BadTextCase{"HostName",
+                    R"({"service":"s","address":"host:80","zone":"z",)"
+                    R"("slots":1,"state":"ready"})"},
+        BadTextCase{"NoSlots",
+                    R"({"service":"s","address":"1.2.3.4:5","zone":"z",)"
+                    R"("slots":0,"state":"ready"})"},
+        BadTextCase{"SlotsBeyondAllIntegers",
+                    R"({"service":"s","address":"1.2.3.4:5","zone":"z",)"
+                    R"("slots":18446744073709551615,"state":"ready"})"},
+        BadTextCase{"NumberOverflow",
+                    R"({"service":"s","address":"1.2.3.4:5","zone":"z",)"
+                    R"("slots":1,"state":"ready","x":1e999})"},
+        BadTextCase{
+            "StartBeyondAllIntegers",
+            R"({"service":"s","address":"1.2.3.4:5","zone":"z",)"
+            R"("slots":1,"state":"ready","born":18446744073709551615})"},
+        BadTextCase{"StartIsAText",
+                    R"({"service":"s","address":"1.2.3.4:5","zone":"z",)"
+                    R"("slots":1,"state":"ready","born":"x"})"},
         BadTextCase{"NoAddress", R"({"service":"s","zone":"z","slots":1,)"
                                  R"("state":"ready"})"}),
     [](const auto& info) { return std::string(info.param.name); });
 
+// Far deeper than a row can be.
+TEST(StoreTest, DeeplyNestedEntryNamesNoEndpoint) {
+  constexpr size_t kDepth = 2'000'000;
+  const std::string nested =
+      std::string(kDepth, '[') + std::string(kDepth, ']');
+  EXPECT_FALSE(DecodeEndpoint({.key = "i", .value = nested}).ok());
+  EXPECT_FALSE(
+      DecodeEndpoint({.key = "i", .value = "{\"address\":" + nested + "}"})
+          .ok());
+}
+
+class BadKeyTest : public testing::TestWithParam<const char*> {};
+
+// Guards against bytes of another writer in a header of forwarded requests.
+TEST_P(BadKeyTest, NamesNoEndpoint) {
+  EXPECT_FALSE(
+      DecodeEndpoint({.key = GetParam(),
+                      .value = R"({"service":"s","address":"1.2.3.4:5",)"
+                               R"("zone":"z","slots":1,"state":"ready"})"})
+          .ok());
+}
+
+INSTANTIATE_TEST_SUITE_P(Keys,
+                         BadKeyTest,
+                         testing::Values("", "a b", "a\r\nX: 1", "a\xc3\xa9"));
+
 TEST(StoreTest, EndpointIsDecoded) {
   const auto record = DecodeEndpoint(
       {.key = "i-1",
--- a/tests/unit/state/fleet/fleet_test.cc
+++ b/tests/unit/state/fleet/fleet_test.cc
@@ -220,12 +220,28 @@
 // with the new ones until they lapse.
 TEST(FleetTest, OfTwoAtOneAddressOnlyTheLaterIsUsable) {
   Fleet fleet({});
+  fleet.OnServices({"s"});
   ReadList(fleet, {Record("old", "1", 1), Record("young", "1", 2)}, At(0));
   EXPECT_EQ(fleet.FindUsable("old"), nullptr);
   EXPECT_NE(fleet.FindUsable("young"), nullptr);
   EXPECT_NE(fleet.Find("old"), nullptr);
 }
 
+// Guards against an entry of another writer that makes a live endpoint
+// unusable.
+TEST(FleetTest, EntryOfAnUnknownServiceDisplacesNobody) {
+  Fleet fleet({});
+  EndpointRecord odd = Record("odd", "1", 2);
+  odd.service = "none";
+  // The list may be known before the configuration.
+  ReadList(fleet, {Record("a", "1", 1), odd}, At(0));
+  fleet.OnServices({"s"});
+  ReadList(fleet, {Record("a", "1", 1), odd}, At(1000));
+  EXPECT_NE(fleet.FindUsable("a"), nullptr);
+  fleet.OnServices({"s", "none"});
+  EXPECT_EQ(fleet.FindUsable("a"), nullptr);
+}
+
 TEST(FleetTest, MisdirectedEndpointIsNotUsedUntilItStartsAnew) {
   Fleet fleet({});
   ReadList(fleet, {Record("a", "1", 1)}, At(0));
