Gateway: no error of the next endpoint inside a resumed stream

Callers could find an error's text in the middle of a stream that then ended as if it were complete: the stream had broken off, and the next endpoint answered 200 with its seal and an error as an event or as JSON.

Cause: events without a number were relayed in every run, although a run that goes on after event N consists of the events after N. Answers with an error status, without a seal or that are not HTTP never reached a stream.

Change: in a resumed run an event without a number, unless it is a comment, ends the attempt as event_without_number; another endpoint goes on or the stream is broken. Other side: a stream that broke off after its last event is complete when nothing or only comments follow.

--- a/packages/daemon/gateway/proxied_run.cc
+++ b/packages/daemon/gateway/proxied_run.cc
@@ -333,6 +333,7 @@
   DropBufferedBody();
   splitter_.Reset();
   streaming_ = false;
+  resuming_ = last_event_id_.has_value();
   proxied::Forwarding forwarding{.endpoint_id = endpoint.id,
                                  .customer = customer_,
                                  .time_left = deadline_ - attempt_started_at_,
@@ -457,6 +458,13 @@
       attempt_first_event_ = now() - attempt_started_at_;
       EndAdmissionWait(/*started=*/true);
     }
+    if (resuming_ && !event.id.has_value() && !event.comment) {
+      // The events of a stream are numbered. This is an error of the endpoint,
+      // or cannot be placed.
+      exchange_->Abandon();
+      RetryOrFail("event_without_number");
+      return;
+    }
     if (event.id.has_value() && last_event_id_.has_value()) {
       if (*event.id <= *last_event_id_) {
         continue;
@@ -713,7 +721,7 @@
       result == "resting" || result == "withdrawn" ||
       result == "answer_spoilt" || result == "answer_too_large" ||
       result == "event_too_large" || result == "caller_not_reading" ||
-      result == "event_missing";
+      result == "event_missing" || result == "event_without_number";
   if (result == "complete") {
     core_.crashes.OnAnswered(content_attempt_);
   } else if (endpoint_responds || (given_up && !silent)) {
--- a/packages/daemon/gateway/proxied_run.h
+++ b/packages/daemon/gateway/proxied_run.h
@@ -152,6 +152,8 @@
   std::string buffered_body_;
   event_stream::Splitter splitter_;
   bool streaming_ = false;
+  // Whether the attempt is to go on after the last event that the caller has.
+  bool resuming_ = false;
 
   int attempts_ = 0;
   int connect_failures_ = 0;
--- a/packages/protocol/event_stream/event_stream.cc
+++ b/packages/protocol/event_stream/event_stream.cc
@@ -43,6 +43,19 @@
   return std::nullopt;
 }
 
+bool IsComment(std::string_view text) {
+  while (!text.empty()) {
+    const size_t end = text.find('\n');
+    const std::string_view line = text.substr(0, end);
+    if (!line.empty() && line != "\r" && !line.starts_with(':')) {
+      return false;
+    }
+    text = end == std::string_view::npos ? std::string_view()
+                                         : text.substr(end + 1);
+  }
+  return true;
+}
+
 }  // namespace
 
 std::vector<Event> Splitter::Feed(std::string_view data) {
@@ -56,7 +69,9 @@
       break;
     }
     const std::string_view text = rest.substr(0, end);
-    events.push_back({.text = std::string(text), .id = IdOf(text)});
+    events.push_back({.text = std::string(text),
+                      .id = IdOf(text),
+                      .comment = IsComment(text)});
     start += end;
   }
   buffer_.erase(0, start);
--- a/packages/protocol/event_stream/event_stream.h
+++ b/packages/protocol/event_stream/event_stream.h
@@ -16,6 +16,8 @@
   // Number in the event's "id" line; nullopt if there is none or it is not a
   // number.
   std::optional<uint64_t> id;
+  // Whether there are only comments and blank lines in it.
+  bool comment = false;
 };
 
 // Splits a stream into complete events.
--- a/tests/unit/daemon/gateway/gateway_test.cc
+++ b/tests/unit/daemon/gateway/gateway_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
+
 #include "common/strings.h"
 #include "support/hosted_world.h"
 
@@ -195,6 +197,114 @@
   EXPECT_EQ(answer.body.find("HTTP"), std::string::npos);
 }
 
+// What an endpoint answers to a resumed stream instead of its events.
+struct ResumptionCase {
+  const char* name;
+  std::function<Reply(const Received&)> second;
+};
+
+std::ostream& operator<<(std::ostream& out, const ResumptionCase& param) {
+  return out << param.name;
+}
+
+Reply TextWith(const Received& request,
+               int status,
+               const std::string& headers,
+               const std::string& body,
+               bool close = false) {
+  const std::string length =
+      close ? "" : common::StrCat("Content-Length: ", body.size(), "\r\n");
+  return {.bytes = common::StrCat(HeadOf(request, status, headers + length),
+                                  "\r\n", body),
+          .close = close};
+}
+
+class ResumedStreamTest : public testing::TestWithParam<ResumptionCase> {};
+
+// Guards against an error of the second endpoint in the middle of a stream, and
+// against a stream that then ends as if it were complete.
+TEST_P(ResumedStreamTest, ErrorOfTheNextEndpointBreaksTheStream) {
+  HostedWorld world(2);
+  world.Script([](const Received& request) {
+    return request.head.headers.Find("Last-Event-Id") == nullptr
+               ? CutStream(request, 0, 2)
+               : GetParam().second(request);
+  });
+  const CallerAnswer answer = world.Ask({.path = "/stream/x"});
+  EXPECT_EQ(answer.status, 200);
+  EXPECT_FALSE(answer.complete);
+  EXPECT_EQ(answer.body,
+            "id: 0\ndata: x\n\nid: 1\ndata: x\n\nid: 2\ndata: x\n\n");
+}
+
+constexpr char kErrorEvent[] = "event: error\ndata: failed\n\n";
+
+INSTANTIATE_TEST_SUITE_P(
+    Errors,
+    ResumedStreamTest,
+    testing::Values(
+        ResumptionCase{"Error",
+                       [](const Received& request) {
+                         return Plain(request, 500, "failed\n\n");
+                       }},
+        ResumptionCase{"ErrorUntilClose",
+                       [](const Received& request) {
+                         return TextWith(request, 502, "", kErrorEvent,
+                                         /*close=*/true);
+                       }},
+        ResumptionCase{"NotFound",
+                       [](const Received& request) {
+                         return Plain(request, 404, "id: 3\ndata: x\n\n");
+                       }},
+        ResumptionCase{"Refusal", Refusal},
+        ResumptionCase{"BadRequestNotRun",
+                       [](const Received& request) {
+                         return TextWith(request, 400,
+                                         "X-Wagtailshore-Not-Executed: 1\r\n",
+                                         kErrorEvent);
+                       }},
+        ResumptionCase{"Unsealed", WithoutSeal},
+        ResumptionCase{"NotHttp", NotHttp},
+        ResumptionCase{"ErrorAsAnEvent",
+                       [](const Received& request) {
+                         return TextWith(request, 200, "", kErrorEvent);
+                       }},
+        ResumptionCase{"TextWithStatus200",
+                       [](const Received& request) {
+                         return TextWith(request, 200, "",
+                                         "{\"error\":\"failed\"}\n\n");
+                       }},
+        ResumptionCase{"TextUntilClose",
+                       [](const Received& request) {
+                         return TextWith(request, 200, "", kErrorEvent,
+                                         /*close=*/true);
+                       }},
+        ResumptionCase{"NothingUntilClose",
+                       [](const Received& request) {
+                         return TextWith(request, 200, "", "", /*close=*/true);
+                       }},
+        ResumptionCase{"ErrorAfterAnEvent",
+                       [](const Received& request) {
+                         return TextWith(
+                             request, 200, "",
+                             common::StrCat("id: 2\ndata: x\n\n", kErrorEvent));
+                       }}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+// The other side: a stream that broke off between its last event and its end is
+// complete when the next endpoint has nothing to add; comments are no events.
+TEST(GatewayTest, ResumedStreamWithoutFurtherEventsIsComplete) {
+  for (const char* body : {"", ": nothing more\n\n"}) {
+    HostedWorld world(2);
+    world.Script([&](const Received& request) {
+      return request.head.headers.Find("Last-Event-Id") == nullptr
+                 ? CutStream(request, 0, 2)
+                 : TextWith(request, 200, "", body);
+    });
+    EXPECT_TRUE(world.Ask({.path = "/stream/x"}).complete) << body;
+  }
+}
+
 TEST(GatewayTest, EventsThatAreMissingBreakTheStream) {
   HostedWorld world(1);
   world.Script([](const Received& request) {
