Gateway: an answer without an id on a reused connection is not the request's

Callers could be told "not run" for a request that ran, or it ran at a second endpoint: a faulty endpoint wrote an earlier refusal once more on a kept connection, ahead of its answer to the next request.

Cause: the id in an answer tells it from those to earlier requests, but an answer without an id counted as the own one. With another id it was dropped already.

Change: without an id, only the first answer on a connection is the request's own. On a reused one it is dropped and the own answer awaited. Evidence: 5 of the 7 kinds of RepeatedAnswerTest failed before, all pass now. Other side: a first answer without an id is taken.

--- a/packages/daemon/gateway/proxied_run.cc
+++ b/packages/daemon/gateway/proxied_run.cc
@@ -344,6 +344,7 @@
                             now());
   content_attempt_ = core_.crashes.OnSent(factors_, endpoint_process_);
   exchange_ = &core_.pool.Acquire(endpoint_process_, endpoint.address);
+  connection_reused_ = exchange_->connected();
   exchange_->Send(platform::EncodeForwardedRequest(request_, forwarding), *this,
                   request_.method == "HEAD");
 }
@@ -367,8 +368,8 @@
 http_channel::ResponseOrigin ProxiedRun::OnHead(
     const http1::ResponseHead& head) {
   proxied::EndpointAnswer answer = platform::DecodeEndpointAnswer(head);
-  if (answer.attempt_id.has_value() &&
-      *answer.attempt_id != request_.attempt_id) {
+  if (!IsOwnAnswer(answer)) {
+    ++foreign_answers_;
     return http_channel::ResponseOrigin::kEarlierExchange;
   }
   last_received_at_ = now();
@@ -390,6 +391,15 @@
   return http_channel::ResponseOrigin::kThisExchange;
 }
 
+bool ProxiedRun::IsOwnAnswer(const proxied::EndpointAnswer& answer) const {
+  if (answer.attempt_id.has_value()) {
+    return *answer.attempt_id == request_.attempt_id;
+  }
+  // Endpoints return the id of the request. Without it, only the first answer
+  // on a connection cannot belong to an earlier request.
+  return request_.attempt_id.empty() || !connection_reused_;
+}
+
 void ProxiedRun::NoteDemands(const proxied::EndpointAnswer& answer) {
   // Another endpoint answered at the address, or the process has been replaced.
   const fleet::EndpointRecord* listed = core_.fleet.Find(endpoint_id_);
@@ -767,6 +777,9 @@
         " first_event_ms=", common::ToMilliseconds(first_event_after_),
         " longest_pause_ms=", common::ToMilliseconds(longest_pause_));
   }
+  if (foreign_answers_ > 0) {
+    common::StrAppend(&log_details_, " foreign_answers=", foreign_answers_);
+  }
   core_.metrics.OnAnswer(took);
   core_.metrics.OnRequest(route_ == nullptr ? "none" : route_->name, outcome);
   common::LogEvent(
--- a/packages/daemon/gateway/proxied_run.h
+++ b/packages/daemon/gateway/proxied_run.h
@@ -88,6 +88,9 @@
   void Fail(std::string_view cause, common::Duration retry_after);
   void OnDeadline();
 
+  // Whether the answer belongs to this request. A faulty endpoint may write
+  // that to an earlier one once more on a reused connection.
+  bool IsOwnAnswer(const proxied::EndpointAnswer& answer) const;
   // Takes over what the endpoint asks for in its answer.
   void NoteDemands(const proxied::EndpointAnswer& answer);
   void OnBufferedAnswer();
@@ -139,6 +142,7 @@
   std::string endpoint_id_;
   // Distinguishes the endpoint from an earlier or later process with its id.
   std::string endpoint_process_;
+  bool connection_reused_ = false;
   common::Time attempt_started_at_{};
   // When the endpoint last sent something for the attempt.
   common::Time last_received_at_{};
@@ -169,6 +173,8 @@
   common::Duration first_event_after_{};
   common::Duration longest_pause_{};
   bool ended_ = false;
+  // Answers of earlier exchanges that were dropped.
+  int foreign_answers_ = 0;
   // For the log: each attempt's endpoint and result, the age of the
   // configuration on arrival, and further fields.
   std::string attempt_log_;
--- a/tests/unit/daemon/gateway/gateway_test.cc
+++ b/tests/unit/daemon/gateway/gateway_test.cc
@@ -305,6 +305,91 @@
   }
 }
 
+// An answer of an earlier exchange that an endpoint writes once more on a kept
+// connection, ahead of its answer to the next request.
+struct RepeatedAnswerCase {
+  const char* name;
+  int status;
+  const char* headers;
+  // Whether it names the earlier request.
+  bool with_id;
+};
+
+std::ostream& operator<<(std::ostream& out, const RepeatedAnswerCase& param) {
+  return out << param.name;
+}
+
+class RepeatedAnswerTest : public testing::TestWithParam<RepeatedAnswerCase> {};
+
+// Guards against "not run" for a request that runs, and against its second run.
+TEST_P(RepeatedAnswerTest, DoesNotAnswerTheNextRequest) {
+  const RepeatedAnswerCase& param = GetParam();
+  for (const char* path : {"/once/x", "/safe/x", "/stream/x"}) {
+    HostedWorld world(2);
+    int runs = 0;
+    std::map<std::string, std::string> earlier_of;
+    world.Script([&](const Received& request) {
+      const std::string* id =
+          request.head.headers.Find("X-Wagtailshore-Attempt-Id");
+      const std::string* expected =
+          request.head.headers.Find("X-Wagtailshore-Expect-Instance");
+      std::string& earlier = earlier_of[*expected];
+      const std::string repeated = earlier;
+      earlier = common::StrCat(
+          "HTTP/1.1 ", param.status, " X\r\n",
+          param.with_id
+              ? common::StrCat("X-Wagtailshore-Attempt-Id: ", *id, "\r\n")
+              : "",
+          param.headers, "Content-Length: 0\r\n\r\n");
+      ++runs;
+      const bool stream = request.head.target.starts_with("/stream/");
+      return Reply{.bytes = repeated + (stream ? Stream(request, 0, 2)
+                                               : Plain(request, 200, "ok"))
+                                           .bytes};
+    });
+    for (int i = 0; i < 6; ++i) {
+      runs = 0;
+      const CallerAnswer answer =
+          world.Ask({.path = path, .id = common::StrCat("n", i)});
+      EXPECT_EQ(answer.status, 200) << path << " " << i;
+      EXPECT_TRUE(answer.complete);
+      EXPECT_EQ(runs, 1) << path << " " << i;
+    }
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Answers,
+    RepeatedAnswerTest,
+    testing::Values(
+        RepeatedAnswerCase{"Refusal", 503, "X-Wagtailshore-Not-Executed: 1\r\n",
+                           true},
+        RepeatedAnswerCase{"RefusalWithoutId", 503,
+                           "X-Wagtailshore-Not-Executed: 1\r\n", false},
+        RepeatedAnswerCase{"LimitWithoutId", 429,
+                           "X-Wagtailshore-Not-Executed: 1\r\n", false},
+        RepeatedAnswerCase{"MisdirectedWithoutId", 421, "", false},
+        RepeatedAnswerCase{"BadRequestWithoutId", 400,
+                           "X-Wagtailshore-Not-Executed: 1\r\n", false},
+        RepeatedAnswerCase{"ErrorWithoutId", 500, "", false},
+        RepeatedAnswerCase{"LeavingRefusal", 503,
+                           "X-Wagtailshore-Not-Executed: 1\r\n"
+                           "Server-Limit: 0.1\r\n",
+                           true}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+// The other side: the first answer on a connection can only be the request's
+// own, also without an id.
+TEST(GatewayTest, FirstAnswerOnAConnectionNeedsNoId) {
+  HostedWorld world(1);
+  world.Script([](const Received&) {
+    return Reply{.bytes =
+                     "HTTP/1.1 503 X\r\nX-Wagtailshore-Not-Executed: 1\r\n"
+                     "Content-Length: 0\r\n\r\n"};
+  });
+  EXPECT_EQ(world.Ask({.path = "/once/x"}).status, 503);
+}
+
 TEST(GatewayTest, EventsThatAreMissingBreakTheStream) {
   HostedWorld world(1);
   world.Script([](const Received& request) {
