--- a/tests/unit/transport/http_channel/http_call_test.cc
+++ b/tests/unit/transport/http_channel/http_call_test.cc
@@ -90,6 +90,7 @@
   // Opens `count` connections and leaves them idle.
   void OpenConnections(int count) {
     std::vector<const Outcome*> calls;
+    calls.reserve(count);
     for (int i = 0; i < count; ++i) {
       calls.push_back(&Start(kGet));
     }
