Gateway: rows of gateways may be newer than the store's clock after a drill

A row's time was refused when it lay after the store's time. The clock of a store that comes back from an older copy may go back with it, and a row that was written with the time from before would have expired, which others take for a gateway that ended. Times up to the expiry later are accepted; found by reading, no run showed it.

--- a/packages/daemon/gateway/gateway_registry.cc
+++ b/packages/daemon/gateway/gateway_registry.cc
@@ -21,13 +21,12 @@
   return common::StrCat(common::ToMilliseconds(store_time));
 }
 
-// A malformed row, or one that is written later than now, counts as written at
+// A malformed row, or one that was written after `latest`, counts as written at
 // the store's start, so that it expires.
-common::Duration DecodeRow(const platform::Row& row,
-                           common::Duration store_time) {
+common::Duration DecodeRow(const platform::Row& row, common::Duration latest) {
   int64_t milliseconds = 0;
   return absl::SimpleAtoi(row.value, &milliseconds) && milliseconds >= 0 &&
-                 milliseconds <= common::ToMilliseconds(store_time)
+                 milliseconds <= common::ToMilliseconds(latest)
              ? common::milliseconds(milliseconds)
              : common::Duration::zero();
 }
@@ -111,8 +110,9 @@
     std::vector<std::string>& expired) const {
   std::vector<std::string> live;
   for (const platform::Row& row : rows.rows) {
-    if (DecodeRow(row, rows.store_time) + options_.row_expiry >=
-            rows.store_time ||
+    // The clock of a store that goes back may go back with it.
+    const common::Duration latest = rows.store_time + options_.row_expiry;
+    if (DecodeRow(row, latest) + options_.row_expiry >= rows.store_time ||
         row.key == options_.name) {
       live.push_back(row.key);
     } else if (expired.size() + 1 < platform::kMaxChanges) {
