Gateway: keys are accepted again 2.2 s after a drill, not 0.4 s later

LostRevocationTest/AwayForLong failed once, with the sanitizers beside load: a valid key was still refused 7.0 s after the start, 2.57 s after the gateway had found the store back.

Cause, by the trace: the long poll that ends with the 2.2 s in which nothing confirms the configuration may be dated a moment before their end, as the time of an answer is known from below. It then confirmed nothing, and the next poll took another change_pause of 0.4 s, in which keys are refused.

Change: that poll ends 50 ms later.

--- a/packages/daemon/gateway/store_watch.cc
+++ b/packages/daemon/gateway/store_watch.cc
@@ -7,6 +7,14 @@
 #include "common/strings.h"
 
 namespace wagtailshore::gateway {
+namespace {
+
+// The time of an answer is known from below, by up to this much on a slow
+// instance.
+constexpr common::Duration kAnswerTimeError = common::milliseconds(50);
+
+}  // namespace
+
 StoreWatch::StoreWatch(event_loop::EventLoop& loop,
                        http_channel::HttpCaller& caller,
                        StoreWatchOptions options,
@@ -122,7 +130,8 @@
   if (earliest_answer_at < rewritten_at_) {
     // The operators may still have to write a lost change again, so this
     // confirms nothing. Changes are taken in all the same.
-    const common::Duration left = rewritten_at_ - loop_.Now();
+    const common::Duration left =
+        rewritten_at_ + kAnswerTimeError - loop_.Now();
     AwaitConfiguration(std::max(left, options_.change_pause));
     return;
   }
