Transport: one place starts and stops a call's timers

Read again: HttpCaller's exchange set its two timers in two places and cancelled them in four, and two tests had the same loop that asks for a while. The timers now start in StartTimers() and stop in CancelTimers(); the loop is HostedWorld::CountUnserved(). Behaviour stays as it is, and so do the checks: each request still has to be answered with 200.

http_call_test, gateway_test, companion_test, store_restored_test and silent_store_connections_test pass; lint without findings on the changed files.

--- a/packages/transport/http_channel/http_call.cc
+++ b/packages/transport/http_channel/http_call.cc
@@ -46,13 +46,11 @@
     Send(caller_.pool_.Acquire(address_, address_));
   }
   void Cancel() {
-    caller_.loop_.Cancel(timer_);
-    caller_.loop_.Cancel(silence_timer_);
+    CancelTimers();
     channel_->Abandon();
   }
   std::function<void(CallResult)> TakeDone() {
-    caller_.loop_.Cancel(timer_);
-    caller_.loop_.Cancel(silence_timer_);
+    CancelTimers();
     return std::move(done_);
   }
 
@@ -97,20 +95,30 @@
   void Send(EndpointChannel& channel) {
     channel_ = &channel;
     reused_ = channel.connected();
+    StartTimers();
+    channel_->SetIdleLimit(kIdleLimit);
+    channel_->Send(request_, *this, /*without_body=*/false);
+  }
+
+  // Counts the times from now on.
+  void StartTimers() {
+    CancelTimers();
     sent_at_ = caller_.loop_.Now();
     timer_ = caller_.loop_.RunAfter(timeout_, [this] { OnTimeout(); });
     if (reused_ && repeatable_ && kSilenceLimit < timeout_) {
       silence_timer_ =
           caller_.loop_.RunAfter(kSilenceLimit, [this] { OnSilence(); });
     }
-    channel_->SetIdleLimit(kIdleLimit);
-    channel_->Send(request_, *this, /*without_body=*/false);
+  }
+
+  void CancelTimers() {
+    for (event_loop::TimerId* timer : {&timer_, &silence_timer_}) {
+      caller_.loop_.Cancel(*timer);
+      *timer = event_loop::kNoTimer;
+    }
   }
 
   void Repeat() {
-    caller_.loop_.Cancel(timer_);
-    caller_.loop_.Cancel(silence_timer_);
-    silence_timer_ = event_loop::kNoTimer;
     answer_ = {};
     too_large_ = false;
     Send(caller_.pool_.Open(address_, address_));
@@ -122,11 +130,7 @@
         caller_.loop_.Now() - sent_at_ - kSilenceLimit;
     if (late > kMaxTimerDelay) {
       // This process was suspended: the answer may have arrived unread.
-      sent_at_ = caller_.loop_.Now();
-      caller_.loop_.Cancel(timer_);
-      timer_ = caller_.loop_.RunAfter(timeout_, [this] { OnTimeout(); });
-      silence_timer_ =
-          caller_.loop_.RunAfter(kSilenceLimit, [this] { OnSilence(); });
+      StartTimers();
       return;
     }
     GiveUpConnection();
--- a/tests/support/hosted_world.cc
+++ b/tests/support/hosted_world.cc
@@ -533,6 +533,18 @@
   return answers;
 }
 
+int HostedWorld::CountUnserved(common::Duration duration) {
+  constexpr common::Duration kPause = common::milliseconds(50);
+  const common::Time end = loop_.Now() + duration;
+  int unserved = 0;
+  while (loop_.Now() < end) {
+    const std::string id = common::StrCat("counted", ++counted_requests_);
+    unserved += Ask({.id = id}).status == 200 ? 0 : 1;
+    RunFor(kPause);
+  }
+  return unserved;
+}
+
 void HostedWorld::AskAndDisconnect(const CallerRequestOptions& options,
                                    common::Duration delay) {
   AnswerCollector collector;
--- a/tests/support/hosted_world.h
+++ b/tests/support/hosted_world.h
@@ -238,6 +238,9 @@
   // Sends the requests at once and runs the event loop until all have ended.
   std::vector<CallerAnswer> AskAll(
       const std::vector<CallerRequestOptions>& requests);
+  // Sends requests that may be repeated one after the other for the duration.
+  // Returns how many were not answered with 200.
+  int CountUnserved(common::Duration duration);
   // Sends a request and closes its connection after `delay`.
   void AskAndDisconnect(const CallerRequestOptions& options,
                         common::Duration delay);
@@ -275,6 +278,7 @@
   // Replaced gateways, which timers of the event loop still refer to.
   std::vector<std::unique_ptr<gateway::Gateway>> retired_;
   int64_t last_start_ms_ = 0;
+  int counted_requests_ = 0;
   std::unique_ptr<http_channel::EndpointPool> callers_;
 };
 
--- a/tests/unit/daemon/gateway/silent_store_connections_test.cc
+++ b/tests/unit/daemon/gateway/silent_store_connections_test.cc
@@ -167,22 +167,14 @@
                                        : soak::LinkFault::kNone);
     }
   };
-  int asked = 0;
-  const auto ask_for = [&](common::Duration duration) {
-    const common::Time end = world.loop().Now() + duration;
-    while (world.loop().Now() < end) {
-      EXPECT_EQ(world.Ask({.id = common::StrCat("a", ++asked)}).status, 200);
-      world.RunFor(common::milliseconds(50));
-    }
-  };
   set_away(true);
-  ask_for(common::seconds(4));
+  EXPECT_EQ(world.CountUnserved(common::seconds(4)), 0);
   world.store().RemoveEndpoint("e0");
   set_away(false);
-  ask_for(common::milliseconds(1900));
+  EXPECT_EQ(world.CountUnserved(common::milliseconds(1900)), 0);
   world.store().SetEndpoint(
       "e0", HostedWorld::EndpointEntry(world.endpoint(0).address()));
-  ask_for(common::seconds(3));
+  EXPECT_EQ(world.CountUnserved(common::seconds(3)), 0);
 }
 
 INSTANTIATE_TEST_SUITE_P(Stores,
--- a/tests/unit/daemon/gateway/store_restored_test.cc
+++ b/tests/unit/daemon/gateway/store_restored_test.cc
@@ -182,17 +182,9 @@
   world.store().TakeCopy();
   world.store().SetEndpoint("e0", entry);
   world.store().RestoreCopy();
-  int asked = 0;
-  const auto ask_for = [&](common::Duration duration) {
-    const common::Time end = world.loop().Now() + duration;
-    while (world.loop().Now() < end) {
-      EXPECT_EQ(world.Ask({.id = common::StrCat("l", ++asked)}).status, 200);
-      world.RunFor(common::milliseconds(50));
-    }
-  };
-  ask_for(common::milliseconds(1900));
+  EXPECT_EQ(world.CountUnserved(common::milliseconds(1900)), 0);
   world.store().SetEndpoint("e0", entry);
-  ask_for(kTwoReadsOfTheList);
+  EXPECT_EQ(world.CountUnserved(kTwoReadsOfTheList), 0);
 }
 
 // Guards against losing what gateways wrote: each writes its rows again.
