--- a/packages/transport/http_channel/http_call.cc
+++ b/packages/transport/http_channel/http_call.cc
@@ -39,6 +39,7 @@
              const Call& call,
              common::Duration timeout) {
     address_ = address;
+    target_ = call.target;
     request_ = Format(address, call);
     wait_ = call.wait;
     repeatable_ = call.method == "GET" && wait_ == common::Duration::zero();
@@ -70,7 +71,8 @@
   }
   void OnComplete() override {
     if (caller_.unanswered_.erase(address_) > 0) {
-      caller_.CloseSilent(address_, sent_at_, "answers_again=1");
+      caller_.CloseSilent(address_, sent_at_,
+                          common::StrCat("answers_again=1 target=", target_));
     }
     if (too_large_) {
       caller_.End(id_, absl::ResourceExhaustedError(
@@ -167,7 +169,8 @@
     caller_.CloseSilent(
         address_, sent_at_,
         common::StrCat("waited_ms=", common::ToMilliseconds(now - sent_at_),
-                       " silent_ms=", common::ToMilliseconds(now - heard_at)));
+                       " silent_ms=", common::ToMilliseconds(now - heard_at),
+                       " target=", target_));
     return true;
   }
 
@@ -175,6 +178,7 @@
   uint64_t id_;
   std::function<void(CallResult)> done_;
   std::string address_;
+  std::string target_;
   std::string request_;
   bool repeatable_ = false;
   common::Duration wait_{};
