--- a/tests/support/hosted_world.cc
+++ b/tests/support/hosted_world.cc
@@ -145,6 +145,12 @@
       .dump();
 }
 
+void FakeStore::LoseFeeds(const std::string& table) {
+  std::erase_if(waiting_, [&](const auto& item) {
+    return item.second.table == table;
+  });
+}
+
 void FakeStore::AnswerFeed(http_channel::CallerChannel& channel) {
   if (waiting_.erase(&channel) == 0 || silent_) {
     return;
@@ -162,7 +168,9 @@
       continue;
     }
     next = waiting_.erase(next);
-    Respond(*channel, 200, AnswerWith(rows));
+    if (!silent_) {
+      Respond(*channel, 200, AnswerWith(rows));
+    }
   }
 }
 
--- a/tests/support/hosted_world.h
+++ b/tests/support/hosted_world.h
@@ -39,6 +39,9 @@
   void set_down(bool down) { down_ = down; }
   // Accepts calls and answers none of them while set, nor later.
   void set_silent(bool silent) { silent_ = silent; }
+  // Loses the feed requests for the table that wait for a change: they are not
+  // answered, while all other calls are.
+  void LoseFeeds(const std::string& table);
   int calls() const { return calls_; }
   // How long a feed request waits for changes at most, whatever it asks for.
   void set_feed_wait(common::Duration wait) { feed_wait_ = wait; }
