Gateway: the store's newest revision shows a lost long poll of the configuration

Callers saw an old configuration for up to 2.1 s longer than allowed (404 for routes that had been added) after silences of 0.2 s to 1 s.

Cause: nothing but its own time, 3.2 s + 0.9 s, ended a long poll whose request was lost. Other calls end it only if one of them falls into the silence; the list is read every 1.6 s, so a shorter silence left no trace.

Change: every answer of the store names its newest revision, which rises by one with each write to any table. StoreRevisions collects it, and the revisions of the rows that were read. When a read of the list shows a revision that no row explains, and the poll has not delivered it 100 ms later, the changes are read by a short call. A list without such a revision confirms the configuration at no cost. A change is now known 1.6 s + 0.1 s + two answers after the confirmation or the end of the silence, whichever is later, where 2 s and 3 s are allowed.

--- a/packages/common/event_log.cc
+++ b/packages/common/event_log.cc
@@ -166,6 +166,11 @@
               "an answer in time. Unless WS-1501 follows, only connections "
               "were lost, and a new one is answered.",
               "If frequent, check the network to the address."},
+    EventSpec{EventId::kPollLost, Severity::kWarning, "long poll lost",
+              "A table has changes since revision that its long poll, pending "
+              "for waited_ms, did not deliver: its request or answer was lost. "
+              "The changes are in force now, and the next poll follows.",
+              "If frequent, check the platform and the network to it."},
     EventSpec{
         EventId::kCoordinatorTaken, Severity::kInfo, "coordinator taken over",
         "This companion now coordinates its group's expert maps.", "None."},
--- a/packages/common/event_log.h
+++ b/packages/common/event_log.h
@@ -46,6 +46,7 @@
   kCrashReportsDropped = 1506,
   kStoreRestored = 1507,
   kConnectionSilent = 1508,
+  kPollLost = 1509,
   kCoordinatorTaken = 1601,
   kCoordinatorNotTaken = 1602,
   kCoordinatorSuperseded = 1603,
--- a/packages/daemon/gateway/gateway.cc
+++ b/packages/daemon/gateway/gateway.cc
@@ -94,13 +94,15 @@
       freshness_({.revocation_bound = settings_.revocation_bound}),
       fleet_({}),
       router_(RouterOptionsOf(settings_)),
+      store_revisions_({}),
       registry_(loop,
                 caller_,
                 {.store_address = settings_.store_address,
                  .name = settings_.name,
                  .share = {.reserve = settings_.retry_allowance,
                            .window = settings_.retry_window}},
-                store_era_),
+                store_era_,
+                store_revisions_),
       crash_watch_(loop,
                    caller_,
                    {.store_address = settings_.store_address,
@@ -115,6 +117,7 @@
           {.store_address = settings_.store_address,
            .endpoints_period = EndpointsPeriod(settings_)},
           store_era_,
+          store_revisions_,
           freshness_,
           fleet_,
           [this](const fleet::FleetChange& change) { OnFleetChange(change); },
@@ -138,7 +141,9 @@
             .metrics = metrics_,
             .random = std::minstd_rand(std::random_device{}())},
       monitoring_server_(std::make_unique<MonitoringServer>(*this)),
-      callers_(loop, *this, [this] { return CallerOptions(); }) {}
+      callers_(loop, *this, [this] { return CallerOptions(); }) {
+  store_era_.OnRestored([this] { store_revisions_.OnStoreRestored(); });
+}
 
 Gateway::~Gateway() = default;
 
--- a/packages/daemon/gateway/gateway.h
+++ b/packages/daemon/gateway/gateway.h
@@ -63,6 +63,7 @@
   routing::Router router_;
   metrics::GatewayMetrics metrics_;
   store_era::StoreEra store_era_;
+  store_revisions::StoreRevisions store_revisions_;
   GatewayRegistry registry_;
   CrashWatch crash_watch_;
   StoreWatch store_watch_;
--- a/packages/daemon/gateway/gateway_registry.cc
+++ b/packages/daemon/gateway/gateway_registry.cc
@@ -36,11 +36,13 @@
 GatewayRegistry::GatewayRegistry(event_loop::EventLoop& loop,
                                  http_channel::HttpCaller& caller,
                                  GatewayRegistryOptions options,
-                                 store_era::StoreEra& era)
+                                 store_era::StoreEra& era,
+                                 store_revisions::StoreRevisions& revisions)
     : loop_(loop),
       caller_(caller),
       options_(std::move(options)),
       era_(era),
+      revisions_(revisions),
       share_(options_.share),
       retry_delay_(options_.retry_min, options_.retry_max) {
   era_.OnRestored([this] { OnStoreRestored(); });
@@ -91,6 +93,10 @@
     }
     return;
   }
+  revisions_.OnAnswer(rows->revision);
+  for (const platform::Row& row : rows->rows) {
+    revisions_.OnRow(row.revision);
+  }
   std::vector<std::string> expired;
   const std::vector<std::string> gateways = LiveKeys(*rows, expired);
   // With more gateways than one page holds, shares would be too small to use.
--- a/packages/daemon/gateway/gateway_registry.h
+++ b/packages/daemon/gateway/gateway_registry.h
@@ -10,6 +10,7 @@
 #include "coordination/endpoint_limits/endpoint_limits.h"
 #include "coordination/retry_window/reserve_share.h"
 #include "coordination/store_era/store_era.h"
+#include "coordination/store_revisions/store_revisions.h"
 #include "platform/store.h"
 #include "transport/event_loop/event_loop.h"
 #include "transport/http_channel/http_call.h"
@@ -39,7 +40,8 @@
   GatewayRegistry(event_loop::EventLoop& loop,
                   http_channel::HttpCaller& caller,
                   GatewayRegistryOptions options,
-                  store_era::StoreEra& era);
+                  store_era::StoreEra& era,
+                  store_revisions::StoreRevisions& revisions);
 
   void Start();
   // Retries in a window that this gateway may take from the reserve.
@@ -72,6 +74,7 @@
   http_channel::HttpCaller& caller_;
   GatewayRegistryOptions options_;
   store_era::StoreEra& era_;
+  store_revisions::StoreRevisions& revisions_;
   retry_window::ReserveShare share_;
   bool registered_ = false;
   // All gateways, by name and in order; empty until known.
--- a/packages/daemon/gateway/store_watch.cc
+++ b/packages/daemon/gateway/store_watch.cc
@@ -19,6 +19,7 @@
                        http_channel::HttpCaller& caller,
                        StoreWatchOptions options,
                        store_era::StoreEra& era,
+                       store_revisions::StoreRevisions& revisions,
                        freshness::Freshness& freshness,
                        fleet::Fleet& fleet,
                        OnFleetChange on_fleet_change,
@@ -27,6 +28,7 @@
       caller_(caller),
       options_(std::move(options)),
       era_(era),
+      revisions_(revisions),
       freshness_(freshness),
       fleet_(fleet),
       on_fleet_change_(std::move(on_fleet_change)),
@@ -73,6 +75,7 @@
       common::EventId::kStoreRestored,
       common::StrCat("era=", era_.current(), " revision=", revision_));
   ++generation_;
+  poll_sent_at_.reset();
   rewritten_at_ = loop_.Now() + options_.rewriting_time;
   fleet_.OnListRestored(loop_.Now());
   ReadConfiguration();
@@ -89,13 +92,65 @@
 
 void StoreWatch::AwaitConfiguration(common::Duration wait) {
   const common::Time requested_at = loop_.Now();
+  poll_sent_at_ = requested_at;
   Call(platform::AwaitConfigurationCall(revision_, wait),
        wait + options_.call_timeout,
-       [this, requested_at](const http_channel::CallResult& result) {
-         OnConfigurationAnswer(requested_at, result);
+       [this, requested_at,
+        poll = ++polls_](const http_channel::CallResult& result) {
+         if (poll == polls_) {
+           poll_sent_at_.reset();
+           OnConfigurationAnswer(requested_at, result);
+         }
        });
 }
 
+void StoreWatch::CheckPoll(common::Time shown_at) {
+  if (!poll_sent_at_.has_value() || *poll_sent_at_ > shown_at ||
+      !revisions_.MayHaveChanged(revision_)) {
+    return;
+  }
+  const common::Time requested_at = loop_.Now();
+  Call(platform::AwaitConfigurationCall(revision_, common::Duration::zero()),
+       options_.call_timeout,
+       [this, requested_at,
+        poll = polls_](const http_channel::CallResult& result) {
+         if (poll == polls_ && poll_sent_at_.has_value()) {
+           OnPollChecked(requested_at, result);
+         }
+       });
+}
+
+void StoreWatch::OnPollChecked(common::Time requested_at,
+                               const http_channel::CallResult& result) {
+  const auto rows = platform::DecodeRows(result);
+  if (!rows.ok() && !absl::IsFailedPrecondition(rows.status())) {
+    // The next read of the list leads to another check.
+    UpdateAvailability(rows.status());
+    return;
+  }
+  if (rows.ok() && rows->rows.empty()) {
+    revisions_.OnAnswer(rows->revision);
+    revision_ = rows->revision;
+    ConfirmConfiguration(
+        clock_.EarliestAnswerTime(requested_at, loop_.Now(), rows->store_time));
+    return;
+  }
+  common::LogEvent(
+      common::EventId::kPollLost,
+      common::StrCat("table=configuration waited_ms=",
+                     common::ToMilliseconds(loop_.Now() - *poll_sent_at_),
+                     " revision=", revision_));
+  ++polls_;
+  poll_sent_at_.reset();
+  OnConfigurationAnswer(requested_at, result);
+}
+
+void StoreWatch::ConfirmConfiguration(common::Time answered_at) {
+  if (answered_at >= rewritten_at_) {
+    freshness_.OnConfirmed(answered_at);
+  }
+}
+
 void StoreWatch::OnConfigurationAnswer(common::Time requested_at,
                                        const http_channel::CallResult& result) {
   const auto rows = platform::DecodeRows(result);
@@ -121,6 +176,10 @@
   UpdateAvailability(absl::OkStatus());
   const common::Time earliest_answer_at =
       clock_.EarliestAnswerTime(requested_at, loop_.Now(), rows->store_time);
+  for (const platform::Row& row : rows->rows) {
+    revisions_.OnRow(row.revision);
+  }
+  revisions_.OnAnswer(rows->revision);
   ApplyConfiguration(*rows);
   if (routes_ == nullptr) {
     RunAfter(retry_delay_.Next(), [this] { ReadConfiguration(); });
@@ -137,7 +196,7 @@
   }
   // While more changes are pending, the configuration may not be the latest.
   if (!rows->has_more) {
-    freshness_.OnConfirmed(earliest_answer_at);
+    ConfirmConfiguration(earliest_answer_at);
   }
   if (rows->rows.empty() || rows->has_more) {
     AwaitConfiguration(options_.configuration_wait);
@@ -204,8 +263,11 @@
     return;
   }
   UpdateAvailability(absl::OkStatus());
-  clock_.EarliestAnswerTime(requested_at, loop_.Now(), rows->store_time);
+  const common::Time earliest_answer_at =
+      clock_.EarliestAnswerTime(requested_at, loop_.Now(), rows->store_time);
+  revisions_.OnAnswer(rows->revision);
   for (const platform::Row& row : rows->rows) {
+    revisions_.OnRow(row.revision);
     auto record = platform::DecodeEndpoint(row);
     if (record.ok()) {
       records_.push_back(*std::move(record));
@@ -220,6 +282,12 @@
     return;
   }
   FinishEndpoints(list_requested_at_);
+  if (routes_ != nullptr && !revisions_.MayHaveChanged(revision_)) {
+    ConfirmConfiguration(earliest_answer_at);
+  } else {
+    RunAfter(options_.poll_check_delay,
+             [this, shown_at = loop_.Now()] { CheckPoll(shown_at); });
+  }
 }
 
 void StoreWatch::FinishEndpoints(common::Time requested_at) {
--- a/packages/daemon/gateway/store_watch.h
+++ b/packages/daemon/gateway/store_watch.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -11,6 +12,7 @@
 #include "common/random_delay.h"
 #include "coordination/freshness/freshness.h"
 #include "coordination/store_era/store_era.h"
+#include "coordination/store_revisions/store_revisions.h"
 #include "platform/store.h"
 #include "state/fleet/fleet.h"
 #include "state/serving/route_table.h"
@@ -38,6 +40,9 @@
   // the return that time begins.
   common::Duration endpoints_timeout = common::milliseconds(500);
   common::Duration endpoints_retry_jitter = common::milliseconds(150);
+  // A change that a read of the list shows is delivered by the pending long
+  // poll within this time, unless the poll was lost.
+  common::Duration poll_check_delay = common::milliseconds(100);
   // Timeout of other calls that are not long polls; added to the wait of those
   // that are.
   common::Duration call_timeout = common::milliseconds(900);
@@ -64,6 +69,7 @@
              http_channel::HttpCaller& caller,
              StoreWatchOptions options,
              store_era::StoreEra& era,
+             store_revisions::StoreRevisions& revisions,
              freshness::Freshness& freshness,
              fleet::Fleet& fleet,
              OnFleetChange on_fleet_change,
@@ -83,6 +89,15 @@
   void AwaitConfiguration(common::Duration wait);
   void OnConfigurationAnswer(common::Time requested_at,
                              const http_channel::CallResult& result);
+  // The store confirmed at `answered_at` that the configuration in force is the
+  // latest. Has no effect while lost changes may still be written again.
+  void ConfirmConfiguration(common::Time answered_at);
+  // Reads the changes since the pending long poll was sent, if it was sent
+  // before `shown_at` and an answer from then shows changes that it has not
+  // delivered.
+  void CheckPoll(common::Time shown_at);
+  void OnPollChecked(common::Time requested_at,
+                     const http_channel::CallResult& result);
   // Puts the configuration in `rows` in force if it is valid and newer.
   void ApplyConfiguration(const platform::Rows& rows);
   // Reads a page of the endpoint list from `start_key` on; an empty key starts
@@ -108,12 +123,18 @@
   http_channel::HttpCaller& caller_;
   StoreWatchOptions options_;
   store_era::StoreEra& era_;
+  store_revisions::StoreRevisions& revisions_;
   freshness::Freshness& freshness_;
   fleet::Fleet& fleet_;
   OnFleetChange on_fleet_change_;
   OnStoreBack on_store_back_;
   std::shared_ptr<const serving::RouteTable> routes_;
+  // The configuration was read up to this revision.
   uint64_t revision_ = 0;
+  // When the long poll in progress was sent, and its number; results of earlier
+  // ones are dropped.
+  std::optional<common::Time> poll_sent_at_;
+  uint64_t polls_ = 0;
   // Results of calls from before the store went back are dropped.
   uint64_t generation_ = 0;
   // Until then the store may lack the operators' latest changes.
