Transport: the connection that was heard last is used next

A short call could wait 0.4 s on a connection that had gone silent while another one had been answered a moment before, as the pool preferred the connection that was opened last. The check of a long poll follows the answer that leads to it by 0.1 s and now uses that connection.

HttpCallTest.ConnectionHeardLastIsUsedNext failed before.

--- a/packages/transport/http_channel/endpoint_pool.cc
+++ b/packages/transport/http_channel/endpoint_pool.cc
@@ -11,16 +11,14 @@
   const common::Time now = loop_.Now();
   std::vector<EndpointChannel*> expired;
   EndpointChannel* found = nullptr;
-  // The newest connections are at the end and are tried first.
-  for (auto channel = channels.rbegin(); channel != channels.rend();
-       ++channel) {
-    if (!(*channel)->idle()) {
+  for (const auto& channel : channels) {
+    if (!channel->idle()) {
       continue;
     }
-    if (found == nullptr && (*channel)->IsReusable(now)) {
-      found = channel->get();
-    } else if (!(*channel)->IsReusable(now)) {
-      expired.push_back(channel->get());
+    if (!channel->IsReusable(now)) {
+      expired.push_back(channel.get());
+    } else if (found == nullptr || channel->heard_at() >= found->heard_at()) {
+      found = channel.get();
     }
   }
   for (EndpointChannel* channel : expired) {
--- a/packages/transport/http_channel/endpoint_pool.h
+++ b/packages/transport/http_channel/endpoint_pool.h
@@ -21,7 +21,8 @@
   EndpointPool& operator=(const EndpointPool&) = delete;
 
   // Returns an idle connection to the endpoint at `address`, "IP:port", reused
-  // or new. `key` identifies the endpoint's process; a connection is only
+  // or new: the one that was heard last, as it is the least likely to have gone
+  // silent. `key` identifies the endpoint's process; a connection is only
   // reused for the key that it was opened for.
   EndpointChannel& Acquire(const std::string& key, const std::string& address);
   // Returns a new connection. For a request that failed on a reused one.
--- a/tests/unit/transport/http_channel/http_call_test.cc
+++ b/tests/unit/transport/http_channel/http_call_test.cc
@@ -226,6 +226,20 @@
 
 // A connection that has answered since the call was sent is not closed with the
 // silent one.
+// Guards against a call that waits on a silent connection although another one
+// was heard a moment ago.
+TEST_F(HttpCallTest, ConnectionHeardLastIsUsedNext) {
+  OpenConnections(2);
+  server_.set_delay(common::milliseconds(100));
+  const Outcome& first = Start(kGet);
+  RunFor(common::milliseconds(20));
+  const Outcome& second = Start(kGet);
+  RunFor(common::milliseconds(150));
+  ASSERT_TRUE(first.result.has_value() && second.result.has_value());
+  EXPECT_GT(pool_.Acquire(link_.address(), link_.address()).heard_at(),
+            first.ended_at);
+}
+
 TEST_F(HttpCallTest, ConnectionHeardMeanwhileIsKept) {
   OpenConnections(1);
   link_.SetFault(LinkFault::kSilenceOpen);
