Gateway: the store's newest revision shows a lost long poll of crash reports

The same cause in a related path: the long poll of the crash reports waits 8 s + 0.9 s for its own time. A gateway that had lost it sent a crashing content for up to 8.9 s after the others had reported it; 3 s are allowed.

Change: the check of the configuration's poll, for this one. It runs 450 ms after the list is read, so that a change of the configuration, which is read after a pause of 400 ms, explains its revision and costs no check here.

Evidence: LostPollDelaysNoReportBeyondTheTimeToStop failed before, with a third crash through the second gateway.

--- a/packages/daemon/gateway/crash_exchange.cc
+++ b/packages/daemon/gateway/crash_exchange.cc
@@ -13,12 +13,14 @@
                              http_channel::HttpCaller& caller,
                              CrashExchangeOptions options,
                              store_era::StoreEra& era,
+                             store_revisions::StoreRevisions& revisions,
                              OnReported on_reported,
                              OnRemoved on_removed)
     : loop_(loop),
       caller_(caller),
       options_(std::move(options)),
       era_(era),
+      revisions_(revisions),
       on_reported_(std::move(on_reported)),
       on_removed_(std::move(on_removed)),
       retry_delay_(options_.retry_min, options_.retry_max) {
@@ -66,6 +68,7 @@
 void CrashExchange::Read(const std::string& start_key) {
   if (start_key.empty()) {
     ++generation_;
+    poll_sent_at_.reset();
     last_read_at_ = loop_.Now();
     complete_ = false;
     keys_read_.clear();
@@ -88,7 +91,9 @@
     // Changes after the first page was read are in the feed from there on.
     revision_ = page->revision;
   }
+  revisions_.OnAnswer(page->revision);
   for (const platform::Row& row : page->rows) {
+    revisions_.OnRow(row.revision);
     keys_read_.insert(row.key);
     Apply(row);
   }
@@ -112,13 +117,55 @@
 }
 
 void CrashExchange::AwaitChange() {
+  poll_sent_at_ = loop_.Now();
   CallToRead(platform::AwaitTableCall(platform::SystemTable::kCrashes,
                                       revision_, options_.feed_wait),
              options_.feed_wait + options_.call_timeout,
              &CrashExchange::OnFeed);
 }
 
+void CrashExchange::OnRevisionShown() {
+  if (!revisions_.MayHaveChanged(revision_)) {
+    return;
+  }
+  loop_.RunAfter(options_.poll_check_delay,
+                 [this, shown_at = loop_.Now()] { CheckPoll(shown_at); });
+}
+
+void CrashExchange::CheckPoll(common::Time shown_at) {
+  if (!poll_sent_at_.has_value() || *poll_sent_at_ > shown_at ||
+      !revisions_.MayHaveChanged(revision_)) {
+    return;
+  }
+  CallToRead(platform::AwaitTableCall(platform::SystemTable::kCrashes,
+                                      revision_, common::Duration::zero()),
+             options_.call_timeout, &CrashExchange::OnPollChecked);
+}
+
+void CrashExchange::OnPollChecked(const http_channel::CallResult& result) {
+  const auto changes = platform::DecodeRows(result);
+  const bool history_gone = absl::IsFailedPrecondition(changes.status());
+  if (!poll_sent_at_.has_value() || (!changes.ok() && !history_gone)) {
+    // The poll has ended, or the next revision leads to another check.
+    return;
+  }
+  if (changes.ok() && changes->rows.empty()) {
+    revisions_.OnAnswer(changes->revision);
+    revision_ = changes->revision;
+    return;
+  }
+  common::LogEvent(
+      common::EventId::kPollLost,
+      common::StrCat("table=crashes waited_ms=",
+                     common::ToMilliseconds(loop_.Now() - *poll_sent_at_),
+                     " revision=", revision_));
+  // Drops the poll's result.
+  ++generation_;
+  OnFeed(result);
+}
+
 void CrashExchange::OnFeed(const http_channel::CallResult& result) {
+  poll_sent_at_.reset();
   const auto changes = platform::DecodeRows(result);
   if (absl::IsAborted(changes.status())) {
     AwaitChange();
@@ -141,7 +188,9 @@
   read_failures_ = 0;
   history_failures_ = 0;
   SetStoreTime(changes->store_time);
+  revisions_.OnAnswer(changes->revision);
   for (const platform::Row& row : changes->rows) {
+    revisions_.OnRow(row.revision);
     if (row.deleted) {
       RemoveRow(row.key);
     } else {
--- a/packages/daemon/gateway/crash_exchange.h
+++ b/packages/daemon/gateway/crash_exchange.h
@@ -12,6 +12,7 @@
 #include "absl/status/status.h"
 #include "common/random_delay.h"
 #include "coordination/store_era/store_era.h"
+#include "coordination/store_revisions/store_revisions.h"
 #include "platform/store.h"
 #include "protocol/crash_report/crash_report.h"
 #include "transport/event_loop/event_loop.h"
@@ -21,9 +22,13 @@
 
 struct CrashExchangeOptions {
   std::string store_address;
-  // Duration of one long poll for changes. A poll on a connection that went
-  // silent delays reports by this time at most.
+  // Duration of one long poll for changes.
   common::Duration feed_wait = common::seconds(8);
+  // A change that another call's answer shows is delivered by the pending long
+  // poll within this time, unless the poll was lost. Long enough for a change
+  // of the configuration to be read after its pause, which explains its
+  // revision.
+  common::Duration poll_check_delay = common::milliseconds(450);
   // Timeout of calls that are not long polls; added to the wait of those that
   // are.
   common::Duration call_timeout = common::milliseconds(900);
@@ -70,6 +75,7 @@
                 http_channel::HttpCaller& caller,
                 CrashExchangeOptions options,
                 store_era::StoreEra& era,
+                store_revisions::StoreRevisions& revisions,
                 OnReported on_reported,
                 OnRemoved on_removed);
 
@@ -81,6 +87,9 @@
   // The store is available after an outage: reads the table at once, as the
   // pending poll may wait on a connection that was lost.
   void OnStoreBack();
+  // Another call's answer showed the store's newest revision: finds out whether
+  // the pending long poll was lost.
+  void OnRevisionShown();
 
   // Number of rows in the table, as far as known.
   size_t rows() const { return rows_.size(); }
@@ -102,6 +111,11 @@
   void Read(const std::string& start_key);
   void OnPage(const http_channel::CallResult& result);
   void AwaitChange();
+  // Reads the changes since the pending long poll was sent, if it was sent
+  // before `shown_at` and an answer from then shows changes that it has not
+  // delivered.
+  void CheckPoll(common::Time shown_at);
+  void OnPollChecked(const http_channel::CallResult& result);
   void OnFeed(const http_channel::CallResult& result);
   void Apply(const platform::Row& row);
   void RemoveRow(const std::string& key);
@@ -133,6 +147,7 @@
   http_channel::HttpCaller& caller_;
   CrashExchangeOptions options_;
   store_era::StoreEra& era_;
+  store_revisions::StoreRevisions& revisions_;
   OnReported on_reported_;
   OnRemoved on_removed_;
   // Store times of the rows in the table, by key.
@@ -146,7 +161,10 @@
   event_loop::TimerId write_timer_ = event_loop::kNoTimer;
   // Zero of the store's clock on this process's; unset before the first answer.
   std::optional<common::Time> store_epoch_;
+  // The table was read up to this revision.
   uint64_t revision_ = 0;
+  // When the long poll in progress was sent.
+  std::optional<common::Time> poll_sent_at_;
   // Keys seen by the current read of the whole table, and whether it is done.
   std::set<std::string> keys_read_;
   bool complete_ = false;
--- a/packages/daemon/gateway/crash_watch.h
+++ b/packages/daemon/gateway/crash_watch.h
@@ -66,6 +66,7 @@
              http_channel::HttpCaller& caller,
              const CrashWatchOptions& options,
              store_era::StoreEra& era,
+             store_revisions::StoreRevisions& revisions,
              const fleet::Fleet& fleet);
 
   void Start() { exchange_.Start(); }
@@ -87,6 +88,8 @@
   void OnFleetChange();
   // The store is available after an outage.
   void OnStoreBack() { exchange_.OnStoreBack(); }
+  // Another call's answer showed the store's newest revision.
+  void OnRevisionShown() { exchange_.OnRevisionShown(); }
 
   size_t suspects() const { return quarantine_.suspects(); }
   size_t shared_crashes() const { return exchange_.rows(); }
--- a/packages/daemon/gateway/gateway.cc
+++ b/packages/daemon/gateway/gateway.cc
@@ -110,6 +110,7 @@
                     .endpoints_period = EndpointsPeriod(settings_),
                     .probe_timeout = kConnectTimeout},
                    store_era_,
+                   store_revisions_,
                    fleet_),
       store_watch_(
           loop,
@@ -121,7 +122,8 @@
           freshness_,
           fleet_,
           [this](const fleet::FleetChange& change) { OnFleetChange(change); },
-          [this] { crash_watch_.OnStoreBack(); }),
+          [this] { crash_watch_.OnStoreBack(); },
+          [this] { crash_watch_.OnRevisionShown(); }),
       slow_watch_(loop,
                   caller_,
                   {.failure_domain = settings_.failure_domain,
--- a/packages/daemon/gateway/store_watch.cc
+++ b/packages/daemon/gateway/store_watch.cc
@@ -23,7 +23,8 @@
                        freshness::Freshness& freshness,
                        fleet::Fleet& fleet,
                        OnFleetChange on_fleet_change,
-                       OnStoreBack on_store_back)
+                       OnStoreBack on_store_back,
+                       OnListRead on_list_read)
     : loop_(loop),
       caller_(caller),
       options_(std::move(options)),
@@ -33,6 +34,7 @@
       fleet_(fleet),
       on_fleet_change_(std::move(on_fleet_change)),
       on_store_back_(std::move(on_store_back)),
+      on_list_read_(std::move(on_list_read)),
       retry_delay_(options_.retry_min, options_.retry_max),
       endpoints_retry_jitter_(common::Duration::zero(),
                               options_.endpoints_retry_jitter) {
@@ -288,6 +290,7 @@
     RunAfter(options_.poll_check_delay,
              [this, shown_at = loop_.Now()] { CheckPoll(shown_at); });
   }
+  on_list_read_();
 }
 
 void StoreWatch::FinishEndpoints(common::Time requested_at) {
--- a/packages/daemon/gateway/store_watch.h
+++ b/packages/daemon/gateway/store_watch.h
@@ -64,6 +64,9 @@
   using OnFleetChange = std::function<void(const fleet::FleetChange&)>;
   // Called when the store responds again after an outage.
   using OnStoreBack = std::function<void()>;
+  // Called after each read of the endpoint list, as its answer shows the
+  // store's newest revision.
+  using OnListRead = std::function<void()>;
 
   StoreWatch(event_loop::EventLoop& loop,
              http_channel::HttpCaller& caller,
@@ -73,7 +76,8 @@
              freshness::Freshness& freshness,
              fleet::Fleet& fleet,
              OnFleetChange on_fleet_change,
-             OnStoreBack on_store_back);
+             OnStoreBack on_store_back,
+             OnListRead on_list_read);
 
   void Start();
 
@@ -128,6 +132,7 @@
   fleet::Fleet& fleet_;
   OnFleetChange on_fleet_change_;
   OnStoreBack on_store_back_;
+  OnListRead on_list_read_;
   std::shared_ptr<const serving::RouteTable> routes_;
   // The configuration was read up to this revision.
   uint64_t revision_ = 0;
--- a/tests/unit/daemon/gateway/crashing_content_test.cc
+++ b/tests/unit/daemon/gateway/crashing_content_test.cc
@@ -190,6 +190,25 @@
   EXPECT_NE(answer.headers.Find("Retry-After"), nullptr);
 }
 
+// Guards against crashes through gateways whose long poll of the reports was
+// lost and that learn of them only at its end.
+TEST(CrashingContentSharingTest, LostPollDelaysNoReportBeyondTheTimeToStop) {
+  CrashingWorld crashing(
+      {.endpoints = 6, .gateways = 2, .feed_wait = common::seconds(20)});
+  crashing.Run(common::milliseconds(500));
+  crashing.world().store().LoseFeeds("crashes");
+  for (size_t i = 0; i < kMaxCrashes; ++i) {
+    crashing.world().Ask(crashing.Crashing("/once/x", /*gateway=*/0));
+    crashing.Run(kSharingTime);
+  }
+  EXPECT_EQ(crashing.arrivals().size(), kMaxCrashes);
+  crashing.Run(kTimeToStop - kSharingTime);
+  EXPECT_EQ(
+      crashing.world().Ask(crashing.Crashing("/once/x", /*gateway=*/1)).status,
+      503);
+  EXPECT_EQ(crashing.arrivals().size(), kMaxCrashes);
+}
+
 TEST(CrashingContentSharingTest, ErrorResponseDoesNotClearAContent) {
   CrashingWorld crashing({.endpoints = 6, .gateways = 2});
   const auto send = [&] {
