Gateway: a crash report whose writing got no answer is written again at once

A report that was lost with the end of a silence was written again after the call's 0.9 s and another 0.15 s to 0.6 s. Together with a long poll that the reader lost, 1.6 s + 0.45 s until its check, the crash could be unknown for 3.6 s; 3 s are allowed.

Change: the first repetition after a call without an answer has no delay. Refused calls, and further ones in a row, keep theirs.

Evidence: LostReportIsWrittenAgainAtOnce failed before, 1.45 s where less than 1.1 s are allowed.

--- a/packages/daemon/gateway/crash_exchange.cc
+++ b/packages/daemon/gateway/crash_exchange.cc
@@ -356,7 +356,11 @@
   UpdateAvailability(writes_available_, "write", status);
   if (!status.ok()) {
     // The call may have been executed; writing the same rows again is harmless.
-    ScheduleWrite(NextRetryDelay(write_failures_));
+    // A call without an answer has used up its time already.
+    const bool first_unanswered =
+        absl::IsDeadlineExceeded(result.status()) && write_failures_ == 0;
+    const common::Duration delay = NextRetryDelay(write_failures_);
+    ScheduleWrite(first_unanswered ? common::Duration::zero() : delay);
     return;
   }
   write_failures_ = 0;
--- a/tests/unit/daemon/gateway/crashing_content_test.cc
+++ b/tests/unit/daemon/gateway/crashing_content_test.cc
@@ -209,6 +209,32 @@
   EXPECT_EQ(crashing.arrivals().size(), kMaxCrashes);
 }
 
+// Guards against a report that waits for a delay on top of the time in which
+// its first writing got no answer.
+TEST(CrashingContentSharingTest, LostReportIsWrittenAgainAtOnce) {
+  // Before a report is written, the time of a call, and the least delay after
+  // one that was refused.
+  constexpr common::Duration kBatchDelay = common::milliseconds(50);
+  constexpr common::Duration kCallTimeout = common::milliseconds(900);
+  constexpr common::Duration kMinRetryDelay = common::milliseconds(150);
+  constexpr common::Duration kLoss = common::milliseconds(200);
+  CrashingWorld crashing({.endpoints = 6, .feed_wait = common::seconds(20)});
+  FakeStore& store = crashing.world().store();
+  common::Duration least_time = common::Duration::max();
+  for (size_t i = 1; i <= kMaxCrashes; ++i) {
+    crashing.Run(kDownTime);
+    store.set_silent(true);
+    const common::Time start = crashing.world().loop().Now();
+    crashing.world().Ask(crashing.Crashing("/once/x"));
+    crashing.Run(kLoss);
+    store.set_silent(false);
+    ASSERT_TRUE(
+        crashing.world().RunUntil([&] { return store.rows("crashes") == i; }));
+    least_time = std::min(least_time, crashing.world().loop().Now() - start);
+  }
+  EXPECT_LT(least_time, kBatchDelay + kCallTimeout + kMinRetryDelay);
+}
+
 TEST(CrashingContentSharingTest, ErrorResponseDoesNotClearAContent) {
   CrashingWorld crashing({.endpoints = 6, .gateways = 2});
   const auto send = [&] {
