--- a/tests/soak/hosted_soak.cc
+++ b/tests/soak/hosted_soak.cc
@@ -1,5 +1,7 @@
 // Injects random, overlapping faults into real gateways on loopback and checks
 // what callers and endpoints observe. Usage: hosted_soak --seed=N --seconds=S
+// With --changes, the configuration changes in quick succession instead, beside
+// short silences of the store, and has to be in force in time after each.
 // Prints the seed, the number of answers of each kind and every violation.
 // Exits with 1 on violations, with 2 when it cannot create its folder.
 
@@ -13,12 +15,14 @@
 #include <iostream>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 
 #include "common/strings.h"
 #include "e2e/child_process.h"
 #include "protocol/http1/serialize.h"
+#include "soak/change_ledger.h"
 #include "soak/demand_ledger.h"
 #include "soak/soak_ledger.h"
 #include "soak/tcp_proxy.h"
@@ -36,6 +40,9 @@
 constexpr int kEndpoints = 4;
 constexpr int kCallers = 24;
 constexpr common::Duration kRevocationBound = common::milliseconds(2000);
+// While the configuration changes, so long that requests for routes that a
+// gateway lacks are not refused for its age.
+constexpr common::Duration kRevocationBoundOfChanges = common::seconds(5);
 constexpr int kGraceSeconds = 4;
 // Deadline of the callers' requests.
 constexpr int kTimeLeftMs = 2500;
@@ -57,6 +64,10 @@
 constexpr char kLeavingHeader[] = "Server-Leaving";
 // Within this time a gateway knows that an endpoint leaves.
 constexpr common::Duration kDrainBound = common::seconds(2);
+// Routes of this many versions stay in the configuration.
+constexpr int kVersionsWithRoute = 40;
+// Share of the repeatable requests that use the route of a version.
+constexpr int kVersionRequestPercent = 70;
 // Share of callers that leave early.
 constexpr int kLeavingCallersPercent = 5;
 // Endpoints that each of them may crash for each gateway process that was
@@ -116,6 +127,8 @@
   std::function<void(const Caller&)> on_head;
   std::string id;
   int gateway = 0;
+  // Version of the configuration whose route the request uses, if any.
+  std::optional<int> version;
   // First part of the request's prompt.
   std::string first_part;
   hosted_world::CallerAnswer answer;
@@ -126,8 +139,14 @@
 
 class Soak {
  public:
-  Soak(uint64_t seed, const std::string& folder)
-      : folder_(folder), random_(seed), store_(loop_), pool_(loop_, {}) {
+  Soak(uint64_t seed,
+       const std::string& folder,
+       common::Duration revocation_bound)
+      : folder_(folder),
+        random_(seed),
+        revocation_bound_(revocation_bound),
+        store_(loop_),
+        pool_(loop_, {}) {
     for (int i = 0; i < 6; ++i) {
       keys_.push_back(common::StrCat("key", i));
     }
@@ -182,6 +201,36 @@
       ledger_.OnViolation(
           "fewer than 20 complete answers in 2 s after the faults ended");
     }
+    return Stop();
+  }
+
+  // Changes the configuration all the while and checks, after each of some
+  // short silences of the store, that gateways follow in time.
+  bool RunChanges(common::Duration length) {
+    faults_ended_ = true;
+    RunFor(common::seconds(2));
+    const common::Time end = loop_.Now() + length;
+    next_change_at_ = loop_.Now();
+    // Long polls wait for their own time.
+    store_.set_feed_wait(length);
+    while (loop_.Now() < end) {
+      SilenceStore();
+      // Beyond the window in which gateways are excused.
+      RunFor(common::milliseconds(Pick(4200, 5000)));
+    }
+    next_change_at_.reset();
+    if (versions_asked_ == 0) {
+      ledger_.OnViolation("no request for a route that had to be in force");
+    }
+    return Stop();
+  }
+
+  const SoakLedger& ledger() const { return ledger_; }
+  const DemandLedger& demands() const { return demands_; }
+  int versions_asked() const { return versions_asked_; }
+
+ private:
+  bool Stop() {
     stopping_ = true;
     RunFor(common::milliseconds(kTimeLeftMs + 500));
     CheckGracefulStop();
@@ -189,10 +238,6 @@
     return ledger_.violations().empty();
   }
 
-  const SoakLedger& ledger() const { return ledger_; }
-  const DemandLedger& demands() const { return demands_; }
-
- private:
   int Pick(int least, int most) {
     return std::uniform_int_distribution<int>(least, most)(random_);
   }
@@ -208,10 +253,44 @@
     }
   }
 
+  // Writes the next version, with a route of its own.
   void Configure() {
     json configuration = hosted_world::HostedWorld::Configuration(++version_);
     configuration["tenants"][0]["api_keys"] = keys_;
+    json& routes = configuration["routes"];
+    for (int version = std::max(1, version_ - kVersionsWithRoute);
+         version <= version_; ++version) {
+      json route = routes[0];
+      route["prefix"] = VersionPath(version);
+      routes.push_back(std::move(route));
+    }
     store_.SetConfiguration(configuration);
+    changes_.OnConfirmed(version_, loop_.Now());
+  }
+  static std::string VersionPath(int version) {
+    return common::StrCat("/version-", version, "/");
+  }
+
+  void SilenceStore() {
+    switch (Pick(0, 2)) {
+      case 0:
+        store_.set_silent(true);
+        RunFor(common::milliseconds(Pick(100, 800)));
+        store_.set_silent(false);
+        break;
+      case 1:
+        store_.set_feeds_lost(true);
+        RunFor(common::milliseconds(Pick(300, 800)));
+        store_.set_feeds_lost(false);
+        break;
+      default:
+        for (GatewayProcess& gateway : gateways_) {
+          gateway.store_link->SetFault(LinkFault::kSilenceOpen);
+        }
+    }
+    for (const GatewayProcess& gateway : gateways_) {
+      changes_.OnDisturbed(gateway.index, loop_.Now());
+    }
   }
 
   // Time at which what the event loop handles now has arrived, at the earliest.
@@ -260,7 +339,7 @@
                 {"listen", {{"front", gateway.caller_address}}},
                 {"platform", {{"address", gateway.store_link->address()}}},
                 {"bounds",
-                 {{"revoke_ms", common::ToMilliseconds(kRevocationBound)},
+                 {{"revoke_ms", common::ToMilliseconds(revocation_bound_)},
                   {"grace_s", kGraceSeconds},
                   {"retry_allowance", 200}}}};
     setenv("WAGTAILSHORE_SETTINGS", gateway.settings_path.c_str(), 1);
@@ -406,6 +485,10 @@
 
   void DriveCallers() {
     const common::Time now = loop_.Now();
+    if (next_change_at_.has_value() && now >= *next_change_at_) {
+      Configure();
+      next_change_at_ = now + common::milliseconds(Pick(200, 600));
+    }
     for (Caller& caller : callers_) {
       if (caller.busy && now >= caller.timeout_at) {
         caller.channel->Abandon();
@@ -420,6 +503,11 @@
       }
       if (!caller.id.empty()) {
         ledger_.OnAnswer(caller.id, caller.answer);
+        if (caller.version.has_value() && caller.answer.status == 404) {
+          ledger_.OnViolation(common::StrCat(
+              "gateway ", caller.gateway, " does not have version ",
+              *caller.version, " in force; request ", caller.id));
+        }
         if (caller.answer.status == 200 && caller.answer.complete) {
           served_parts_.insert(caller.first_part);
         }
@@ -444,6 +532,16 @@
                                                ? Pick(0, 200)
                                                : kTimeLeftMs + 300);
     caller.gateway = Pick(0, kGateways - 1);
+    caller.version.reset();
+    std::string path = kPaths.at(static_cast<size_t>(kind));
+    if (next_change_at_.has_value() && kind == SoakKind::kSafe &&
+        Happens(kVersionRequestPercent)) {
+      caller.version = changes_.DueVersion(caller.gateway, loop_.Now());
+    }
+    if (caller.version.has_value()) {
+      ++versions_asked_;
+      path = VersionPath(*caller.version) + "x";
+    }
     sent_[caller.id] = {.gateway = caller.gateway, .at = loop_.Now()};
     ledger_.OnSent(caller.id,
                    {.kind = kind, .key = key, .sent_at = loop_.Now()});
@@ -470,10 +568,8 @@
     caller.channel =
         &pool_.Acquire(gateway.caller_address, gateway.caller_address);
     caller.channel->SetIdleLimit(common::seconds(10));
-    caller.channel->Send(
-        http1::FormatRequest("POST", kPaths.at(static_cast<size_t>(kind)),
-                             headers, body),
-        caller, false);
+    caller.channel->Send(http1::FormatRequest("POST", path, headers, body),
+                         caller, false);
   }
 
   void CheckProcesses() {
@@ -622,6 +718,7 @@
 
   std::string folder_;
   std::mt19937_64 random_;
+  common::Duration revocation_bound_;
   event_loop::EventLoop loop_;
   hosted_world::FakeStore store_;
   http_channel::EndpointPool pool_;
@@ -632,10 +729,15 @@
   std::vector<std::unique_ptr<TcpProxy>> ended_links_;
   std::vector<GatewayProcess> gateways_;
   std::vector<Caller> callers_;
-  SoakLedger ledger_{kRevocationBound};
+  SoakLedger ledger_{revocation_bound_};
   DemandLedger demands_{kDrainBound, [this](const std::string& what) {
                           ledger_.OnViolation(what);
                         }};
+  ChangeLedger changes_{{}};
+  // When the configuration changes next; unset while it changes at random only.
+  std::optional<common::Time> next_change_at_;
+  // Requests for routes of versions that had to be in force.
+  int versions_asked_ = 0;
   // What was sent, by id.
   struct Sent {
     int gateway = 0;
@@ -664,6 +766,10 @@
   TCLAP::ValueArg<int> seconds("", "seconds",
                                "duration of the faults in seconds", false, 12,
                                "number", line);
+  TCLAP::SwitchArg changes(
+      "", "changes",
+      "change the configuration beside short silences of the store instead",
+      line);
   line.parse(argc, argv);
   std::string folder =
       std::filesystem::temp_directory_path() /
@@ -672,14 +778,18 @@
     std::cerr << "cannot create a temporary folder for logs\n";
     return 2;
   }
-  Soak soak(seed.getValue(), folder);
-  const bool passed = soak.Run(common::seconds(seconds.getValue()));
+  const common::Duration length = common::seconds(seconds.getValue());
+  Soak soak(seed.getValue(), folder,
+            changes.getValue() ? kRevocationBoundOfChanges : kRevocationBound);
+  const bool passed =
+      changes.getValue() ? soak.RunChanges(length) : soak.Run(length);
   const SoakLedger& ledger = soak.ledger();
   std::cout << "seed " << seed.getValue() << ": " << ledger.complete()
             << " complete, " << ledger.refused() << " refused, "
             << ledger.other() << " other; " << soak.demands().rests()
             << " rests, " << soak.demands().leavings() << " endpoints leaving, "
-            << soak.demands().departures() << " callers gone\n";
+            << soak.demands().departures() << " callers gone, "
+            << soak.versions_asked() << " requests for new routes\n";
   for (const std::string& violation : ledger.violations()) {
     std::cout << "violation: " << violation << "\n";
   }
--- a/tests/support/hosted_world.cc
+++ b/tests/support/hosted_world.cc
@@ -146,9 +146,15 @@
 }
 
 void FakeStore::LoseFeeds(const std::string& table) {
-  std::erase_if(waiting_, [&](const auto& item) {
-    return item.second.table == table;
-  });
+  std::erase_if(waiting_,
+                [&](const auto& item) { return item.second.table == table; });
+}
+
+void FakeStore::set_feeds_lost(bool lost) {
+  feeds_lost_ = lost;
+  if (lost) {
+    waiting_.clear();
+  }
 }
 
 void FakeStore::AnswerFeed(http_channel::CallerChannel& channel) {
@@ -218,6 +224,9 @@
     Respond(channel, 200, AnswerWith(RowsOf(table, 0, /*with_deleted=*/false)));
     return;
   }
+  if (feeds_lost_) {
+    return;
+  }
   const uint64_t after = std::stoull(QueryField(head.target, "after_revision"));
   if (after > revision_) {
     Respond(channel, 410, {});
--- a/tests/support/hosted_world.h
+++ b/tests/support/hosted_world.h
@@ -42,6 +42,8 @@
   // Loses the feed requests for the table that wait for a change: they are not
   // answered, while all other calls are.
   void LoseFeeds(const std::string& table);
+  // While set, feed requests are lost: those that wait, and those that arrive.
+  void set_feeds_lost(bool lost);
   int calls() const { return calls_; }
   // How long a feed request waits for changes at most, whatever it asks for.
   void set_feed_wait(common::Duration wait) { feed_wait_ = wait; }
@@ -105,6 +107,7 @@
   uint64_t era_ = 1;
   bool down_ = false;
   bool silent_ = false;
+  bool feeds_lost_ = false;
   common::Duration feed_wait_ = common::milliseconds(100);
   int calls_ = 0;
 };
