Transport: a response that is cut off inside its head is no response

Reported by operators of a similar system: callers got an empty success from a server that had stopped in the middle of its answer's head and closed.

Cause: libcurl takes a connection that closes after the status line, or inside a header, for the end of a response without a body. An entry or an endpoint process took that for a complete answer of an endpoint, a service, an engine or the platform.

Change: the exchange fails, as one that may have been sent, unless the empty line at the end of the head has arrived. Interim responses and trailers are told apart by the status line.

A body without a length or chunks that ends with its connection is complete by the protocol, as before.

--- a/packages/transport/http_client/http_client.cc
+++ b/packages/transport/http_client/http_client.cc
@@ -3,6 +3,7 @@
 #include <curl/curl.h>
 
 #include <algorithm>
+#include <string_view>
 
 #include "common/invariant.h"
 #include "common/strings.h"
@@ -25,6 +26,18 @@
   return size * count;
 }
 
+// Gets the lines of all heads one by one, those of interim responses first.
+// Sets the bool `into` to whether the latest head is complete.
+size_t NoteHeadLine(char* data, size_t size, size_t count, void* into) {
+  const std::string_view line(data, size * count);
+  if (line == "\r\n" || line == "\n") {
+    *static_cast<bool*>(into) = true;
+  } else if (line.starts_with("HTTP/")) {
+    *static_cast<bool*>(into) = false;
+  }
+  return size * count;
+}
+
 }  // namespace
 
 class Exchange::Impl {
@@ -97,6 +110,8 @@
         static_cast<long>(common::ToMilliseconds(request_.connect_timeout)));
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &AppendBody);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &received_);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &NoteHeadLine);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, &head_complete_);
     curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request_.method.c_str());
     if (request_.method == "POST" || request_.method == "PUT") {
       curl_easy_setopt(easy, CURLOPT_POST, 1L);
@@ -123,9 +138,14 @@
     if (message != nullptr) {
       result_ = message->data.result;
     }
-    if (result_ == CURLE_OK) {
+    if (result_ == CURLE_OK && head_complete_) {
       return Finished{};
     }
+    if (result_ == CURLE_OK) {
+      // The library takes a connection that closes inside the head for the end
+      // of a response without a body.
+      return Failed{.sent = true, .reason = "the response's head was cut off"};
+    }
     curl_off_t connected_us = 0;
     curl_easy_getinfo(easy_.get(), CURLINFO_CONNECT_TIME_T, &connected_us);
     const bool connected = result_ != CURLE_COULDNT_CONNECT && connected_us > 0;
@@ -137,6 +157,7 @@
   std::unique_ptr<CURL, EasyDeleter> easy_;
   std::unique_ptr<CURLM, MultiDeleter> multi_;
   std::string received_;
+  bool head_complete_ = false;
   mutable CURLcode result_ = CURLE_OK;
 };
 
--- a/tests/unit/daemon/gateway/gateway_test.cc
+++ b/tests/unit/daemon/gateway/gateway_test.cc
@@ -64,6 +64,16 @@
                                   "\r\nabc"),
           .reset = true};
 }
+// The head of a success, closed in order at some point.
+Reply CutHead(const char* bytes) {
+  return {.bytes = bytes, .close = true};
+}
+Reply CutAfterStatus(const Received&) {
+  return CutHead("HTTP/1.1 200 OK\r\n");
+}
+Reply CutInsideHeader(const Received&) {
+  return CutHead("HTTP/1.1 200 OK\r\nContent-Len");
+}
 Reply NotHttp(const Received&) {
   return {.bytes = "garbage\r\n\r\n"};
 }
@@ -122,6 +132,8 @@
         FaultCase{"SafeError", "/safe/x", Error, 200, true, 2},
         FaultCase{"SafeReset", "/safe/x", ResetWithoutAnswer, 200, true, 2},
         FaultCase{"SafeCut", "/safe/x", CutBody, 200, true, 2},
+        FaultCase{"SafeHeadCut", "/safe/x", CutAfterStatus, 200, true, 2},
+        FaultCase{"SafeHeaderCut", "/safe/x", CutInsideHeader, 200, true, 2},
         FaultCase{"SafeGarbage", "/safe/x", NotHttp, 200, true, 2},
         FaultCase{"SafeUnsealed", "/safe/x", WithoutSeal, 200, true, 2},
         FaultCase{"SafeRefused", "/safe/x", Refusal, 200, true, 2},
