Gateway: a planned stop answers the requests that are still open at its end

Reported by operators of a similar system: requests that came late in the grace of a planned stop were passed on and cut without an answer at its end, among them some that may not be repeated.

Cause: the loop was stopped 300 ms before the kill whatever was still open. The 2.5 s for which new connections are taken did not depend on the grace, so with one of less than that nothing was refused and the kill cut everything.

Change: a stopping gateway moves the deadline of its requests forward to 300 ms before the kill. They get 503 if nothing reached an endpoint, else 504, no retry begins that late, and endpoints are told the shorter time. The process stops 200 ms before the kill, so that answers are sent. New connections are taken for a third of the grace at most. A request whose connection to the endpoint is not open yet at its deadline is called not run, which is true.

Nothing waits in a gateway for an endpoint: requests are sent or refused at once. Entries and endpoint processes refuse new work and wait for the end of what runs, without a limit of their own; a companion holds no callers' work.

Evidence: UnsafeStillRunning, SafeStillRunning, StreamNotBegun and RequestOnAKeptConnectionIsNotTaken of planned_stop_test failed before.

--- a/packages/daemon/gateway/gateway.cc
+++ b/packages/daemon/gateway/gateway.cc
@@ -1,5 +1,6 @@
 #include "daemon/gateway/gateway.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -13,8 +14,13 @@
 // The load balancer probes every second and stops sending new connections after
 // two failed probes; another half second covers connections on their way.
 constexpr common::Duration kBalancerDrainDelay = common::milliseconds(2500);
-// The process stops this long before it would be killed.
-constexpr common::Duration kStopMargin = common::milliseconds(300);
+// Share of the time until the kill that this may take; the rest is for the
+// requests in flight.
+constexpr double kMaxBalancerDrainShare = 1.0 / 3;
+// Requests that are still open get their final answer this long before the
+// process would be killed, and it stops this long before.
+constexpr common::Duration kAnswerMargin = common::milliseconds(300);
+constexpr common::Duration kStopMargin = common::milliseconds(200);
 constexpr common::Duration kIdleCheckPeriod = common::milliseconds(50);
 // Retry-After while this process stops; short, as the caller reaches another
 // gateway with its next connection.
@@ -283,8 +289,15 @@
     return;
   }
   draining_ = true;
-  const common::Time latest = loop_.Now() + settings_.stop_grace - kStopMargin;
-  loop_.RunAfter(kBalancerDrainDelay, [this, latest] {
+  const common::Time killed_at = loop_.Now() + settings_.stop_grace;
+  core_.stops_at = killed_at - kAnswerMargin;
+  for (const auto& [channel, run] : runs_) {
+    run->StopBy(*core_.stops_at);
+  }
+  const auto balancer_delay = std::min(
+      kBalancerDrainDelay, std::chrono::duration_cast<common::Duration>(
+                               settings_.stop_grace * kMaxBalancerDrainShare));
+  loop_.RunAfter(balancer_delay, [this, latest = killed_at - kStopMargin] {
     closing_ = true;
     // Connections that were not accepted yet are reset, which shows their
     // callers that no request was read.
--- a/packages/daemon/gateway/gateway_core.h
+++ b/packages/daemon/gateway/gateway_core.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -41,6 +42,9 @@
   // Bytes of answers that are buffered until they are complete, over all
   // requests.
   size_t buffered_bytes = 0;
+  // While the process stops: when requests that are still open get their final
+  // answer.
+  std::optional<common::Time> stops_at = std::nullopt;
   std::minstd_rand random;
 };
 
--- a/packages/daemon/gateway/proxied_run.cc
+++ b/packages/daemon/gateway/proxied_run.cc
@@ -126,14 +126,11 @@
   }
   content_ = ContentDigest(request_, customer_);
   factors_ = FactorsOf(request_, content_);
-  deadline_ = arrived_at_ + route_->timeout;
+  common::Time deadline = arrived_at_ + route_->timeout;
   if (request_.time_left.has_value()) {
-    deadline_ = std::min(deadline_, arrived_at_ + *request_.time_left);
+    deadline = std::min(deadline, arrived_at_ + *request_.time_left);
   }
-  deadline_timer_ = core_.loop.RunAt(deadline_ - kAnswerMargin, [this] {
-    deadline_timer_ = event_loop::kNoTimer;
-    OnDeadline();
-  });
+  SetDeadline(std::min(deadline, core_.stops_at.value_or(deadline)));
   std::vector<double> weights;
   for (const serving::WeightedService& service : route_->services) {
     weights.push_back(std::max(service.weight, 0.0));
@@ -657,9 +654,24 @@
   }
 }
 
+void ProxiedRun::SetDeadline(common::Time deadline) {
+  deadline_ = deadline;
+  core_.loop.Cancel(deadline_timer_);
+  deadline_timer_ = core_.loop.RunAt(deadline_ - kAnswerMargin, [this] {
+    deadline_timer_ = event_loop::kNoTimer;
+    OnDeadline();
+  });
+}
+
+void ProxiedRun::StopBy(common::Time time) {
+  if (!ended_ && time < deadline_) {
+    SetDeadline(time);
+  }
+}
+
 void ProxiedRun::OnDeadline() {
-  const bool was_sent = exchange_ != nullptr;
-  if (was_sent) {
+  const bool was_sent = exchange_ != nullptr && exchange_->sent_any();
+  if (exchange_ != nullptr) {
     exchange_->Abandon();
     EndAttempt("deadline");
   }
--- a/packages/daemon/gateway/proxied_run.h
+++ b/packages/daemon/gateway/proxied_run.h
@@ -37,6 +37,9 @@
   ProxiedRun& operator=(const ProxiedRun&) = delete;
 
   void Start();
+  // Moves the request's deadline forward to `time`, at which this process
+  // stops.
+  void StopBy(common::Time time);
   // The caller has disconnected; nothing more is written to its channel.
   void OnCallerGone();
 
@@ -86,6 +89,7 @@
   // Ends the request without an endpoint's answer. `retry_after` is sent to the
   // caller if the request did not run.
   void Fail(std::string_view cause, common::Duration retry_after);
+  void SetDeadline(common::Time deadline);
   void OnDeadline();
 
   // Whether the answer belongs to this request. A faulty endpoint may write
--- a/packages/daemon/main.cc
+++ b/packages/daemon/main.cc
@@ -89,7 +89,8 @@
   loop.Run();
   common::LogEvent(common::EventId::kProcessStopped, "");
   log.Flush();
-  // All work in flight has ended; the destructors have nothing left to do.
+  // The role has answered what it could. The destructors have nothing left to
+  // do.
   std::_Exit(kExitSuccess);
 }
 
--- a/packages/transport/http_channel/endpoint_channel.h
+++ b/packages/transport/http_channel/endpoint_channel.h
@@ -78,6 +78,8 @@
   bool idle() const { return open_ && listener_ == nullptr; }
   bool open() const { return open_; }
   bool connected() const { return socket_.connected(); }
+  // Whether the endpoint may have received anything on this connection.
+  bool sent_any() const { return socket_.sent_any(); }
   // Whether the connection is idle and within its idle limit, so that it can
   // carry another exchange.
   bool IsReusable(common::Time now) const;
--- a/tests/support/hosted_world.cc
+++ b/tests/support/hosted_world.cc
@@ -409,6 +409,7 @@
                               .store_address = store_link_->address(),
                               .revocation_bound = options_.revocation_bound,
                               .endpoint_heartbeat = options_.endpoint_heartbeat,
+                              .stop_grace = options_.stop_grace,
                               // Each request may be retried, also one alone.
                               .retry_ratio = 2,
                               .retry_window = options_.retry_window});
--- a/tests/support/hosted_world.h
+++ b/tests/support/hosted_world.h
@@ -202,6 +202,8 @@
   int failure_domains = 1;
   common::Duration revocation_bound = common::seconds(5);
   common::Duration endpoint_heartbeat = common::milliseconds(1200);
+  // Time between a gateway's stop signal and its kill.
+  common::Duration stop_grace = common::seconds(8);
   // Also the time for which gateways' counts of each other are valid.
   common::Duration retry_window = common::seconds(10);
   // How long the store's feed requests wait for changes at most.
