--- a/tests/unit/daemon/gateway/lost_poll_test.cc
+++ b/tests/unit/daemon/gateway/lost_poll_test.cc
@@ -40,8 +40,8 @@
 class LostPollTest : public testing::TestWithParam<LossCase> {
  protected:
   LostPollTest()
-      : world_({.revocation_bound = common::seconds(60),
-                .feed_wait = kFeedWait}) {
+      : world_(
+            {.revocation_bound = common::seconds(60), .feed_wait = kFeedWait}) {
     world_.RunFor(common::milliseconds(500));
   }
 
@@ -112,8 +112,8 @@
 // The other side: polls that were not lost cost no further call unless a write
 // is in no row that was read, and then one a table for each read of the list.
 TEST_P(PollPriceTest, CallsOfSixSecondsAreBounded) {
-  HostedWorld world({.revocation_bound = common::seconds(60),
-                     .feed_wait = kFeedWait});
+  HostedWorld world(
+      {.revocation_bound = common::seconds(60), .feed_wait = kFeedWait});
   world.RunFor(common::seconds(1));
   const int before = world.store().calls();
   for (int i = 0; i < 3; ++i) {
@@ -139,11 +139,11 @@
 INSTANTIATE_TEST_SUITE_P(
     Writes,
     PollPriceTest,
-    testing::Values(
-        PriceCase{"None", OtherWrites::kNone, kUsualCalls},
-        PriceCase{"Endpoints", OtherWrites::kEndpoints, kUsualCalls},
-        PriceCase{"UnreadTable", OtherWrites::kUnreadTable,
-                  kUsualCalls + kChecksPerListRead * kListReads}),
+    testing::Values(PriceCase{"None", OtherWrites::kNone, kUsualCalls},
+                    PriceCase{"Endpoints", OtherWrites::kEndpoints,
+                              kUsualCalls},
+                    PriceCase{"UnreadTable", OtherWrites::kUnreadTable,
+                              kUsualCalls + kChecksPerListRead* kListReads}),
     [](const auto& info) { return std::string(info.param.name); });
 
 }  // namespace
