Tests: lost polls beside a forgotten history, an unreadable row and many changes

Three more cases of lost_poll_test: the check of a lost poll gets 410 and the configuration is read anew; a row that cannot be read, or a hundred versions, come between.

--- a/tests/support/hosted_world.cc
+++ b/tests/support/hosted_world.cc
@@ -228,7 +228,7 @@
     return;
   }
   const uint64_t after = std::stoull(QueryField(head.target, "after_revision"));
-  if (after > revision_) {
+  if (after > revision_ || after < history_from_) {
     Respond(channel, 410, {});
     return;
   }
--- a/tests/support/hosted_world.h
+++ b/tests/support/hosted_world.h
@@ -44,6 +44,8 @@
   void LoseFeeds(const std::string& table);
   // While set, feed requests are lost: those that wait, and those that arrive.
   void set_feeds_lost(bool lost);
+  // Discards the history: feed requests from before now get 410.
+  void ForgetHistory() { history_from_ = revision_; }
   int calls() const { return calls_; }
   // How long a feed request waits for changes at most, whatever it asks for.
   void set_feed_wait(common::Duration wait) { feed_wait_ = wait; }
@@ -102,6 +104,8 @@
   std::map<http_channel::CallerChannel*, Waiting> waiting_;
   std::map<std::string, std::map<std::string, StoredRow>> tables_;
   uint64_t revision_ = 1;
+  // The first revision from which feeds can go on.
+  uint64_t history_from_ = 0;
   std::map<std::string, std::map<std::string, StoredRow>> copied_tables_;
   uint64_t copied_revision_ = 1;
   uint64_t era_ = 1;
--- a/tests/unit/daemon/gateway/lost_poll_test.cc
+++ b/tests/unit/daemon/gateway/lost_poll_test.cc
@@ -26,11 +26,23 @@
   kAllCalls,
 };
 
+// What happens in the store beside the change.
+enum class Beside {
+  kNothing,
+  // The history is discarded after the change.
+  kHistoryForgotten,
+  // A row that cannot be read is written before it.
+  kUnreadableRow,
+  // A hundred other versions are written before it.
+  kManyChanges,
+};
+
 struct LossCase {
   const char* name;
   Loss loss;
   // When the configuration changes, from the end of the loss.
   int changed_after_ms;
+  Beside beside = Beside::kNothing;
 };
 
 std::ostream& operator<<(std::ostream& out, const LossCase& param) {
@@ -57,6 +69,12 @@
     world_.RunFor(common::milliseconds(300));
     world_.store().set_silent(false);
   }
+  // Writes the version, without the route "/safe/".
+  void Change(int version) {
+    json configuration = HostedWorld::Configuration(version);
+    configuration["routes"].erase(0);
+    world_.store().SetConfiguration(configuration);
+  }
   CallerAnswer Ask(const std::string& path) {
     return world_.Ask({.path = path, .id = common::StrCat("r", ++asked_)});
   }
@@ -72,10 +90,21 @@
   const common::Time lost_at = world_.loop().Now();
   world_.RunFor(common::milliseconds(GetParam().changed_after_ms));
   ASSERT_EQ(Ask("/safe/x").status, 200);
-  json configuration = HostedWorld::Configuration(3);
-  configuration["routes"].erase(0);
+  int version = 3;
+  if (GetParam().beside == Beside::kUnreadableRow) {
+    world_.store().SetRow(kConfigurationTable, "config", "{\"version\": ");
+  }
+  if (GetParam().beside == Beside::kManyChanges) {
+    constexpr int kMany = 100;
+    for (; version < kMany; ++version) {
+      world_.store().SetConfiguration(HostedWorld::Configuration(version));
+    }
+  }
   const common::Time changed_at = world_.loop().Now();
-  world_.store().SetConfiguration(configuration);
+  Change(version);
+  if (GetParam().beside == Beside::kHistoryForgotten) {
+    world_.store().ForgetHistory();
+  }
   world_.RunUntilTime(
       std::max(changed_at + kApplyBound, lost_at + kStabilityWindow));
   EXPECT_EQ(Ask("/safe/x").status, 404);
@@ -85,12 +114,17 @@
 INSTANTIATE_TEST_SUITE_P(
     Losses,
     LostPollTest,
-    testing::Values(LossCase{"PollOnlyAtOnce", Loss::kPollOnly, 0},
-                    LossCase{"PollOnlyLater", Loss::kPollOnly, 800},
-                    LossCase{"PollOnlyAfterTheWindow", Loss::kPollOnly, 1100},
-                    LossCase{"AllCallsAtOnce", Loss::kAllCalls, 0},
-                    LossCase{"AllCallsLater", Loss::kAllCalls, 800},
-                    LossCase{"AllCallsAfterTheWindow", Loss::kAllCalls, 1100}),
+    testing::Values(
+        LossCase{"PollOnlyAtOnce", Loss::kPollOnly, 0},
+        LossCase{"PollOnlyLater", Loss::kPollOnly, 800},
+        LossCase{"PollOnlyAfterTheWindow", Loss::kPollOnly, 1100},
+        LossCase{"AllCallsAtOnce", Loss::kAllCalls, 0},
+        LossCase{"AllCallsLater", Loss::kAllCalls, 800},
+        LossCase{"AllCallsAfterTheWindow", Loss::kAllCalls, 1100},
+        LossCase{"HistoryForgotten", Loss::kPollOnly, 800,
+                 Beside::kHistoryForgotten},
+        LossCase{"UnreadableRow", Loss::kPollOnly, 800, Beside::kUnreadableRow},
+        LossCase{"ManyChanges", Loss::kPollOnly, 800, Beside::kManyChanges}),
     [](const auto& info) { return std::string(info.param.name); });
 
 // What other writers write every two seconds, more rarely than the list is
