Tests: planned_stop_test reads the gateway's port before the stop

The test asked for the port of a listener that the stopping gateway had closed, a use after free that the sanitizer build reported.

--- a/tests/unit/daemon/gateway/planned_stop_test.cc
+++ b/tests/unit/daemon/gateway/planned_stop_test.cc
@@ -82,11 +82,12 @@
   HostedWorld world({.stop_grace = kGrace});
   http_channel::EndpointPool pool(world.loop(), {});
   http_channel::HttpCaller caller(world.loop(), pool);
+  const std::string address =
+      common::StrCat("127.0.0.1:", world.gateway().caller_port());
   const auto ask = [&] {
     std::optional<http_channel::CallResult> result;
     caller.Start(
-        common::StrCat("127.0.0.1:", world.gateway().caller_port()),
-        {.method = "POST", .target = "/once/x", .body = "x"}, kGrace,
+        address, {.method = "POST", .target = "/once/x", .body = "x"}, kGrace,
         [&](const http_channel::CallResult& answer) { result = answer; });
     EXPECT_TRUE(world.RunUntil([&] { return result.has_value(); }));
     // 0: the connection was closed.
