--- a/review/8/case.cc
+++ b/review/8/case.cc
@@ -41,7 +41,10 @@
   int ran = 0;
   int broken = 0;
   int invented = 0;
-  const auto serve = [&](const Received& request) {
+  const auto serve = [&](const std::string& server, const Received& request) {
+    if (const auto refusal = Misdirected(request, server)) {
+      return *refusal;
+    }
     const std::string* id =
         request.head.headers.Find("X-Wagtailshore-Attempt-Id");
     const Sent& caller = sent.at(id == nullptr ? "" : *id);
@@ -61,16 +64,14 @@
     return hosted_world::Plain(request, 200, "ok");
   };
   std::vector<std::unique_ptr<FakeEndpoint>> endpoints;
-  const auto list = [&] {
-    for (size_t i = 0; i < endpoints.size(); ++i) {
-      store.SetEndpoint(common::StrCat("i-", i),
-                        HostedWorld::EndpointEntry(endpoints[i]->address()));
-    }
-  };
+  CheckIns check_ins(loop, store);
   for (int i = 0; i < 2; ++i) {
-    endpoints.push_back(std::make_unique<FakeEndpoint>(loop, serve));
+    const std::string id = common::StrCat("i-", i);
+    endpoints.push_back(std::make_unique<FakeEndpoint>(
+        loop,
+        [&serve, id](const Received& request) { return serve(id, request); }));
+    check_ins.Add(id, endpoints.back()->address(), /*slots=*/6);
   }
-  list();
 
   std::vector<std::string> fronts;
   std::vector<std::unique_ptr<Process>> gateways;
--- a/review/support-2/group.h
+++ b/review/support-2/group.h
@@ -311,6 +311,9 @@
       for (const json& set : order.at("map")) {
         map.push_back(set.at(index).get<std::vector<int>>());
       }
+      if (!IsWhole(order.at("map"))) {
+        return 409;
+      }
       for (int set = 0; set < options_.sets; ++set) {
         int added = 0;
         for (const int expert : map[set]) {
@@ -377,6 +380,25 @@
     return 400;
   }
 
+  // Whether each expert is on a rank, and no rank has too many.
+  bool IsWhole(const json& map) const {
+    for (const json& set : map) {
+      std::set<int> held;
+      for (const json& rank : set) {
+        if (static_cast<int>(rank.size()) > options_.placements) {
+          return false;
+        }
+        for (const json& expert : rank) {
+          held.insert(expert.get<int>());
+        }
+      }
+      if (static_cast<int>(held.size()) != options_.experts) {
+        return false;
+      }
+    }
+    return static_cast<int>(map.size()) == options_.sets;
+  }
+
   const Rank* HoldOf(uint64_t step) const {
     for (const auto& rank : ranks_) {
       if (rank->held == step) {
--- a/review/support-2/stage.h
+++ b/review/support-2/stage.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -153,6 +154,53 @@
   std::unique_ptr<e2e::ChildProcess> process_;
 };
 
+// The refusal of a request that expects another server; nullopt if it does not.
+inline std::optional<hosted_world::Reply> Misdirected(
+    const hosted_world::Received& request,
+    const std::string& id) {
+  const std::string* expected =
+      request.head.headers.Find("X-Wagtailshore-Expect-Instance");
+  if (expected == nullptr || *expected == id) {
+    return std::nullopt;
+  }
+  return hosted_world::Reply{
+      .bytes = common::StrCat(
+          hosted_world::HeadOf(request, 421, "Content-Length: 0\r\n"), "\r\n")};
+}
+
+// Writes the servers' entries each `heartbeat_ms`, unless the store is away.
+class CheckIns {
+ public:
+  CheckIns(event_loop::EventLoop& loop, hosted_world::FakeStore& store)
+      : loop_(loop), store_(store) {
+    loop_.Every(common::milliseconds(1200), [this] { Write(); });
+  }
+  void Add(const std::string& id, const std::string& address, int slots) {
+    servers_[id] = hosted_world::HostedWorld::EndpointEntry(address);
+    servers_[id]["slots"] = slots;
+    servers_[id]["version"] = "v1";
+    servers_[id]["cold_remaining_ms"] = 0;
+    Write();
+  }
+  void set_away(bool away) { away_ = away; }
+
+ private:
+  void Write() {
+    ++sequence_;
+    for (auto& [id, entry] : servers_) {
+      entry["sequence"] = sequence_;
+      if (!away_) {
+        store_.SetEndpoint(id, entry);
+      }
+    }
+  }
+  event_loop::EventLoop& loop_;
+  hosted_world::FakeStore& store_;
+  std::map<std::string, json> servers_;
+  int sequence_ = 0;
+  bool away_ = false;
+};
+
 inline void RunFor(event_loop::EventLoop& loop, common::Duration length) {
   const common::Time end = loop.Now() + length;
   while (loop.Now() < end) {
