--- a/tests/e2e/child_process.h
+++ b/tests/e2e/child_process.h
@@ -22,6 +22,7 @@
   ChildProcess(const ChildProcess&) = delete;
   ChildProcess& operator=(const ChildProcess&) = delete;
 
+  pid_t pid() const { return pid_; }
   // Sends a signal, unless the program is known to have exited.
   void Signal(int signal) const;
   // Waits up to `timeout` for the program to exit. Returns its exit code, or
--- a/tests/e2e/deployment.cc
+++ b/tests/e2e/deployment.cc
@@ -58,7 +58,7 @@
 }  // namespace
 
 Deployment::Deployment(DeploymentOptions options)
-    : options_(options), log_folder_(NewLogFolder()) {}
+    : options_(std::move(options)), log_folder_(NewLogFolder()) {}
 
 std::string Deployment::Address(const std::string& name, int port) const {
   constexpr int kPerNumber = 250;
@@ -79,6 +79,10 @@
   return Url(Address(entry, kCallerPort));
 }
 
+std::string Deployment::TrafficAddress(const std::string& name) const {
+  return Address(name, IsKind(name, "entry") ? kCallerPort : kTrafficPort);
+}
+
 std::string Deployment::AdminUrl(const std::string& name) const {
   return Url(Address(name, kAdminPort));
 }
@@ -125,6 +129,8 @@
     command.push_back(
         common::StrCat("--progress-timeout=",
                        common::ToMilliseconds(options_.progress_timeout)));
+    command.insert(command.end(), options_.entry_flags.begin(),
+                   options_.entry_flags.end());
     return command;
   }
   auto command = DaemonCommand(name, "endpoint");
--- a/tests/e2e/deployment.h
+++ b/tests/e2e/deployment.h
@@ -24,6 +24,8 @@
   common::Duration call_time = common::milliseconds(0);
   // How long an entry waits for the next frame of a stream.
   common::Duration progress_timeout = common::seconds(1);
+  // Further flags of the entries.
+  std::vector<std::string> entry_flags;
 };
 
 // Runs real processes on loopback addresses that are derived from the test's
@@ -48,6 +50,8 @@
 
   std::string CallerUrl(const std::string& entry) const;
   std::string AdminUrl(const std::string& name) const;
+  // "IP:port" on which an entry accepts callers, or an endpoint attempts.
+  std::string TrafficAddress(const std::string& name) const;
   std::string StandinUrl(const std::string& name) const;
   // The folder with one log file per process.
   const std::string& log_folder() const { return log_folder_; }
