Listener: rests while the process has no descriptor left

What callers saw: at the limit on descriptors, a gateway used its whole processor share (4.0 s of 25 s against none) and was late for everybody.

Cause: accept() failed, and the listening socket stayed readable, so the loop called it again at once.

The budget for clients keeps descriptors back, so this is for processes whose own limit is lower than their settings say.

--- a/packages/transport/stream_socket/listener.cc
+++ b/packages/transport/stream_socket/listener.cc
@@ -8,6 +8,7 @@
 #include <cstring>
 #include <utility>
 
+#include "common/event_log.h"
 #include "common/strings.h"
 #include "transport/stream_socket/address.h"
 
@@ -20,6 +21,8 @@
 // starved.
 constexpr int kAcceptsPerWake = 64;
 
+constexpr common::Duration kAcceptPause = common::milliseconds(200);
+
 absl::Status SystemError(const std::string& what) {
   return absl::UnavailableError(
       common::StrCat(what, ": ", std::strerror(errno)));
@@ -60,6 +63,7 @@
 }
 
 Listener::~Listener() {
+  loop_.Cancel(pause_timer_);
   loop_.Unwatch(descriptor_);
   close(descriptor_);
 }
@@ -76,10 +80,26 @@
     const int accepted =
         accept4(descriptor_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (accepted < 0) {
+      if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS ||
+          errno == ENOMEM) {
+        Pause(errno);
+      }
       return;
     }
     accept_(accepted);
   }
 }
 
+void Listener::Pause(int error) {
+  common::LogEvent(
+      common::EventId::kCannotAccept,
+      common::StrCat("port=", port(), " error=", std::strerror(error)));
+  // The descriptor stays readable, so the loop would not rest otherwise.
+  loop_.Watch(descriptor_, this, {});
+  pause_timer_ = loop_.RunAfter(kAcceptPause, [this] {
+    pause_timer_ = event_loop::kNoTimer;
+    loop_.Watch(descriptor_, this, {.readable = true});
+  });
+}
+
 }  // namespace wagtailshore::stream_socket
--- a/packages/transport/stream_socket/listener.h
+++ b/packages/transport/stream_socket/listener.h
@@ -37,9 +37,13 @@
  private:
   Listener(event_loop::EventLoop& loop, int descriptor, OnAccept accept);
 
+  // Waits before it accepts again, as the process has no descriptor left.
+  void Pause(int error);
+
   event_loop::EventLoop& loop_;
   int descriptor_;
   OnAccept accept_;
+  event_loop::TimerId pause_timer_ = event_loop::kNoTimer;
 };
 
 }  // namespace wagtailshore::stream_socket
