HTTP server: what clients make a process hold is counted against one budget

What callers saw: a crowd of clients took an entry of the own interface, or an endpoint, over the memory of its machine (825 MB for 120 bodies one byte short); those that stopped short heard nothing and kept what they had.

Cause: the server bounded each request, but not their sum: 512 requests of 4 MiB, at twice their size while they grow, and about eight times while they run, as the body, the parsed call, the attempt and its encoding exist at the same time. Nothing could be taken back from a client that never ends.

Change: ConnectionLimiter applies the same decision as gateways do (client_budget) to the connections of all servers of a process: those for callers, for attempts and for operators. A body is granted its announced length or what has arrived; a request is granted eight times its body before it runs, and else refused with 503 and Retry-After, which is true, as nothing ran. A connection that has to give way is closed. An entry drops the body once the call is parsed and moves the call into its run.

Why it works: the server asks the budget before it keeps a byte, and what it asks for covers the copies; memory is taken back by closing the connection, which does not depend on the client.

--- a/packages/daemon/endpoint/endpoint.cc
+++ b/packages/daemon/endpoint/endpoint.cc
@@ -41,7 +41,8 @@
     auto server =
         http_server::Server::Start({.address = settings.traffic_address,
                                     .max_requests = settings.max_connections,
-                                    .max_body_bytes = settings.max_body_bytes},
+                                    .max_body_bytes = settings.max_body_bytes,
+                                    .limiter = &node_.limiter()},
                                    [this](const http_server::Request& request) {
                                      return attempt_server_.OnRequest(request);
                                    });
--- a/packages/daemon/entry/caller_server.cc
+++ b/packages/daemon/entry/caller_server.cc
@@ -123,18 +123,25 @@
   return Refused(std::get<refusal::Refusal>(outcome));
 }
 
-http_server::Response CallerServer::OnRequest(
+std::variant<http_api::Call, refusal::Refusal> CallerServer::Parse(
     const http_server::Request& request) {
+  const std::lock_guard lock(parse_mutex_);
+  return http_api::ParseCall(request.method, request.path, request.body);
+}
+
+http_server::Response CallerServer::OnRequest(http_server::Request request) {
   auto envelope = http_api::ParseEnvelope(request.headers);
   if (const auto* refusal = std::get_if<refusal::Refusal>(&envelope)) {
     return Refused(*refusal);
   }
-  auto call = http_api::ParseCall(request.method, request.path, request.body);
+  auto call = Parse(request);
+  // The call has all of it; the request may run for long.
+  std::string().swap(request.body);
   if (const auto* refusal = std::get_if<refusal::Refusal>(&call)) {
     return Refused(*refusal);
   }
   const auto& parsed_envelope = std::get<http_api::Envelope>(envelope);
-  const auto& parsed_call = std::get<http_api::Call>(call);
+  auto& parsed_call = std::get<http_api::Call>(call);
   auto admitted = Admit(parsed_envelope, parsed_call);
   if (const auto* refusal = std::get_if<refusal::Refusal>(&admitted)) {
     common::LogEvent(common::EventId::kRequestRefused,
@@ -143,9 +150,9 @@
     return Refused(*refusal);
   }
   return std::visit(
-      [&](const auto& kind) {
+      [&](auto& kind) {
         return Serve(std::move(std::get<Admitted>(admitted)), parsed_envelope,
-                     kind);
+                     std::move(kind));
       },
       parsed_call);
 }
@@ -250,7 +257,7 @@
 
 http_server::Response CallerServer::Serve(Admitted admitted,
                                           const http_api::Envelope&,
-                                          const http_api::GenerateCall& call) {
+                                          http_api::GenerateCall call) {
   const auto& groups = admitted.manifest->manifest.groups;
   const bool known =
       std::any_of(groups.begin(), groups.end(),
@@ -258,14 +265,16 @@
   if (!known) {
     return Refused(Refuse(refusal::Code::kNotFound, "no such model"));
   }
+  const bool streamed = call.stream;
   // The run records its outcome in the metrics itself.
-  auto run = std::make_unique<GenerateRun>(control_, std::move(admitted), call);
+  auto run = std::make_unique<GenerateRun>(control_, std::move(admitted),
+                                           std::move(call));
   auto piece = run->Next();
   if (const auto* refusal = std::get_if<refusal::Refusal>(&piece)) {
     return RefusalResponse(*refusal);
   }
   auto& first = std::get<exchange::DeliverText>(piece);
-  if (call.stream) {
+  if (streamed) {
     return http_server::StreamedResponse{
         .content_type = "text/event-stream",
         .headers = {{"Cache-Control", "no-store"}},
--- a/packages/daemon/entry/caller_server.h
+++ b/packages/daemon/entry/caller_server.h
@@ -1,6 +1,7 @@
 #ifndef DAEMON_ENTRY_CALLER_SERVER_H_
 #define DAEMON_ENTRY_CALLER_SERVER_H_
 
+#include <mutex>
 #include <optional>
 #include <string>
 #include <variant>
@@ -21,7 +22,7 @@
       : node_(node), core_(core), control_(control) {}
 
   // Called on the connection's thread.
-  http_server::Response OnRequest(const http_server::Request& request);
+  http_server::Response OnRequest(http_server::Request request);
 
  private:
   std::variant<Admitted, refusal::Refusal> Admit(
@@ -32,6 +33,9 @@
       const http_api::Envelope& envelope,
       const http_api::Call& call);
 
+  std::variant<http_api::Call, refusal::Refusal> Parse(
+      const http_server::Request& request);
+
   // Return a refusal if this entry's share of the customer's rate limit is
   // exhausted, or if the first token is expected after the deadline. Called on
   // the control thread.
@@ -43,7 +47,7 @@
 
   http_server::Response Serve(Admitted admitted,
                               const http_api::Envelope& envelope,
-                              const http_api::GenerateCall& call);
+                              http_api::GenerateCall call);
   http_server::Response Serve(Admitted admitted,
                               const http_api::Envelope& envelope,
                               const http_api::ServiceCall& call);
@@ -59,6 +63,9 @@
   node::Node& node_;
   EntryCore& core_;
   EntryControl& control_;
+  // A parsed body takes many times its size until its call is made from it, so
+  // bodies are parsed one at a time.
+  std::mutex parse_mutex_;
 };
 
 // Returns the HTTP response for a refusal, without recording it.
--- a/packages/daemon/entry/entry.cc
+++ b/packages/daemon/entry/entry.cc
@@ -49,9 +49,10 @@
          .overloaded_body =
              http_api::FormatRefusal({.code = refusal::Code::kOverloaded,
                                       .message = "too many requests at once",
-                                      .retry_after = common::seconds(1)})},
-        [this](const http_server::Request& request) {
-          return caller_server_.OnRequest(request);
+                                      .retry_after = common::seconds(1)}),
+         .limiter = &node_.limiter()},
+        [this](http_server::Request request) {
+          return caller_server_.OnRequest(std::move(request));
         });
     if (!server.ok()) {
       return server.status();
--- a/packages/daemon/entry/generate_run.cc
+++ b/packages/daemon/entry/generate_run.cc
@@ -53,8 +53,7 @@
            .deadline = admitted_.deadline,
            .progress_timeout = control.node().settings().progress_timeout}),
       prefixes_(routing::PrefixesOf(call_.prompt)),
-      digest_(
-          common::Sha256Hex(common::StrCat(call_.model, "\n", call_.prompt))),
+      digest_(common::Sha256Hex({call_.model, "\n", call_.prompt})),
       times_(common::Clock::now()) {}
 
 GenerateRun::~GenerateRun() {
--- a/packages/daemon/node/node.cc
+++ b/packages/daemon/node/node.cc
@@ -10,6 +10,7 @@
 #include "common/strings.h"
 #include "daemon/node/platform_watch.h"
 #include "protocol/manifest_codec/manifest_codec.h"
+#include "transport/machine/machine.h"
 #include "transport/peer_link/peer_client.h"
 #include "transport/peer_link/peer_server.h"
 
@@ -67,6 +68,9 @@
                .poll_period = settings.platform_poll_period}),
       platform_(
           {.url = settings.platform_url, .timeout = settings.platform_timeout}),
+      limiter_(client_budget::OptionsFor(
+          machine::LimitsWithin(settings.memory_bytes,
+                                settings.max_descriptors))),
       links_(std::make_unique<Links>()) {
   member_.peers().AddSeeds(settings.seeds);
 }
@@ -96,7 +100,8 @@
 
   auto admin_server = http_server::Server::Start(
       {.address = settings_.admin_address,
-       .max_body_bytes = peer_link::kMaxMessageBytes},
+       .max_body_bytes = peer_link::kMaxMessageBytes,
+       .limiter = &limiter_},
       [this](const http_server::Request& request) { return OnAdmin(request); });
   if (!admin_server.ok()) {
     return admin_server.status();
--- a/packages/daemon/node/node.h
+++ b/packages/daemon/node/node.h
@@ -60,6 +60,8 @@
   control_loop::ControlLoop& control() { return control_; }
   const platform_client::PlatformClient& platform() const { return platform_; }
   const settings::Settings& settings() const { return settings_; }
+  // Counts what the clients of all servers of this process make it hold.
+  http_server::ConnectionLimiter& limiter() { return limiter_; }
   // A random identifier of this process; a restarted instance has another one.
   const std::string& incarnation() const { return incarnation_; }
 
@@ -115,6 +117,7 @@
   dissemination::Member member_;
   draining::DrainGate gate_;
   platform_client::PlatformClient platform_;
+  http_server::ConnectionLimiter limiter_;
   // Set on the control thread before the links are destroyed.
   bool stopping_ = false;
 
--- a/packages/daemon/settings/setting_table.cc
+++ b/packages/daemon/settings/setting_table.cc
@@ -143,6 +143,25 @@
                 .max = 1 << 30,
                 .default_value = "4194304",
                 .help = "maximum size of a request body"},
+    SettingSpec{.name = "memory",
+                .type = SettingType::kNumber,
+                .unit = "MB",
+                .min = 0,
+                .max = 1 << 20,
+                .default_value = "0",
+                .help =
+                    "memory that this process may take; clients that find no "
+                    "room in it are refused; 0 for that of the machine"},
+    SettingSpec{.name = "max-descriptors",
+                .type = SettingType::kNumber,
+                .unit = "descriptors",
+                .min = 0,
+                .max = 1 << 20,
+                .default_value = "0",
+                .help =
+                    "descriptors that this process may have open; connections "
+                    "that wait longest are closed for new ones; 0 for the "
+                    "limit of the process"},
 };
 
 }  // namespace
--- a/packages/daemon/settings/settings.cc
+++ b/packages/daemon/settings/settings.cc
@@ -15,6 +15,8 @@
 namespace wagtailshore::settings {
 namespace {
 
+constexpr size_t kBytesPerMegabyte = 1 << 20;
+
 constexpr char kVersion[] = "0.1.0";
 constexpr std::string_view kUrlPrefix = "http://";
 
@@ -210,6 +212,9 @@
       .max_connections =
           static_cast<uint32_t>(Number(values, "max-connections")),
       .max_body_bytes = static_cast<size_t>(Number(values, "max-body")),
+      .memory_bytes =
+          static_cast<size_t>(Number(values, "memory")) * kBytesPerMegabyte,
+      .max_descriptors = static_cast<size_t>(Number(values, "max-descriptors")),
   };
 }
 
--- a/packages/daemon/settings/settings.h
+++ b/packages/daemon/settings/settings.h
@@ -58,6 +58,10 @@
   uint32_t limit_entries = 1;
   uint32_t max_connections = 0;
   size_t max_body_bytes = 0;
+  // Memory and descriptors that the process may take; 0 for what the machine
+  // has.
+  size_t memory_bytes = 0;
+  size_t max_descriptors = 0;
 };
 
 // --help or --version was given, and its output has been printed.
--- a/packages/transport/http_server/http_server.cc
+++ b/packages/transport/http_server/http_server.cc
@@ -23,6 +23,8 @@
 // Connections accepted beyond `max_requests`, so that excess requests can be
 // refused with a response and idle connections do not use up the limit.
 constexpr uint32_t kSpareConnections = 256;
+// Connections that have given way and are not closed yet.
+constexpr uint32_t kClosingConnections = 32;
 constexpr char kRetryAfterSeconds[] = "1";
 
 absl::StatusOr<sockaddr_in> ParseAddress(const std::string& address) {
@@ -41,13 +43,114 @@
   return parsed;
 }
 
+// Memory of an entry of the maps of headers and arguments beside its text.
+constexpr size_t kMapEntryBytes = 128;
+// Copies of a body while its request runs: parsed, encoded for an endpoint, and
+// in the client that sends it there.
+constexpr size_t kCopiesWhileRunning = 8;
+
 // A request whose body is still arriving.
 struct PendingRequest {
   Request request;
   common::Time started_at;
   bool too_large = false;
+  // Memory of the headers and arguments.
+  size_t head_bytes = 0;
+  // Length of the body that the head announces; 0 if it announces none.
+  size_t announced_bytes = 0;
+};
+
+size_t MemoryOf(const std::map<std::string, std::string>& texts) {
+  size_t bytes = 0;
+  for (const auto& [name, value] : texts) {
+    bytes += kMapEntryBytes + name.size() + value.size();
+  }
+  return bytes;
+}
+
+// One connection and its request. Another connection that needs its memory may
+// take that back on its own thread.
+class Connection final : public LimitedConnection {
+ public:
+  Connection(MHD_socket socket, ConnectionLimiter* limiter)
+      : socket_(socket), limiter_(limiter) {
+    if (limiter_ == nullptr) {
+      return;
+    }
+    id_ = limiter_->Open(*this);
+    if (!id_.has_value()) {
+      GiveWay();
+    }
+  }
+  ~Connection() override {
+    if (id_.has_value()) {
+      limiter_->Close(*id_);
+    }
+  }
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
+
+  // Has `bytes` counted for the request; false if there is no room.
+  bool Hold(size_t bytes, client_budget::Phase phase) {
+    return limiter_ == nullptr ||
+           (id_.has_value() && limiter_->Resize(*id_, bytes, phase));
+  }
+  void Release() {
+    if (id_.has_value()) {
+      limiter_->Release(*id_);
+    }
+  }
+  void OnRefused() {
+    if (limiter_ != nullptr) {
+      limiter_->OnRefused();
+    }
+  }
+
+  // Appends to the body, whose block grows to `capacity`. False if the
+  // connection has given way.
+  bool Append(std::string& body, std::string_view data, size_t capacity) {
+    const std::lock_guard lock(mutex_);
+    if (gave_way_) {
+      return false;
+    }
+    body_ = &body;
+    body.reserve(capacity);
+    body.append(data);
+    return true;
+  }
+  // The body is no longer taken back. False if it has been.
+  bool Keep() {
+    const std::lock_guard lock(mutex_);
+    body_ = nullptr;
+    return !gave_way_;
+  }
+
+  void GiveWay() override {
+    const std::lock_guard lock(mutex_);
+    gave_way_ = true;
+    if (body_ != nullptr) {
+      std::string().swap(*body_);
+    }
+    // Wakes the connection's thread, which then closes it.
+    shutdown(socket_, SHUT_RDWR);
+  }
+
+ private:
+  MHD_socket socket_;
+  ConnectionLimiter* limiter_;
+  std::optional<client_budget::ClientId> id_;
+  std::mutex mutex_;
+  bool gave_way_ = false;
+  // The body that is arriving; null if there is none.
+  std::string* body_ = nullptr;
 };
 
+Connection& ConnectionOf(MHD_Connection* connection) {
+  const MHD_ConnectionInfo* info =
+      MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+  return *static_cast<Connection*>(info->socket_context);
+}
+
 MHD_Result CollectHeader(void* into,
                          MHD_ValueKind,
                          const char* name,
@@ -157,8 +260,8 @@
         MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD |
             MHD_USE_POLL | MHD_USE_ITC,
         /*port=*/0, nullptr, nullptr, &Impl::OnData, this, MHD_OPTION_SOCK_ADDR,
-        &*address, MHD_OPTION_CONNECTION_LIMIT,
-        options_.max_requests + kSpareConnections,
+        &*address, MHD_OPTION_CONNECTION_LIMIT, MaxConnections(),
+        MHD_OPTION_NOTIFY_CONNECTION, &Impl::OnConnection, this,
         MHD_OPTION_CONNECTION_MEMORY_LIMIT, options_.max_header_bytes,
         MHD_OPTION_CONNECTION_TIMEOUT, idle_seconds,
         MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_NOTIFY_COMPLETED,
@@ -183,6 +286,33 @@
   }
 
  private:
+  // Beyond the limiter's maximum, so that a new connection can take the place
+  // of one that has given way and is not closed yet.
+  uint32_t MaxConnections() const {
+    const uint32_t most = options_.max_requests + kSpareConnections;
+    return options_.limiter == nullptr
+               ? most
+               : static_cast<uint32_t>(std::min<size_t>(
+                     most, options_.limiter->max_connections() +
+                               kClosingConnections));
+  }
+
+  static void OnConnection(void* self,
+                           MHD_Connection* connection,
+                           void** context,
+                           MHD_ConnectionNotificationCode code) {
+    if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
+      delete static_cast<Connection*>(*context);
+      *context = nullptr;
+      return;
+    }
+    const MHD_ConnectionInfo* info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    *context = std::make_unique<Connection>(
+                   info->connect_fd, static_cast<Impl*>(self)->options_.limiter)
+                   .release();
+  }
+
   // libmicrohttpd calls this first without data, then with each piece of the
   // body, and finally with size 0.
   static MHD_Result OnData(void* self,
@@ -195,8 +325,12 @@
                            void** state) {
     auto* impl = static_cast<Impl*>(self);
     if (*state == nullptr) {
-      *state = Begin(connection, path, method).release();
-      return impl->AdmitRequest() ? MHD_YES : impl->RefuseOverload(connection);
+      auto begun = Begin(connection, path, method);
+      const bool admitted =
+          impl->AdmitRequest() &&
+          impl->HoldAnnounced(ConnectionOf(connection), *begun);
+      *state = begun.release();
+      return admitted ? MHD_YES : impl->RefuseOverload(connection);
     }
     auto* pending = static_cast<PendingRequest*>(*state);
     if (*size > 0) {
@@ -204,7 +338,10 @@
           impl->options_.body_timeout) {
         return MHD_NO;
       }
-      impl->AppendBody(*pending, {data, *size});
+      if (!impl->AppendBody(ConnectionOf(connection), *pending,
+                            {data, *size})) {
+        return MHD_NO;
+      }
       *size = 0;
       return MHD_YES;
     }
@@ -212,12 +349,15 @@
   }
 
   static void OnCompleted(void* self,
-                          MHD_Connection*,
+                          MHD_Connection* connection,
                           void** state,
                           MHD_RequestTerminationCode) {
     if (*state == nullptr) {
       return;
     }
+    Connection& limited = ConnectionOf(connection);
+    (void)limited.Keep();
+    limited.Release();
     delete static_cast<PendingRequest*>(*state);
     *state = nullptr;
     auto* impl = static_cast<Impl*>(self);
@@ -237,9 +377,31 @@
                               &pending->request.headers);
     MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND,
                               &CollectArgument, &pending->request.arguments);
+    pending->head_bytes = MemoryOf(pending->request.headers) +
+                          MemoryOf(pending->request.arguments);
+    const auto length = pending->request.headers.find("content-length");
+    if (length != pending->request.headers.end()) {
+      (void)absl::SimpleAtoi(length->second, &pending->announced_bytes);
+    }
     return pending;
   }
 
+  // Makes room for the body that the head announces. One that is too large is
+  // not kept.
+  bool HoldAnnounced(Connection& connection, PendingRequest& pending) const {
+    if (pending.announced_bytes > options_.max_body_bytes) {
+      pending.too_large = true;
+      pending.announced_bytes = 0;
+    }
+    const bool held =
+        connection.Hold(pending.head_bytes + pending.announced_bytes,
+                        client_budget::Phase::kReceiving);
+    if (!held) {
+      connection.OnRefused();
+    }
+    return held;
+  }
+
   // Counts a new request. Returns false when it exceeds `max_requests`; the
   // request still counts until it is completed.
   bool AdmitRequest() {
@@ -255,17 +417,49 @@
     return Send(connection, response);
   }
 
-  void AppendBody(PendingRequest& pending, std::string_view data) const {
-    if (pending.request.body.size() + data.size() > options_.max_body_bytes) {
+  // Returns false if the connection has to be closed for want of room.
+  bool AppendBody(Connection& connection,
+                  PendingRequest& pending,
+                  std::string_view data) const {
+    std::string& body = pending.request.body;
+    const size_t size = body.size() + data.size();
+    if (size > options_.max_body_bytes) {
       pending.too_large = true;
-      pending.request.body.clear();
+      if (!connection.Keep()) {
+        return false;
+      }
+      std::string().swap(body);
+      connection.Hold(pending.head_bytes, client_budget::Phase::kReceiving);
+    }
+    if (pending.too_large) {
+      return true;
     }
-    if (!pending.too_large) {
-      pending.request.body.append(data);
+    size_t capacity = body.capacity();
+    if (size > capacity) {
+      // The old and the new block together take what the new one does once it
+      // is full.
+      capacity = std::max({size, 2 * body.capacity(), pending.announced_bytes});
+      if (capacity != pending.announced_bytes &&
+          !connection.Hold(pending.head_bytes + capacity,
+                           client_budget::Phase::kReceiving)) {
+        connection.OnRefused();
+        return false;
+      }
     }
+    return connection.Append(body, data, capacity);
   }
 
   MHD_Result Answer(MHD_Connection* connection, PendingRequest& pending) {
+    Connection& limited = ConnectionOf(connection);
+    const size_t running =
+        pending.head_bytes + kCopiesWhileRunning * pending.request.body.size();
+    if (!limited.Hold(running, client_budget::Phase::kRunning)) {
+      limited.OnRefused();
+      return limited.Keep() ? RefuseOverload(connection) : MHD_NO;
+    }
+    if (!limited.Keep()) {
+      return MHD_NO;
+    }
     Response response =
         pending.too_large
             ? Response(FullResponse{.status = MHD_HTTP_CONTENT_TOO_LARGE,
--- a/packages/transport/http_server/http_server.h
+++ b/packages/transport/http_server/http_server.h
@@ -12,6 +12,7 @@
 
 #include "absl/status/statusor.h"
 #include "common/time.h"
+#include "transport/http_server/connection_limiter.h"
 
 // An HTTP server with one thread per connection and limits on the size and
 // duration of everything that a client sends.
@@ -81,8 +82,12 @@
   common::Duration body_timeout = common::seconds(30);
   // Response body for a request beyond `max_body_bytes` (status 413).
   std::string too_large_body;
-  // Response body for a request beyond `max_requests` (status 503).
+  // Response body for a request beyond `max_requests`, or for which there is no
+  // memory (status 503).
   std::string overloaded_body;
+  // Counts what the connections hold; several servers may share it. Null for no
+  // limit. Must outlive the server.
+  ConnectionLimiter* limiter = nullptr;
 };
 
 class Server {
--- a/tests/unit/transport/http_server/http_server_test.cc
+++ b/tests/unit/transport/http_server/http_server_test.cc
@@ -5,8 +5,12 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <atomic>
 #include <future>
+#include <memory>
 #include <thread>
+#include <vector>
 
 #include "support/test_address.h"
 #include "transport/http_client/http_client.h"
@@ -73,6 +77,12 @@
     }
     return received;
   }
+  // Returns what the server sends next.
+  std::string ReadSome() const {
+    char buffer[1024];
+    const ssize_t size = recv(socket_, buffer, sizeof(buffer), 0);
+    return {buffer, static_cast<size_t>(std::max<ssize_t>(size, 0))};
+  }
 
  private:
   int socket_;
@@ -201,5 +211,52 @@
   EXPECT_TRUE(std::holds_alternative<http_client::CallFailure>(outcome));
 }
 
+// Memory for two bodies of the size that the tests below send.
+constexpr size_t kBodyBytes = size_t{1} << 20;
+constexpr client_budget::BudgetOptions kTightBudget{
+    .memory_bytes = 5 * kBodyBytes / 2,
+    .max_clients = 4,
+    .small_share = 0};
+
+std::string HeadWithLength(size_t bytes) {
+  return "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+         std::to_string(bytes) + "\r\n\r\n";
+}
+
+// Guards against bodies without an end that take all memory together: the one
+// that finds no room is refused, and does not run.
+TEST(HttpServerLimiterTest, BodyWithoutRoomIsRefused) {
+  ConnectionLimiter limiter(kTightBudget);
+  std::atomic<int> calls = 0;
+  const auto server = MustStart({.limiter = &limiter}, [&](const Request&) {
+    ++calls;
+    return FullResponse{};
+  });
+  const RawConnection first;
+  const RawConnection second;
+  const RawConnection third;
+  for (const RawConnection* connection : {&first, &second}) {
+    ASSERT_TRUE(connection->Write(HeadWithLength(kBodyBytes)));
+    std::this_thread::sleep_for(common::milliseconds(100));
+  }
+  ASSERT_TRUE(third.Write(HeadWithLength(kBodyBytes)));
+  const std::string refusal = third.ReadSome();
+  EXPECT_NE(refusal.find(" 503 "), std::string::npos) << refusal;
+  EXPECT_NE(refusal.find("Retry-After"), std::string::npos) << refusal;
+  EXPECT_EQ(calls, 0);
+}
+
+// Guards against idle connections that keep others out.
+TEST(HttpServerLimiterTest, IdleConnectionsGiveWayToNewOnes) {
+  ConnectionLimiter limiter(kTightBudget);
+  const auto server = MustStart({.limiter = &limiter}, &Echo);
+  std::vector<std::unique_ptr<RawConnection>> idle;
+  for (size_t i = 0; i < 2 * kTightBudget.max_clients; ++i) {
+    idle.push_back(std::make_unique<RawConnection>());
+  }
+  EXPECT_EQ(MustCall({.url = Url("/x")}).status, 200);
+  EXPECT_EQ(idle.front()->ReadToEnd(), "");
+}
+
 }  // namespace
 }  // namespace wagtailshore::http_server
