HTTP API: a body has at most 100,000 JSON values

What callers saw: nothing yet; found while the entry's memory was counted. A body of 4 MiB that consists of empty objects takes over a hundred megabytes once it is parsed, and 100,000 of them took 1.5 s of processor time to parse, as the parser looked for values to drop at the end of each object.

Change: a first pass reads the text without keeping it and stops beyond 64 levels or 100,000 values; only then is it parsed.

--- a/packages/protocol/http_api/http_api.cc
+++ b/packages/protocol/http_api/http_api.cc
@@ -18,6 +18,9 @@
 // The JSON library serializes recursively, so deeper input could exhaust the
 // stack.
 constexpr int kMaxJsonDepth = 64;
+// Objects, arrays, names and other values of a body: one of two bytes takes a
+// hundred as long as the body is being read.
+constexpr size_t kMaxJsonValues = 100'000;
 
 std::string_view Find(const Headers& headers, std::string_view name) {
   const auto found = headers.find(std::string(name));
@@ -39,19 +42,51 @@
   return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
+// Reads a text without keeping it, and stops at the first value that is beyond
+// the limits.
+class JsonLimits final : public nlohmann::json_sax<Json> {
+ public:
+  bool null() override { return CountValue(); }
+  bool boolean(bool) override { return CountValue(); }
+  bool number_integer(number_integer_t) override { return CountValue(); }
+  bool number_unsigned(number_unsigned_t) override { return CountValue(); }
+  bool number_float(number_float_t, const string_t&) override {
+    return CountValue();
+  }
+  bool string(string_t&) override { return CountValue(); }
+  bool binary(binary_t&) override { return CountValue(); }
+  bool key(string_t&) override { return CountValue(); }
+  bool start_object(size_t) override { return Enter(); }
+  bool start_array(size_t) override { return Enter(); }
+  bool end_object() override { return Leave(); }
+  bool end_array() override { return Leave(); }
+  bool parse_error(size_t,
+                   const std::string&,
+                   const nlohmann::detail::exception&) override {
+    return false;
+  }
+
+ private:
+  bool CountValue() { return ++values_ <= kMaxJsonValues; }
+  bool Enter() { return ++depth_ <= kMaxJsonDepth && CountValue(); }
+  bool Leave() {
+    --depth_;
+    return true;
+  }
+
+  int depth_ = 0;
+  size_t values_ = 0;
+};
+
 // Returns the JSON object in `body`, or a discarded value if it is not an
-// object or is nested too deeply.
+// object, is nested too deeply or has too many values.
 Json ParseObject(std::string_view body) {
-  bool too_deep = false;
-  const auto check_depth = [&](int depth, Json::parse_event_t, Json&) {
-    too_deep = too_deep || depth > kMaxJsonDepth;
-    return !too_deep;
-  };
-  Json json = Json::parse(body, check_depth, /*allow_exceptions=*/false);
-  if (too_deep || !json.is_object()) {
+  JsonLimits limits;
+  if (!Json::sax_parse(body, &limits)) {
     return Json(Json::value_t::discarded);
   }
-  return json;
+  Json json = Json::parse(body, nullptr, /*allow_exceptions=*/false);
+  return json.is_object() ? json : Json(Json::value_t::discarded);
 }
 
 std::variant<Call, refusal::Refusal> ParseGenerate(std::string_view model,
@@ -152,7 +187,8 @@
   const Json json = ParseObject(body);
   if (json.is_discarded()) {
     return BadRequest(
-        "the body must be a JSON object with at most 64 nesting levels");
+        "the body must be a JSON object with at most 64 nesting levels and "
+        "100000 values");
   }
   return generate ? ParseGenerate(parts[3], json)
                   : ParseServiceCall(parts[3], json);
