HTTP: a status outside 100 to 599 is no response

What callers saw: a server in trouble answered with status 000; the gateway took it for an interim response and went on waiting, so that its caller got 504 at the deadline, and a safe request or a stream was not sent elsewhere. Statuses 600 and 999 were passed on as answers.

Cause: every status below 200 counted as interim, and all others as final.

Change: EndpointChannel fails the exchange, which may have run, so it is retried where the route allows that and else ends with 502 at once; the router counts it as an error response, and the content is not suspected. The own interface's client does the same.

--- a/packages/protocol/http1/status.h
+++ b/packages/protocol/http1/status.h
@@ -21,6 +21,12 @@
 inline constexpr int kUnavailable = 503;
 inline constexpr int kGatewayTimeout = 504;
 
+// Whether a number is an HTTP status: 100 to 599. Others say nothing about the
+// request.
+constexpr bool IsStatus(int status) {
+  return status >= 100 && status <= 599;
+}
+
 }  // namespace wagtailshore::http1
 
 #endif  // PROTOCOL_HTTP1_STATUS_H_
--- a/packages/transport/http_channel/endpoint_channel.cc
+++ b/packages/transport/http_channel/endpoint_channel.cc
@@ -4,6 +4,7 @@
 
 #include "common/invariant.h"
 #include "common/strings.h"
+#include "protocol/http1/status.h"
 
 namespace wagtailshore::http_channel {
 namespace {
@@ -139,6 +140,10 @@
 
 bool EndpointChannel::OnProgress(const http1::Progress& progress) {
   if (progress.head_complete) {
+    if (!http1::IsStatus(reader_.head().status)) {
+      Fail({.detail = common::StrCat("status_", reader_.head().status)});
+      return false;
+    }
     if (reader_.head().status < kFirstFinalStatus) {
       if (progress.complete) {
         ResetReader();
--- a/packages/transport/http_client/http_client.cc
+++ b/packages/transport/http_client/http_client.cc
@@ -7,6 +7,7 @@
 
 #include "common/invariant.h"
 #include "common/strings.h"
+#include "protocol/http1/status.h"
 
 namespace wagtailshore::http_client {
 namespace {
@@ -62,6 +63,11 @@
     while (true) {
       int running = 0;
       curl_multi_perform(multi_.get(), &running);
+      if (head_complete_ && !http1::IsStatus(status())) {
+        return Failed{
+            .sent = true,
+            .reason = common::StrCat("the response's status is ", status())};
+      }
       if (!received_.empty()) {
         return Data{std::exchange(received_, {})};
       }
--- a/tests/unit/daemon/gateway/gateway_test.cc
+++ b/tests/unit/daemon/gateway/gateway_test.cc
@@ -77,6 +77,25 @@
 Reply NotHttp(const Received&) {
   return {.bytes = "garbage\r\n\r\n"};
 }
+// A success but for its status.
+Reply WithStatus(const Received& request, const std::string& status) {
+  Reply reply = Plain(request, 200, "ok");
+  const std::string line = "HTTP/1.1 ";
+  reply.bytes.replace(line.size(), status.size(), status);
+  return reply;
+}
+Reply Status000(const Received& request) {
+  return WithStatus(request, "000");
+}
+Reply Status099(const Received& request) {
+  return WithStatus(request, "099");
+}
+Reply Status600(const Received& request) {
+  return WithStatus(request, "600");
+}
+Reply Status999(const Received& request) {
+  return WithStatus(request, "999");
+}
 Reply WithoutSeal(const Received& request) {
   const std::string* id =
       request.head.headers.Find("X-Wagtailshore-Attempt-Id");
@@ -148,6 +167,16 @@
         FaultCase{"OnceBareRefusal", "/once/x", BareRefusal, 502, true, 1},
         FaultCase{"OnceForeign", "/once/x", ForeignAnswerFirst, 200, true, 1},
         FaultCase{"OnceExtra", "/once/x", AnswerTwice, 200, true, 1},
+        // Guard against statuses that are none: they pass for interim
+        // responses, or as answers.
+        FaultCase{"SafeStatus000", "/safe/x", Status000, 200, true, 2},
+        FaultCase{"SafeStatus099", "/safe/x", Status099, 200, true, 2},
+        FaultCase{"SafeStatus600", "/safe/x", Status600, 200, true, 2},
+        FaultCase{"SafeStatus999", "/safe/x", Status999, 200, true, 2},
+        FaultCase{"OnceStatus000", "/once/x", Status000, 502, true, 1},
+        FaultCase{"OnceStatus600", "/once/x", Status600, 502, true, 1},
+        FaultCase{"StreamStatus000", "/stream/x", Status000, 200, true, 2},
+        FaultCase{"StreamStatus999", "/stream/x", Status999, 200, true, 2},
         FaultCase{"StreamUntilClose", "/stream/x", WholeStreamUntilClose, 200,
                   true, 1},
         FaultCase{"StreamClosedInsideAnEvent", "/stream/x",
