Client budget: freed memory is given back to the machine

What callers saw: nothing yet; found by a crowd of the tests. After many small bodies of which some stay, and then large ones, a gateway took 66 MB of 64.

Cause: the allocator keeps blocks that are freed between others in use. Its process then has what small clients held before beside what large ones hold now, and the budget counts only the second.

Change: when clients have freed an eighth of the budget, the owner has the allocator give it back, after what was closed has been destroyed.

--- a/packages/coordination/client_budget/client_budget.cc
+++ b/packages/coordination/client_budget/client_budget.cc
@@ -12,6 +12,8 @@
 // and what the allocator keeps.
 constexpr size_t kOwnBytes = size_t{20} << 20;
 constexpr size_t kOwnShare = 8;
+// Part of the memory for clients that may be freed and not yet given back.
+constexpr size_t kFreedShare = 8;
 // Left to clients in any case.
 constexpr size_t kLeastShare = 4;
 // Connections to the store and to other processes, and listening sockets.
@@ -95,7 +97,7 @@
       break;
     }
     freed += held;
-    held_bytes_ -= held;
+    SetHeld(held_bytes_ - held);
     clients_.at(other).bytes = options_.connection_bytes;
     evicted.push_back(other);
   }
@@ -152,7 +154,7 @@
     }
   }
   if (verdict.granted) {
-    held_bytes_ = held_bytes_ - client.bytes + bytes;
+    SetHeld(held_bytes_ - client.bytes + bytes);
     client.bytes = bytes;
   }
   return verdict;
@@ -164,11 +166,26 @@
   if (after > options_.memory_bytes / 2) {
     return false;
   }
-  held_bytes_ = after;
+  SetHeld(after);
   client.bytes = bytes;
   return true;
 }
 
+void ClientBudget::SetHeld(size_t bytes) {
+  if (bytes < held_bytes_) {
+    freed_bytes_ += held_bytes_ - bytes;
+  }
+  held_bytes_ = bytes;
+}
+
+bool ClientBudget::TakeFreedMuch() {
+  if (freed_bytes_ < options_.memory_bytes / kFreedShare) {
+    return false;
+  }
+  freed_bytes_ = 0;
+  return true;
+}
+
 void ClientBudget::SetPhase(ClientId id, Phase phase, common::Time now) {
   Client& client = ClientOf(id);
   client.phase = phase;
@@ -180,7 +197,7 @@
   if (found == clients_.end()) {
     return;
   }
-  held_bytes_ -= found->second.bytes;
+  SetHeld(held_bytes_ - found->second.bytes);
   clients_.erase(found);
 }
 
--- a/packages/coordination/client_budget/client_budget.h
+++ b/packages/coordination/client_budget/client_budget.h
@@ -87,6 +87,10 @@
   void Close(ClientId id);
 
   size_t held_bytes() const { return held_bytes_; }
+  // Whether clients have freed so much since the last call that returned true
+  // that the owner must give it back to the machine, which else lacks it for
+  // others.
+  bool TakeFreedMuch();
   size_t clients() const { return clients_.size(); }
 
  private:
@@ -97,6 +101,8 @@
   };
 
   Client& ClientOf(ClientId id);
+  // Sets what is held in all.
+  void SetHeld(size_t bytes);
   bool GivesWay(const Client& client, size_t to_bytes, common::Time now) const;
   bool HasRoomForClient() const;
   // Takes memory back from clients other than `id`, the largest first, until
@@ -112,6 +118,7 @@
   BudgetOptions options_;
   std::map<ClientId, Client> clients_;
   size_t held_bytes_ = 0;
+  size_t freed_bytes_ = 0;
 };
 
 }  // namespace wagtailshore::client_budget
--- a/packages/transport/http_channel/channel_limiter.cc
+++ b/packages/transport/http_channel/channel_limiter.cc
@@ -2,17 +2,20 @@
 
 #include "common/event_log.h"
 #include "common/strings.h"
+#include "transport/machine/machine.h"
 
 namespace wagtailshore::http_channel {
 namespace {
 
 // A crowd may be refused thousands of times a second, so the log has counts.
 constexpr common::Duration kLogPeriod = common::seconds(1);
+constexpr common::Duration kTrimDelay = common::milliseconds(1);
 
 }  // namespace
 
 ChannelLimiter::~ChannelLimiter() {
   loop_.Cancel(log_timer_);
+  loop_.Cancel(trim_timer_);
 }
 
 std::optional<client_budget::ClientId> ChannelLimiter::Open() {
@@ -41,6 +44,18 @@
 void ChannelLimiter::Close(client_budget::ClientId id) {
   channels_.erase(id);
   budget_.Close(id);
+  TrimSoon();
+}
+
+void ChannelLimiter::TrimSoon() {
+  if (trim_timer_ != event_loop::kNoTimer || !budget_.TakeFreedMuch()) {
+    return;
+  }
+  // After what was closed has been destroyed.
+  trim_timer_ = loop_.RunAfter(kTrimDelay, [this] {
+    trim_timer_ = event_loop::kNoTimer;
+    machine::ReturnFreedMemory();
+  });
 }
 
 bool ChannelLimiter::Resize(client_budget::ClientId id, size_t bytes) {
@@ -52,6 +67,7 @@
   if (!verdict.evicted.empty()) {
     LogSoon();
   }
+  TrimSoon();
   return verdict.granted;
 }
 
--- a/packages/transport/http_channel/channel_limiter.h
+++ b/packages/transport/http_channel/channel_limiter.h
@@ -54,6 +54,8 @@
 
  private:
   void LogSoon();
+  // Gives memory back to the machine if clients have freed much of it.
+  void TrimSoon();
 
   event_loop::EventLoop& loop_;
   client_budget::ClientBudget budget_;
@@ -67,6 +69,7 @@
   uint64_t logged_evicted_ = 0;
   uint64_t logged_closed_ = 0;
   event_loop::TimerId log_timer_ = event_loop::kNoTimer;
+  event_loop::TimerId trim_timer_ = event_loop::kNoTimer;
 };
 
 }  // namespace wagtailshore::http_channel
--- a/packages/transport/http_server/connection_limiter.cc
+++ b/packages/transport/http_server/connection_limiter.cc
@@ -2,6 +2,7 @@
 
 #include "common/event_log.h"
 #include "common/strings.h"
+#include "transport/machine/machine.h"
 
 namespace wagtailshore::http_server {
 namespace {
@@ -42,9 +43,22 @@
 }
 
 void ConnectionLimiter::Close(client_budget::ClientId id) {
-  const std::lock_guard lock(mutex_);
-  connections_.erase(id);
-  budget_.Close(id);
+  {
+    const std::lock_guard lock(mutex_);
+    connections_.erase(id);
+    budget_.Close(id);
+  }
+  Trim();
+}
+
+void ConnectionLimiter::Trim() {
+  {
+    const std::lock_guard lock(mutex_);
+    if (!budget_.TakeFreedMuch()) {
+      return;
+    }
+  }
+  machine::ReturnFreedMemory();
 }
 
 bool ConnectionLimiter::Resize(client_budget::ClientId id,
--- a/packages/transport/http_server/connection_limiter.h
+++ b/packages/transport/http_server/connection_limiter.h
@@ -41,6 +41,8 @@
   size_t max_connections() const { return options_.max_clients; }
 
  private:
+  // Gives memory back to the machine if clients have freed much of it.
+  void Trim();
   // Requires the lock.
   void Log(size_t evicted, size_t closed, common::Time now);
 
--- a/packages/transport/machine/machine.cc
+++ b/packages/transport/machine/machine.cc
@@ -54,4 +54,8 @@
   mallopt(M_ARENA_MAX, kMaxArenas);
 }
 
+void ReturnFreedMemory() {
+  malloc_trim(0);
+}
+
 }  // namespace wagtailshore::machine
--- a/packages/transport/machine/machine.h
+++ b/packages/transport/machine/machine.h
@@ -22,6 +22,10 @@
 // before any thread starts.
 void ConfigureAllocator();
 
+// Gives memory back that the allocator keeps: blocks that were freed between
+// others that are in use. Takes some milliseconds.
+void ReturnFreedMemory();
+
 }  // namespace wagtailshore::machine
 
 #endif  // TRANSPORT_MACHINE_MACHINE_H_
--- a/tests/crowd/gateway_crowd_test.cc
+++ b/tests/crowd/gateway_crowd_test.cc
@@ -83,11 +83,17 @@
   bool ended_ = false;
 };
 
+struct ProcessLimits {
+  size_t memory_megabytes = kMemoryMegabytes;
+  size_t max_descriptors = kMaxDescriptors;
+};
+
 // A gateway process with a fake store and a sound endpoint.
 class GatewayProcess {
  public:
-  GatewayProcess()
-      : store_(loop_),
+  explicit GatewayProcess(const ProcessLimits& limits = {})
+      : limits_(limits),
+        store_(loop_),
         endpoint_(loop_,
                   [](const Received& request) { return Answer(request); }),
         pool_(loop_, {.silence_timeout = kAnswerTimeout}) {
@@ -170,15 +176,16 @@
     WS_INVARIANT(mkdtemp(folder.data()) != nullptr) << "a folder is created";
     folder_ = folder;
     const std::string settings = folder_ + "/settings.json";
-    std::ofstream(settings) << json{
-        {"node_name", "gateway"},
-        {"zone", "z"},
-        {"ip", "127.0.0.1"},
-        {"listen", {{"front", address()}}},
-        {"limits",
-         {{"memory_mb", kMemoryMegabytes}, {"max_fds", kMaxDescriptors}}},
-        {"platform", {{"address", store_.address()}}},
-        {"bounds", {{"grace_s", 4}, {"retry_allowance", 200}}}};
+    std::ofstream(settings)
+        << json{{"node_name", "gateway"},
+                {"zone", "z"},
+                {"ip", "127.0.0.1"},
+                {"listen", {{"front", address()}}},
+                {"limits",
+                 {{"memory_mb", limits_.memory_megabytes},
+                  {"max_fds", limits_.max_descriptors}}},
+                {"platform", {{"address", store_.address()}}},
+                {"bounds", {{"grace_s", 4}, {"retry_allowance", 200}}}};
     setenv("WAGTAILSHORE_SETTINGS", settings.c_str(), 1);
     process_ = std::make_unique<e2e::ChildProcess>(
         std::vector<std::string>{DAEMON_PATH, "--role=gateway"},
@@ -199,6 +206,7 @@
         std::max(peak_descriptors_, OpenDescriptors(process_->pid()));
   }
 
+  ProcessLimits limits_;
   event_loop::EventLoop loop_;
   FakeStore store_;
   FakeEndpoint endpoint_;
@@ -280,6 +288,42 @@
         CrowdCase{"Idle", 600, {Shape::kIdle}}),
     [](const auto& info) { return std::string(info.param.name); });
 
+// Guards against freed memory that the allocator keeps: that of many small
+// bodies, between some that stay, and then that of large ones.
+TEST(GatewayCrowdsTest, SmallBodiesThenLargeOnes) {
+  constexpr ProcessLimits kLimits{.memory_megabytes = 64,
+                                  .max_descriptors = 4100};
+  TargetRequest small = Target();
+  small.max_body_bytes = 60'000;
+  const std::vector<Transmission> small_bodies = {
+      TransmissionOf(Shape::kOneByteShort, small)};
+  const std::vector<Transmission> large_bodies = {
+      TransmissionOf(Shape::kOneByteShort, Target())};
+  GatewayProcess gateway(kLimits);
+  const auto send = [&](int clients, const std::vector<Transmission>& sent) {
+    auto crowd = std::make_unique<ClientCrowd>(
+        gateway.loop(), gateway.address(), clients, sent);
+    gateway.RunUntil([&] { return crowd->sent(); }, kMaxSendTime);
+    return crowd;
+  };
+  std::vector<std::unique_ptr<ClientCrowd>> leaving;
+  std::vector<std::unique_ptr<ClientCrowd>> staying;
+  for (int i = 0; i < 70; ++i) {
+    leaving.push_back(send(4, small_bodies));
+    staying.push_back(send(1, small_bodies));
+  }
+  leaving.clear();
+  gateway.RunUntil([] { return false; }, kStayOpenTime);
+  const auto large = send(60, large_bodies);
+  gateway.RunUntil([] { return false; }, kStayOpenTime);
+  EXPECT_EQ(gateway.Ask("hello"), kOk);
+  EXPECT_TRUE(gateway.alive());
+  std::cout << "peak: " << gateway.peak_resident_bytes() / kBytesPerMegabyte
+            << " MB\n";
+  EXPECT_LE(gateway.peak_resident_bytes(),
+            kLimits.memory_megabytes * kBytesPerMegabyte);
+}
+
 // A largest request alone is inside the limits.
 TEST(GatewayCalmTest, LargestRequestAloneIsServed) {
   GatewayProcess gateway;
--- a/tests/unit/coordination/client_budget/client_budget_test.cc
+++ b/tests/unit/coordination/client_budget/client_budget_test.cc
@@ -121,6 +121,18 @@
   EXPECT_FALSE(budget_.ResizeInCalm(1, 8 * kMegabyte + 1));
 }
 
+TEST_F(ClientBudgetTest, MuchFreedMemoryIsGivenBackOnce) {
+  for (ClientId id = 1; id <= 3; ++id) {
+    Add(id, Phase::kReceiving, kMegabyte, At(0));
+  }
+  budget_.Close(1);
+  EXPECT_FALSE(budget_.TakeFreedMuch());
+  budget_.Close(2);
+  ASSERT_TRUE(budget_.Resize(3, kOptions.connection_bytes, At(0)).granted);
+  EXPECT_TRUE(budget_.TakeFreedMuch());
+  EXPECT_FALSE(budget_.TakeFreedMuch());
+}
+
 // The client to close when there are too many.
 TEST_F(ClientBudgetTest, LongestWaitingConnectionIsClosedForANewOne) {
   Add(1, Phase::kRunning, kMegabyte, At(0));
