--- a/tests/unit/coordination/client_budget/client_budget_test.cc
+++ b/tests/unit/coordination/client_budget/client_budget_test.cc
@@ -137,8 +137,9 @@
 TEST_F(ClientBudgetTest, LongestWaitingConnectionIsClosedForANewOne) {
   Add(1, Phase::kRunning, kMegabyte, At(0));
   Add(2, Phase::kReceiving, kMegabyte, At(10));
-  for (ClientId id = 3; id <= kOptions.max_clients; ++id) {
-    Add(id, Phase::kWaiting, kOptions.connection_bytes, At(20 + id));
+  for (int id = 3; id <= static_cast<int>(kOptions.max_clients); ++id) {
+    Add(static_cast<ClientId>(id), Phase::kWaiting, kOptions.connection_bytes,
+        At(20 + id));
   }
   EXPECT_THAT(budget_.Open(100, At(2000)).evicted, ElementsAre(3));
   EXPECT_EQ(budget_.clients(), kOptions.max_clients);
--- a/tests/unit/daemon/gateway/lost_poll_test.cc
+++ b/tests/unit/daemon/gateway/lost_poll_test.cc
@@ -24,6 +24,9 @@
   kPollOnly,
   // All calls of a short time in which a poll is sent.
   kAllCalls,
+  // All calls of an outage in which the store is silent; those of its last
+  // moments are never answered, nor are their connections closed.
+  kOutage,
 };
 
 // What happens in the store beside the change.
@@ -62,6 +65,12 @@
       world_.store().LoseFeeds(kConfigurationTable);
       return;
     }
+    if (GetParam().loss == Loss::kOutage) {
+      world_.store().set_silent(true);
+      world_.RunFor(common::milliseconds(3300));
+      world_.store().set_silent(false);
+      return;
+    }
     // The next poll follows 400 ms after a change.
     world_.store().SetConfiguration(HostedWorld::Configuration(2));
     world_.RunFor(common::milliseconds(300));
@@ -121,6 +130,10 @@
         LossCase{"AllCallsAtOnce", Loss::kAllCalls, 0},
         LossCase{"AllCallsLater", Loss::kAllCalls, 800},
         LossCase{"AllCallsAfterTheWindow", Loss::kAllCalls, 1100},
+        LossCase{"OutageAtOnce", Loss::kOutage, 0},
+        LossCase{"OutageLater", Loss::kOutage, 800},
+        LossCase{"OutageAfterTheWindow", Loss::kOutage, 1100},
+        LossCase{"OutageLongBefore", Loss::kOutage, 3700},
         LossCase{"HistoryForgotten", Loss::kPollOnly, 800,
                  Beside::kHistoryForgotten},
         LossCase{"UnreadableRow", Loss::kPollOnly, 800, Beside::kUnreadableRow},
