HTTP server: the size of a body is not read while it may be taken back

Cause: a connection's thread read the size and the capacity of the body that another thread may take back at that moment, without their lock. Found by reading; no test showed it.

Change: the thread keeps both numbers itself; the body is touched under the lock, or after the connection no longer gives way. The pool's counter of connections is called what it is.

--- a/packages/transport/http_channel/endpoint_pool.cc
+++ b/packages/transport/http_channel/endpoint_pool.cc
@@ -32,11 +32,11 @@
 
 EndpointChannel& EndpointPool::Open(const std::string& key,
                                     const std::string& address) {
-  if (channels_count_ >= max_channels_) {
+  if (channel_count_ >= max_channels_) {
     CloseOneIdle();
   }
   ++opened_;
-  ++channels_count_;
+  ++channel_count_;
   Channels& channels = channels_[key];
   channels.push_back(std::make_unique<EndpointChannel>(
       loop_, address, options_,
@@ -91,7 +91,7 @@
   if (found == channels_.end()) {
     return;
   }
-  channels_count_ -= std::erase_if(
+  channel_count_ -= std::erase_if(
       found->second, [&](const auto& item) { return item.get() == &channel; });
   if (found->second.empty()) {
     channels_.erase(found);
--- a/packages/transport/http_channel/endpoint_pool.h
+++ b/packages/transport/http_channel/endpoint_pool.h
@@ -53,7 +53,7 @@
   size_t max_channels_;
   std::map<std::string, Channels> channels_;
   uint64_t opened_ = 0;
-  size_t channels_count_ = 0;
+  size_t channel_count_ = 0;
 };
 
 }  // namespace wagtailshore::http_channel
--- a/packages/transport/http_server/http_server.cc
+++ b/packages/transport/http_server/http_server.cc
@@ -56,6 +56,10 @@
   bool too_large = false;
   // Memory of the headers and arguments.
   size_t head_bytes = 0;
+  // Bytes of the body that have arrived, and the size of the block that they
+  // are in. The body itself may be taken back on another thread.
+  size_t body_bytes = 0;
+  size_t body_capacity = 0;
   // Length of the body that the head announces; 0 if it announces none.
   size_t announced_bytes = 0;
 };
@@ -422,8 +426,8 @@
                   PendingRequest& pending,
                   std::string_view data) const {
     std::string& body = pending.request.body;
-    const size_t size = body.size() + data.size();
-    if (size > options_.max_body_bytes) {
+    pending.body_bytes += data.size();
+    if (!pending.too_large && pending.body_bytes > options_.max_body_bytes) {
       pending.too_large = true;
       if (!connection.Keep()) {
         return false;
@@ -434,25 +438,27 @@
     if (pending.too_large) {
       return true;
     }
-    size_t capacity = body.capacity();
-    if (size > capacity) {
+    if (pending.body_bytes > pending.body_capacity) {
       // The old and the new block together take what the new one does once it
       // is full.
-      capacity = std::max({size, 2 * body.capacity(), pending.announced_bytes});
-      if (capacity != pending.announced_bytes &&
-          !connection.Hold(pending.head_bytes + capacity,
+      pending.body_capacity =
+          std::max({pending.body_bytes, 2 * pending.body_capacity,
+                    pending.announced_bytes});
+      if (pending.body_capacity != pending.announced_bytes &&
+          !connection.Hold(pending.head_bytes + pending.body_capacity,
                            client_budget::Phase::kReceiving)) {
         connection.OnRefused();
         return false;
       }
     }
-    return connection.Append(body, data, capacity);
+    return connection.Append(body, data, pending.body_capacity);
   }
 
   MHD_Result Answer(MHD_Connection* connection, PendingRequest& pending) {
     Connection& limited = ConnectionOf(connection);
+    const size_t body_bytes = pending.too_large ? 0 : pending.body_bytes;
     const size_t running =
-        pending.head_bytes + kCopiesWhileRunning * pending.request.body.size();
+        pending.head_bytes + kCopiesWhileRunning * body_bytes;
     if (!limited.Hold(running, client_budget::Phase::kRunning)) {
       limited.OnRefused();
       return limited.Keep() ? RefuseOverload(connection) : MHD_NO;
