--- a/packages/common/digest.cc
+++ b/packages/common/digest.cc
@@ -34,8 +34,8 @@
   bool done = context != nullptr &&
               EVP_DigestInit_ex(context.get(), EVP_sha256(), nullptr) == 1;
   for (const std::string_view part : parts) {
-    done = done &&
-           EVP_DigestUpdate(context.get(), part.data(), part.size()) == 1;
+    done =
+        done && EVP_DigestUpdate(context.get(), part.data(), part.size()) == 1;
   }
   done = done && EVP_DigestFinal_ex(context.get(), digest.data(), &size) == 1;
   WS_INVARIANT(done && size == kSha256Bytes) << "SHA-256 is available";
--- a/packages/common/event_log.cc
+++ b/packages/common/event_log.cc
@@ -36,9 +36,9 @@
               "has too little processor time for its load."},
     EventSpec{
         EventId::kClientsRefused, Severity::kWarning, "clients refused",
-        "In the last second, clients found no room within the memory or the "
-        "descriptors of the machine: refused requests did not run, evicted "
-        "clients gave way to others, and closed ones were connections only.",
+        "In the last second, the memory or the connections for clients were "
+        "exhausted: refused requests did not run, evicted clients lost what "
+        "they held to others, and closed ones their connections to new ones.",
         "If it persists, look for clients that do not finish their requests; "
         "else add instances."},
     EventSpec{EventId::kCannotAccept, Severity::kError, "cannot accept",
--- a/packages/coordination/client_budget/client_budget.cc
+++ b/packages/coordination/client_budget/client_budget.cc
@@ -56,9 +56,9 @@
   return found->second;
 }
 
-bool ClientBudget::GivesWay(const Client& client,
-                            size_t to_bytes,
-                            common::Time now) const {
+bool ClientBudget::IsEvictable(const Client& client,
+                               size_t to_bytes,
+                               common::Time now) const {
   const bool stalled = now - client.since >= options_.stall_time;
   switch (client.phase) {
     case Phase::kReceiving:
@@ -80,7 +80,7 @@
   size_t available = 0;
   for (const auto& [other, client] : clients_) {
     if (other != id && client.bytes > options_.connection_bytes &&
-        GivesWay(client, bytes, now)) {
+        IsEvictable(client, bytes, now)) {
       const size_t beyond_connection = client.bytes - options_.connection_bytes;
       candidates.emplace_back(beyond_connection, other);
       available += beyond_connection;
@@ -111,7 +111,7 @@
   for (const auto& [id, client] : clients_) {
     const bool can_close = client.phase == Phase::kWaiting ||
                            client.phase == Phase::kReceiving ||
-                           GivesWay(client, client.bytes, now);
+                           IsEvictable(client, client.bytes, now);
     const std::tuple rank{client.phase != Phase::kWaiting, client.since};
     if (can_close && (!found.has_value() || rank < found_rank)) {
       found = id;
@@ -160,7 +160,7 @@
   return verdict;
 }
 
-bool ClientBudget::ResizeInCalm(ClientId id, size_t bytes) {
+bool ClientBudget::ResizeOptional(ClientId id, size_t bytes) {
   Client& client = ClientOf(id);
   const size_t after = held_bytes_ - client.bytes + bytes;
   if (after > options_.memory_bytes / 2) {
@@ -178,7 +178,7 @@
   held_bytes_ = bytes;
 }
 
-bool ClientBudget::TakeFreedMuch() {
+bool ClientBudget::ShouldTrim() {
   if (freed_bytes_ < options_.memory_bytes / kFreedShare) {
     return false;
   }
--- a/packages/coordination/client_budget/client_budget.h
+++ b/packages/coordination/client_budget/client_budget.h
@@ -28,9 +28,9 @@
   // A client that holds no more than this is small.
   size_t small_bytes = size_t{64} << 10;
   // Part of the memory that only small clients may use, so that they find room
-  // beside large ones that cannot give way.
+  // beside large ones that cannot be evicted.
   double small_share = 1.0 / 8;
-  // A client that made no progress for this long gives way to any other.
+  // A client that made no progress for this long can be evicted for any other.
   common::Duration stall_time = common::seconds(1);
 };
 
@@ -49,39 +49,39 @@
   kWaiting,
   // A request that is not complete. Nothing of it has been passed on.
   kReceiving,
-  // A complete request. It may be running, so it never gives way.
+  // A complete request. It may be running, so it is never evicted.
   kRunning,
   // The rest of a response, which the client has not read yet.
   kSending,
 };
 
-// Whether a client gets what it asks for, and who gives way for that.
+// Whether a client gets what it asks for, and who is evicted for that.
 struct Verdict {
   bool granted = false;
   std::vector<ClientId> evicted;
 };
 
-// Grants memory and connections to clients within one budget. When there is no
-// room, clients whose memory can be taken back give way: those that hold more
-// than the one that asks, so that many large transfers that never end cannot
-// crowd out small ones, and those that have stalled. Otherwise the asking
+// Grants memory and connections to clients within one budget. When it is
+// exhausted, clients whose memory can be taken back are evicted: those that
+// hold more than the one that asks, so that many large transfers that never end
+// cannot starve small ones, and those that have stalled. Otherwise the asking
 // client is refused.
 //
-// A client that gives way in Resize() keeps its connection: the owner refuses
-// its request or closes it. One that gives way in Open() is closed.
+// A client that Resize() evicts keeps its connection: the owner refuses its
+// request or closes it. One that Open() evicts is closed.
 class ClientBudget {
  public:
   explicit ClientBudget(const BudgetOptions& options) : options_(options) {}
 
   // Adds a client. When there is no room for one more, those that have waited
-  // longest give way.
+  // longest are evicted.
   Verdict Open(ClientId id, common::Time now);
   // Sets what a client holds, its connection included. If that is refused, its
   // holding stays as it was. Less than before is always granted.
   Verdict Resize(ClientId id, size_t bytes, common::Time now);
   // The same for memory that the client can do without: granted only while
-  // half of the budget is free, and nobody gives way for it.
-  bool ResizeInCalm(ClientId id, size_t bytes);
+  // half of the budget is free, and nobody is evicted for it.
+  bool ResizeOptional(ClientId id, size_t bytes);
   // The client has entered the phase, or made progress in it.
   void SetPhase(ClientId id, Phase phase, common::Time now);
   void Close(ClientId id);
@@ -90,7 +90,7 @@
   // Whether clients have freed so much since the last call that returned true
   // that the owner must give it back to the machine, which else lacks it for
   // others.
-  bool TakeFreedMuch();
+  bool ShouldTrim();
   size_t clients() const { return clients_.size(); }
 
  private:
@@ -103,7 +103,9 @@
   Client& ClientOf(ClientId id);
   // Sets what is held in all.
   void SetHeld(size_t bytes);
-  bool GivesWay(const Client& client, size_t to_bytes, common::Time now) const;
+  bool IsEvictable(const Client& client,
+                   size_t to_bytes,
+                   common::Time now) const;
   bool HasRoomForClient() const;
   // Takes memory back from clients other than `id`, the largest first, until
   // `needed` bytes are free for a holding of `bytes`. Takes nothing if they
--- a/packages/daemon/gateway/gateway.cc
+++ b/packages/daemon/gateway/gateway.cc
@@ -26,8 +26,8 @@
 // Retry-After while this process stops; short, as the caller reaches another
 // gateway with its next connection.
 constexpr common::Duration kRetryWhenStopping = common::milliseconds(50);
-// Mean Retry-After for want of room: clients that do not finish their requests
-// have to give way after about this time.
+// Mean Retry-After when the memory for clients is exhausted: stalled clients
+// are evicted after about this time.
 constexpr common::Duration kRetryWhenNoRoom = common::milliseconds(1000);
 // The gateway is not ready when its configuration was last confirmed longer ago
 // than this: other gateways then serve callers better. Requests with keys are
--- a/packages/daemon/gateway/proxied_run.cc
+++ b/packages/daemon/gateway/proxied_run.cc
@@ -448,7 +448,7 @@
     Fail("answer_too_large", kRetryWhenFull);
     return;
   }
-  if (!HoldForAnswer(data.size())) {
+  if (!ReserveForAnswer(data.size())) {
     exchange_->Abandon();
     EndAttempt("no_room_for_answer");
     Fail("no_room_for_answer", kRetryWhenFull);
@@ -458,13 +458,13 @@
   core_.buffered_bytes += data.size();
 }
 
-bool ProxiedRun::HoldForAnswer(size_t more) {
+bool ProxiedRun::ReserveForAnswer(size_t more) {
   const size_t size = buffered_body_.size() + more;
   if (size <= buffered_body_.capacity()) {
     return true;
   }
   const size_t capacity = std::max(size, 2 * buffered_body_.capacity());
-  if (!channel_.HoldForAnswer(capacity)) {
+  if (!channel_.ReserveForAnswer(capacity)) {
     return false;
   }
   buffered_body_.reserve(capacity);
--- a/packages/daemon/gateway/proxied_run.h
+++ b/packages/daemon/gateway/proxied_run.h
@@ -99,7 +99,7 @@
   void NoteDemands(const proxied::EndpointAnswer& answer);
   void OnBufferedAnswer();
   // Makes room for `more` bytes of an answer that is buffered.
-  bool HoldForAnswer(size_t more);
+  bool ReserveForAnswer(size_t more);
   void DropBufferedBody();
   void OnRefusedByEndpoint();
   void RelayEvents(std::string_view data);
--- a/packages/transport/http_channel/caller_channel.cc
+++ b/packages/transport/http_channel/caller_channel.cc
@@ -79,18 +79,18 @@
       options_(options),
       socket_(loop, descriptor, *this, SocketOptionsOf(options)),
       reader_(ReaderOptionsOf(options)),
-      counted_bytes_(kLeastHeldBytes) {
+      reserved_bytes_(kLeastHeldBytes) {
   limiter_.Attach(client_, *this);
   ArmTimer();
 }
 
 CallerChannel::~CallerChannel() {
-  LeaveLimiter();
+  Unregister();
   loop_.Cancel(timer_);
 }
 
-void CallerChannel::LeaveLimiter() {
-  if (std::exchange(in_limiter_, false)) {
+void CallerChannel::Unregister() {
+  if (std::exchange(registered_, false)) {
     limiter_.Close(client_);
   }
 }
@@ -104,20 +104,20 @@
   return bytes;
 }
 
-bool CallerChannel::CountHeld(size_t more) {
+bool CallerChannel::Reserve(size_t more) {
   const size_t bytes = std::max(HeldBytes() + more, kLeastHeldBytes);
-  if (!in_limiter_ || bytes == counted_bytes_) {
+  if (!registered_ || bytes == reserved_bytes_) {
     return true;
   }
   if (!limiter_.Resize(client_, bytes)) {
     return false;
   }
-  counted_bytes_ = bytes;
+  reserved_bytes_ = bytes;
   return true;
 }
 
 void CallerChannel::SetPhase(client_budget::Phase phase) {
-  if (in_limiter_) {
+  if (registered_) {
     limiter_.SetPhase(client_, phase);
   }
 }
@@ -134,19 +134,19 @@
 
 void CallerChannel::ReadAhead() {
   const size_t bytes = std::max(HeldBytes(), kLeastHeldBytes);
-  if (limiter_.ResizeInCalm(client_, bytes)) {
-    counted_bytes_ = bytes;
+  if (limiter_.ResizeOptional(client_, bytes)) {
+    reserved_bytes_ = bytes;
     return;
   }
   socket_.SetMaxInput(std::min(MaxInputOf(options_), socket_.input().size()));
-  if (!CountHeld()) {
+  if (!Reserve()) {
     socket_.Close(/*reset=*/true);
     OnClosed(stream_socket::CloseReason::kBroken);
   }
 }
 
 void CallerChannel::OnFlushed() {
-  (void)CountHeld();
+  (void)Reserve();
   if (state_ != State::kReading) {
     return;
   }
@@ -174,7 +174,7 @@
          socket_.unsent() <= kMaxUnsentBytes && ReadSome()) {
   }
   reading_request_ = false;
-  if (state_ == State::kReading && request_begun_ && !CountHeld()) {
+  if (state_ == State::kReading && request_begun_ && !Reserve()) {
     RefuseForRoom();
   }
 }
@@ -218,7 +218,7 @@
 
 bool CallerChannel::ReserveBody() {
   const auto length = static_cast<size_t>(reader_.content_length().value_or(0));
-  if (!CountHeld(length)) {
+  if (!Reserve(length)) {
     return false;
   }
   body_.reserve(length);
@@ -231,7 +231,7 @@
     // The old and the new block together take what the new one does once it is
     // full.
     const size_t capacity = std::max(size, 2 * body_.capacity());
-    if (!CountHeld(capacity - body_.capacity())) {
+    if (!Reserve(capacity - body_.capacity())) {
       return false;
     }
     body_.reserve(capacity);
@@ -243,7 +243,7 @@
 void CallerChannel::HandOver() {
   const http1::RequestHead head = reader_.head();
   const size_t forwarded = body_.size() > kLargeBodyBytes ? kForwardBytes : 0;
-  if (!CountHeld(forwarded)) {
+  if (!Reserve(forwarded)) {
     RefuseForRoom();
     return;
   }
@@ -267,7 +267,7 @@
                                                          : nullptr));
 }
 
-void CallerChannel::GiveWay() {
+void CallerChannel::Evict() {
   if (state_ == State::kReading && request_begun_) {
     RefuseForRoom();
     return;
@@ -275,8 +275,8 @@
   Break();
 }
 
-void CallerChannel::MakeRoom() {
-  in_limiter_ = false;
+void CallerChannel::CloseForNewClient() {
+  registered_ = false;
   Break();
 }
 
@@ -337,12 +337,12 @@
     return true;
   }
   socket_.Write(chunked_ ? http1::FormatChunk(data) : std::string(data));
-  return CountHeld();
+  return Reserve();
 }
 
-bool CallerChannel::HoldForAnswer(size_t bytes) {
+bool CallerChannel::ReserveForAnswer(size_t bytes) {
   const size_t before = std::exchange(answer_bytes_, bytes);
-  if (CountHeld()) {
+  if (Reserve()) {
     return true;
   }
   answer_bytes_ = before;
@@ -373,7 +373,7 @@
     state_ = State::kReading;
     ArmTimer();
   }
-  if (!CountHeld()) {
+  if (!Reserve()) {
     Break();
     return;
   }
@@ -386,7 +386,7 @@
 }
 
 void CallerChannel::Break() {
-  LeaveLimiter();
+  Unregister();
   state_ = State::kClosing;
   socket_.Close(/*reset=*/true);
   loop_.Cancel(timer_);
@@ -402,7 +402,7 @@
 }
 
 void CallerChannel::OnClosed(stream_socket::CloseReason) {
-  LeaveLimiter();
+  Unregister();
   loop_.Cancel(timer_);
   const bool was_answering = busy();
   state_ = State::kClosing;
--- a/packages/transport/http_channel/caller_channel.h
+++ b/packages/transport/http_channel/caller_channel.h
@@ -47,7 +47,7 @@
 
 // One caller's connection. Reads one request at a time and writes its response.
 // All that it holds for its caller is counted by the limiter; a request that
-// finds no room is refused before anything of it is passed on.
+// exceeds the budget is refused before anything of it is passed on.
 class CallerChannel final : public stream_socket::StreamHandler,
                             public LimitedChannel {
  public:
@@ -71,8 +71,8 @@
                const http1::Headers& headers,
                std::string_view body);
   // Write a response in pieces: the head, any number of body parts, the end.
-  // WriteStream() returns false if there is no room for what the caller has not
-  // read; the response can only be broken off then.
+  // WriteStream() returns false if the budget has no room for what the caller
+  // has not read; the response can only be broken off then.
   void BeginStream(int status, const http1::Headers& headers);
   bool WriteStream(std::string_view data);
   void EndStream();
@@ -80,8 +80,9 @@
   // for a complete one.
   void Break();
   // Sets how much memory the handler takes for the response before it writes
-  // it, until the response is complete. Returns false if there is no room.
-  bool HoldForAnswer(size_t bytes);
+  // it, until the response is complete. Returns false if the budget is
+  // exhausted.
+  bool ReserveForAnswer(size_t bytes);
 
   // Closes after the response in progress, or immediately when there is none
   // and no part of a request has been read.
@@ -102,8 +103,8 @@
   void OnSendProgress() override;
   void OnClosed(stream_socket::CloseReason reason) override;
 
-  void GiveWay() override;
-  void MakeRoom() override;
+  void Evict() override;
+  void CloseForNewClient() override;
 
  private:
   enum class State { kReading, kAnswering, kStreaming, kClosing };
@@ -125,12 +126,12 @@
   void RefuseForRoom();
   void Reject(int status, const http1::Headers& headers);
   size_t HeldBytes() const;
-  // Has what the channel holds, and `more`, counted. Returns false if there is
-  // no room.
-  bool CountHeld(size_t more = 0);
+  // Reserves what the channel holds, and `more`. Returns false if the budget is
+  // exhausted.
+  bool Reserve(size_t more = 0);
   void SetPhase(client_budget::Phase phase);
   // The connection is closed or about to be.
-  void LeaveLimiter();
+  void Unregister();
   void FinishResponse();
   void ArmTimer();
   void OnTimer();
@@ -150,10 +151,10 @@
   size_t request_bytes_ = 0;
   size_t answer_bytes_ = 0;
   // What the limiter has counted.
-  size_t counted_bytes_ = 0;
+  size_t reserved_bytes_ = 0;
   // Unsent bytes when the caller last made progress with reading a response.
   size_t unsent_at_progress_ = 0;
-  bool in_limiter_ = true;
+  bool registered_ = true;
   bool keep_alive_ = true;
   bool chunks_allowed_ = true;
   bool close_requested_ = false;
--- a/packages/transport/http_channel/channel_limiter.cc
+++ b/packages/transport/http_channel/channel_limiter.cc
@@ -7,7 +7,7 @@
 namespace wagtailshore::http_channel {
 namespace {
 
-// A crowd may be refused thousands of times a second, so the log has counts.
+// Refusals may come thousands of times a second, so the log has counts.
 constexpr common::Duration kLogPeriod = common::seconds(1);
 constexpr common::Duration kTrimDelay = common::milliseconds(1);
 
@@ -26,7 +26,7 @@
     if (found != channels_.end()) {
       LimitedChannel* channel = found->second;
       channels_.erase(found);
-      channel->MakeRoom();
+      channel->CloseForNewClient();
     }
   }
   closed_ += verdict.evicted.size() + (verdict.granted ? 0 : 1);
@@ -48,7 +48,7 @@
 }
 
 void ChannelLimiter::TrimSoon() {
-  if (trim_timer_ != event_loop::kNoTimer || !budget_.TakeFreedMuch()) {
+  if (trim_timer_ != event_loop::kNoTimer || !budget_.ShouldTrim()) {
     return;
   }
   // After what was closed has been destroyed.
@@ -62,7 +62,7 @@
   const client_budget::Verdict verdict = budget_.Resize(id, bytes, loop_.Now());
   evicted_ += verdict.evicted.size();
   for (const client_budget::ClientId evicted : verdict.evicted) {
-    channels_.at(evicted)->GiveWay();
+    channels_.at(evicted)->Evict();
   }
   if (!verdict.evicted.empty()) {
     LogSoon();
--- a/packages/transport/http_channel/channel_limiter.h
+++ b/packages/transport/http_channel/channel_limiter.h
@@ -16,13 +16,13 @@
   virtual ~LimitedChannel() = default;
   // Frees what the channel holds beyond its connection: refuses the request
   // that arrives, or drops the response that the client does not read.
-  virtual void GiveWay() = 0;
+  virtual void Evict() = 0;
   // Closes the connection at once, without a further call to the limiter.
-  virtual void MakeRoom() = 0;
+  virtual void CloseForNewClient() = 0;
 };
 
 // Counts the memory and the number of a process's client connections against
-// one budget, and lets channels give way to others. Must outlive them.
+// one budget, and evicts channels for others. Must outlive them.
 class ChannelLimiter {
  public:
   ChannelLimiter(event_loop::EventLoop& loop,
@@ -38,10 +38,10 @@
   void Attach(client_budget::ClientId id, LimitedChannel& channel);
   void Close(client_budget::ClientId id);
 
-  // Sets what the channel holds; false if there is no room for that.
+  // Sets what the channel holds; false if the budget is exhausted.
   bool Resize(client_budget::ClientId id, size_t bytes);
-  bool ResizeInCalm(client_budget::ClientId id, size_t bytes) {
-    return budget_.ResizeInCalm(id, bytes);
+  bool ResizeOptional(client_budget::ClientId id, size_t bytes) {
+    return budget_.ResizeOptional(id, bytes);
   }
   void SetPhase(client_budget::ClientId id, client_budget::Phase phase);
   // For the log: the channel refused a request for want of room.
--- a/packages/transport/http_server/connection_limiter.cc
+++ b/packages/transport/http_server/connection_limiter.cc
@@ -7,7 +7,7 @@
 namespace wagtailshore::http_server {
 namespace {
 
-// A crowd may be refused thousands of times a second, so the log has counts.
+// Refusals may come thousands of times a second, so the log has counts.
 constexpr common::Duration kLogPeriod = common::seconds(1);
 // Memory of a connection: its thread's stack and the buffer for its head.
 constexpr size_t kConnectionBytes = size_t{64} << 10;
@@ -31,7 +31,7 @@
   const client_budget::Verdict verdict = budget_.Open(id, now);
   for (const client_budget::ClientId evicted : verdict.evicted) {
     const auto found = connections_.find(evicted);
-    found->second->GiveWay();
+    found->second->Evict();
     connections_.erase(found);
   }
   Log(0, verdict.evicted.size() + (verdict.granted ? 0 : 1), now);
@@ -54,7 +54,7 @@
 void ConnectionLimiter::Trim() {
   {
     const std::lock_guard lock(mutex_);
-    if (!budget_.TakeFreedMuch()) {
+    if (!budget_.ShouldTrim()) {
       return;
     }
   }
@@ -73,7 +73,7 @@
       budget_.Resize(id, options_.connection_bytes + bytes, now);
   for (const client_budget::ClientId evicted : verdict.evicted) {
     const auto found = connections_.find(evicted);
-    found->second->GiveWay();
+    found->second->Evict();
     connections_.erase(found);
     budget_.Close(evicted);
   }
--- a/packages/transport/http_server/connection_limiter.h
+++ b/packages/transport/http_server/connection_limiter.h
@@ -15,7 +15,7 @@
   virtual ~LimitedConnection() = default;
   // Frees what has arrived of the request and closes the connection. Called on
   // any thread; must not call the limiter.
-  virtual void GiveWay() = 0;
+  virtual void Evict() = 0;
 };
 
 // Counts the memory and the number of client connections of all servers of a
@@ -29,7 +29,7 @@
   std::optional<client_budget::ClientId> Open(LimitedConnection& connection);
   void Close(client_budget::ClientId id);
   // Sets what the connection holds beside its own objects, in the phase. False
-  // if there is no room, or the connection has given way.
+  // if the budget is exhausted, or the connection was evicted.
   bool Resize(client_budget::ClientId id,
               size_t bytes,
               client_budget::Phase phase);
--- a/packages/transport/http_server/http_server.cc
+++ b/packages/transport/http_server/http_server.cc
@@ -23,7 +23,7 @@
 // Connections accepted beyond `max_requests`, so that excess requests can be
 // refused with a response and idle connections do not use up the limit.
 constexpr uint32_t kSpareConnections = 256;
-// Connections that have given way and are not closed yet.
+// Connections that were evicted and are not closed yet.
 constexpr uint32_t kClosingConnections = 32;
 constexpr char kRetryAfterSeconds[] = "1";
 
@@ -83,7 +83,7 @@
     }
     id_ = limiter_->Open(*this);
     if (!id_.has_value()) {
-      GiveWay();
+      Evict();
     }
   }
   ~Connection() override {
@@ -94,7 +94,7 @@
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
 
-  // Has `bytes` counted for the request; false if there is no room.
+  // Reserves `bytes` for the request; false if the budget is exhausted.
   bool Hold(size_t bytes, client_budget::Phase phase) {
     return limiter_ == nullptr ||
            (id_.has_value() && limiter_->Resize(*id_, bytes, phase));
@@ -111,10 +111,10 @@
   }
 
   // Appends to the body, whose block grows to `capacity`. False if the
-  // connection has given way.
+  // connection was evicted.
   bool Append(std::string& body, std::string_view data, size_t capacity) {
     const std::lock_guard lock(mutex_);
-    if (gave_way_) {
+    if (evicted_) {
       return false;
     }
     body_ = &body;
@@ -122,16 +122,16 @@
     body.append(data);
     return true;
   }
-  // The body is no longer taken back. False if it has been.
-  bool Keep() {
+  // From here on the body is not taken back. False if it has been.
+  bool DisallowEviction() {
     const std::lock_guard lock(mutex_);
     body_ = nullptr;
-    return !gave_way_;
+    return !evicted_;
   }
 
-  void GiveWay() override {
+  void Evict() override {
     const std::lock_guard lock(mutex_);
-    gave_way_ = true;
+    evicted_ = true;
     if (body_ != nullptr) {
       std::string().swap(*body_);
     }
@@ -144,7 +144,7 @@
   ConnectionLimiter* limiter_;
   std::optional<client_budget::ClientId> id_;
   std::mutex mutex_;
-  bool gave_way_ = false;
+  bool evicted_ = false;
   // The body that is arriving; null if there is none.
   std::string* body_ = nullptr;
 };
@@ -291,7 +291,7 @@
 
  private:
   // Beyond the limiter's maximum, so that a new connection can take the place
-  // of one that has given way and is not closed yet.
+  // of one that was evicted and is not closed yet.
   uint32_t MaxConnections() const {
     const uint32_t most = options_.max_requests + kSpareConnections;
     return options_.limiter == nullptr
@@ -360,7 +360,7 @@
       return;
     }
     Connection& limited = ConnectionOf(connection);
-    (void)limited.Keep();
+    (void)limited.DisallowEviction();
     limited.Release();
     delete static_cast<PendingRequest*>(*state);
     *state = nullptr;
@@ -429,7 +429,7 @@
     pending.body_bytes += data.size();
     if (!pending.too_large && pending.body_bytes > options_.max_body_bytes) {
       pending.too_large = true;
-      if (!connection.Keep()) {
+      if (!connection.DisallowEviction()) {
         return false;
       }
       std::string().swap(body);
@@ -461,9 +461,9 @@
         pending.head_bytes + kCopiesWhileRunning * body_bytes;
     if (!limited.Hold(running, client_budget::Phase::kRunning)) {
       limited.OnRefused();
-      return limited.Keep() ? RefuseOverload(connection) : MHD_NO;
+      return limited.DisallowEviction() ? RefuseOverload(connection) : MHD_NO;
     }
-    if (!limited.Keep()) {
+    if (!limited.DisallowEviction()) {
       return MHD_NO;
     }
     Response response =
--- a/tests/unit/coordination/client_budget/client_budget_test.cc
+++ b/tests/unit/coordination/client_budget/client_budget_test.cc
@@ -42,7 +42,7 @@
 
 // What happens to a client that holds most of the memory when another one asks
 // for more than is left.
-struct GiveWayCase {
+struct EvictionCase {
   const char* name;
   Phase phase;
   size_t held_bytes;
@@ -52,15 +52,15 @@
   bool evicted;
 };
 
-std::ostream& operator<<(std::ostream& out, const GiveWayCase& param) {
+std::ostream& operator<<(std::ostream& out, const EvictionCase& param) {
   return out << param.name;
 }
 
-class GiveWayTest : public ClientBudgetTest,
-                    public testing::WithParamInterface<GiveWayCase> {};
+class EvictionTest : public ClientBudgetTest,
+                     public testing::WithParamInterface<EvictionCase> {};
 
-TEST_P(GiveWayTest, FreesMemoryThatCanBeTakenBack) {
-  const GiveWayCase& param = GetParam();
+TEST_P(EvictionTest, FreesMemoryThatCanBeTakenBack) {
+  const EvictionCase& param = GetParam();
   Add(1, param.phase, param.held_bytes, At(0));
   Add(2, Phase::kReceiving, kOptions.connection_bytes, At(param.age_ms));
   const Verdict verdict =
@@ -72,23 +72,23 @@
 
 INSTANTIATE_TEST_SUITE_P(
     Clients,
-    GiveWayTest,
+    EvictionTest,
     testing::Values(
-        GiveWayCase{"LargerTransferToASmallerOne", Phase::kReceiving,
-                    kLargePart, 0, 4 * kMegabyte, true, true},
-        GiveWayCase{"EqualTransferIsKept", Phase::kReceiving, 8 * kMegabyte, 0,
-                    8 * kMegabyte, false, false},
-        GiveWayCase{"StalledTransferToALargerOne", Phase::kReceiving,
-                    4 * kMegabyte, 1000, 12 * kMegabyte, true, true},
-        GiveWayCase{"RunningRequestIsKept", Phase::kRunning, kLargePart, 60'000,
-                    4 * kMegabyte, false, false},
-        GiveWayCase{"RunningRequestsLeaveRoomForSmallOnes", Phase::kRunning,
-                    kLargePart - 16 * kKilobyte, 0, 64 * kKilobyte, true,
-                    false},
-        GiveWayCase{"AnswerThatIsReadIsKept", Phase::kSending, kLargePart, 999,
-                    4 * kMegabyte, false, false},
-        GiveWayCase{"AnswerThatNobodyReads", Phase::kSending, kLargePart, 1000,
-                    4 * kMegabyte, true, true}),
+        EvictionCase{"LargerTransferToASmallerOne", Phase::kReceiving,
+                     kLargePart, 0, 4 * kMegabyte, true, true},
+        EvictionCase{"EqualTransferIsKept", Phase::kReceiving, 8 * kMegabyte, 0,
+                     8 * kMegabyte, false, false},
+        EvictionCase{"StalledTransferToALargerOne", Phase::kReceiving,
+                     4 * kMegabyte, 1000, 12 * kMegabyte, true, true},
+        EvictionCase{"RunningRequestIsKept", Phase::kRunning, kLargePart,
+                     60'000, 4 * kMegabyte, false, false},
+        EvictionCase{"RunningRequestsLeaveRoomForSmallOnes", Phase::kRunning,
+                     kLargePart - 16 * kKilobyte, 0, 64 * kKilobyte, true,
+                     false},
+        EvictionCase{"AnswerThatIsReadIsKept", Phase::kSending, kLargePart, 999,
+                     4 * kMegabyte, false, false},
+        EvictionCase{"AnswerThatNobodyReads", Phase::kSending, kLargePart, 1000,
+                     4 * kMegabyte, true, true}),
     [](const auto& info) { return std::string(info.param.name); });
 
 TEST_F(ClientBudgetTest, LargestRequestAloneIsGranted) {
@@ -117,8 +117,8 @@
 
 TEST_F(ClientBudgetTest, ReadAheadIsGrantedInCalmOnly) {
   Add(1, Phase::kRunning, kMegabyte, At(0));
-  EXPECT_TRUE(budget_.ResizeInCalm(1, 8 * kMegabyte));
-  EXPECT_FALSE(budget_.ResizeInCalm(1, 8 * kMegabyte + 1));
+  EXPECT_TRUE(budget_.ResizeOptional(1, 8 * kMegabyte));
+  EXPECT_FALSE(budget_.ResizeOptional(1, 8 * kMegabyte + 1));
 }
 
 TEST_F(ClientBudgetTest, MuchFreedMemoryIsGivenBackOnce) {
@@ -126,11 +126,11 @@
     Add(id, Phase::kReceiving, kMegabyte, At(0));
   }
   budget_.Close(1);
-  EXPECT_FALSE(budget_.TakeFreedMuch());
+  EXPECT_FALSE(budget_.ShouldTrim());
   budget_.Close(2);
   ASSERT_TRUE(budget_.Resize(3, kOptions.connection_bytes, At(0)).granted);
-  EXPECT_TRUE(budget_.TakeFreedMuch());
-  EXPECT_FALSE(budget_.TakeFreedMuch());
+  EXPECT_TRUE(budget_.ShouldTrim());
+  EXPECT_FALSE(budget_.ShouldTrim());
 }
 
 // The client to close when there are too many.
--- a/tests/unit/platform/requests_test.cc
+++ b/tests/unit/platform/requests_test.cc
@@ -102,9 +102,8 @@
 TEST(RequestsTest, WithoutACustomerNoneIsNamed) {
   const auto request =
       DecodeCallerRequest(HeadOf({{"X-Wagtailshore-Tenant", "forged"}}), "");
-  EXPECT_EQ(
-      EncodeForwardedHead(request, {.endpoint_id = "i"}).find("forged"),
-      std::string::npos);
+  EXPECT_EQ(EncodeForwardedHead(request, {.endpoint_id = "i"}).find("forged"),
+            std::string::npos);
 }
 
 struct AnswerCase {
