Gateway: refusals for want of memory use the project's random delay

Read once more: the spread of Retry-After was written again beside common::RandomDelay, which gives the same, 0.5 to 1.5 s with equal chances. No behaviour changes.

The comment on JSON values said that a value of two bytes takes a hundred, which was not measured. Measured now, outside the repository: a body of 4,194,301 bytes with 1,398,093 empty objects takes the parser's process from 7 to 117 MB, about 80 bytes an object.

--- a/packages/daemon/gateway/gateway.cc
+++ b/packages/daemon/gateway/gateway.cc
@@ -26,9 +26,10 @@
 // Retry-After while this process stops; short, as the caller reaches another
 // gateway with its next connection.
 constexpr common::Duration kRetryWhenStopping = common::milliseconds(50);
-// Mean Retry-After when the memory for clients is exhausted: stalled clients
-// are evicted after about this time.
-constexpr common::Duration kRetryWhenNoRoom = common::milliseconds(1000);
+// Retry-After when the memory for clients is exhausted: stalled clients are
+// evicted after a second.
+constexpr common::Duration kMinRetryWhenNoRoom = common::milliseconds(500);
+constexpr common::Duration kMaxRetryWhenNoRoom = common::milliseconds(1500);
 // The gateway is not ready when its configuration was last confirmed longer ago
 // than this: other gateways then serve callers better. Requests with keys are
 // refused a little later.
@@ -99,6 +100,7 @@
           machine::LimitsWithin(settings_.memory_bytes,
                                 settings_.max_sockets))),
       limiter_(loop, budget_),
+      refusal_delay_(kMinRetryWhenNoRoom, kMaxRetryWhenNoRoom),
       endpoint_pool_(
           loop,
           {.connect_timeout = kConnectTimeout, .activity = "endpoint"},
@@ -235,11 +237,7 @@
   const proxied::CallerRequest request =
       head == nullptr ? proxied::CallerRequest{}
                       : platform::DecodeCallerRequest(*head, {});
-  // Spread, so that callers refused together do not return together.
-  std::uniform_real_distribution<double> factor(0.5, 1.5);
-  return platform::LocalResponseHeaders(
-      request, std::chrono::duration_cast<common::Duration>(
-                   kRetryWhenNoRoom * factor(core_.random)));
+  return platform::LocalResponseHeaders(request, refusal_delay_.Next());
 }
 
 void Gateway::EndRun(http_channel::CallerChannel& channel) {
--- a/packages/daemon/gateway/gateway.h
+++ b/packages/daemon/gateway/gateway.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "absl/status/status.h"
+#include "common/random_delay.h"
 #include "daemon/gateway/crash_watch.h"
 #include "daemon/gateway/gateway_core.h"
 #include "daemon/gateway/proxied_run.h"
@@ -59,6 +60,8 @@
   serving::HostedSettings settings_;
   client_budget::BudgetOptions budget_;
   http_channel::ChannelLimiter limiter_;
+  // Retry-After of requests that the limiter has no room for.
+  common::RandomDelay refusal_delay_;
   http_channel::EndpointPool endpoint_pool_;
   // Connections to the store and the companions.
   http_channel::EndpointPool call_pool_;
--- a/packages/protocol/http_api/http_api.cc
+++ b/packages/protocol/http_api/http_api.cc
@@ -18,8 +18,8 @@
 // The JSON library serializes recursively, so deeper input could exhaust the
 // stack.
 constexpr int kMaxJsonDepth = 64;
-// Objects, arrays, names and other values of a body: one of two bytes takes a
-// hundred as long as the body is being read.
+// Objects, arrays and other values of a body: an empty object of three bytes
+// takes about 80 as long as the body is being read.
 constexpr size_t kMaxJsonValues = 100'000;
 
 std::string_view Find(const Headers& headers, std::string_view name) {
