Configuration: an empty list of customers admits nobody

Cause: Configuration could not say whether it has a list of customers, so an empty one meant that no key is needed. Evidence: odd_configuration_test fails before in EmptyListPoll on the earlier code, and the same follows by a read, an outage or a lost history, so neither the way of arrival nor its age matters.

Change: needs_keys is set by the presence of the field and true by default. An empty list then has no key that fits.

--- a/packages/state/serving/configuration.h
+++ b/packages/state/serving/configuration.h
@@ -121,7 +121,9 @@
   std::vector<Route> routes;
   std::vector<Service> services;
   CallerLimits limits;
-  // Without customers no request needs a key.
+  // Whether requests need a customer's key, except on routes that are open to
+  // all. With keys needed and no customers, no request has a valid one.
+  bool needs_keys = true;
   std::vector<Customer> customers;
 };
 
--- a/packages/state/serving/route_table.h
+++ b/packages/state/serving/route_table.h
@@ -26,7 +26,7 @@
 
   // Whether requests of this route need a customer's key.
   bool NeedsKey(const Route& route) const {
-    return !configuration_.customers.empty() && !route.open_to_all;
+    return configuration_.needs_keys && !route.open_to_all;
   }
 
   const Configuration& configuration() const { return configuration_; }
--- a/tests/support/hosted_world.cc
+++ b/tests/support/hosted_world.cc
@@ -85,6 +85,18 @@
   AnswerChanged();
 }
 
+void FakeStore::SetEncodedRow(const std::string& table,
+                              const std::string& key,
+                              const std::string& encoded_value) {
+  Put(table, key, encoded_value);
+  AnswerChanged();
+}
+
+void FakeStore::RemoveRow(const std::string& table, const std::string& key) {
+  Remove(table, key);
+  AnswerChanged();
+}
+
 std::string FakeStore::ValueOf(const std::string& table,
                                const std::string& key) const {
   std::string value;
--- a/tests/support/hosted_world.h
+++ b/tests/support/hosted_world.h
@@ -56,10 +56,15 @@
   uint64_t era() const { return era_; }
   // Number of rows in the table.
   size_t rows(const std::string& table) const;
-  // Writes a row of any table, and reads one; empty if it does not exist.
+  // Writes a row of any table, also with a value that is not Base64, removes
+  // one, and reads one; empty if it does not exist.
   void SetRow(const std::string& table,
               const std::string& key,
               const std::string& value);
+  void SetEncodedRow(const std::string& table,
+                     const std::string& key,
+                     const std::string& encoded_value);
+  void RemoveRow(const std::string& table, const std::string& key);
   std::string ValueOf(const std::string& table, const std::string& key) const;
 
   void OnRequest(http_channel::CallerChannel& channel,
--- /dev/null
+++ b/tests/unit/daemon/gateway/odd_configuration_test.cc
@@ -0,0 +1,129 @@
+#include <gtest/gtest.h>
+
+#include <functional>
+
+#include "common/strings.h"
+#include "support/hosted_world.h"
+
+// Configurations in which a field that decides who may pass is absent, empty,
+// null or of another type.
+namespace wagtailshore::hosted_world {
+namespace {
+
+using nlohmann::json;
+
+// How the changed configuration reaches the gateway.
+enum class Way { kPoll, kStart, kOutage, kLostHistory };
+
+constexpr common::EnumNames<Way, 4> kWayNames = {{
+    {Way::kPoll, "Poll"},
+    {Way::kStart, "Start"},
+    {Way::kOutage, "Outage"},
+    {Way::kLostHistory, "LostHistory"},
+}};
+
+void Change(HostedWorld& world, Way way, const json& configuration) {
+  switch (way) {
+    case Way::kPoll:
+      world.store().SetConfiguration(configuration);
+      return;
+    case Way::kStart:
+      world.store().SetConfiguration(configuration);
+      world.RestartGateway(0);
+      return;
+    case Way::kOutage:
+      world.store().set_down(true);
+      world.RunFor(common::milliseconds(300));
+      world.store().SetConfiguration(configuration);
+      world.store().set_down(false);
+      return;
+    case Way::kLostHistory:
+      world.store().set_feeds_lost(true);
+      world.store().SetConfiguration(configuration);
+      world.store().ForgetHistory();
+      world.store().set_feeds_lost(false);
+      return;
+  }
+}
+
+int StatusOf(HostedWorld& world,
+             const std::string& key,
+             const std::string& path = "/safe/x") {
+  return world.Ask({.path = path, .key = key}).status;
+}
+
+struct ShapeCase {
+  const char* name;
+  std::function<void(json&)> change;
+};
+
+std::ostream& operator<<(std::ostream& out, const ShapeCase& param) {
+  return out << param.name;
+}
+
+class ClosedShapeTest
+    : public testing::TestWithParam<std::tuple<ShapeCase, Way>> {};
+
+// Guards against routes that open to all when the list of customers is empty or
+// cannot be read, by whatever way the configuration arrives.
+TEST_P(ClosedShapeTest, NobodyPasses) {
+  const auto& [shape, way] = GetParam();
+  HostedWorld world(1);
+  ASSERT_EQ(StatusOf(world, "key"), 200);
+  json configuration = HostedWorld::Configuration(2);
+  shape.change(configuration);
+  Change(world, way, configuration);
+  ASSERT_TRUE(world.RunUntil([&] { return StatusOf(world, "key") == 401; }));
+  const size_t arrivals = world.arrivals();
+  for (const char* path : {"/safe/x", "/once/x", "/stream/x"}) {
+    for (const char* key : {"key", "other", "invented", "", "null"}) {
+      EXPECT_EQ(StatusOf(world, key, path), 401) << path << " " << key;
+    }
+  }
+  EXPECT_EQ(world.arrivals(), arrivals);
+  world.store().SetConfiguration(HostedWorld::Configuration(3));
+  EXPECT_TRUE(world.RunUntil([&] { return StatusOf(world, "key") == 200; }));
+  EXPECT_EQ(StatusOf(world, "invented"), 401);
+}
+
+void Set(json& configuration, const json& customers) {
+  configuration["tenants"] = customers;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Customers,
+    ClosedShapeTest,
+    testing::Combine(testing::Values(ShapeCase{"EmptyList",
+                                               [](json& configuration) {
+                                                 Set(configuration,
+                                                     json::array());
+                                               }}),
+                     testing::Values(Way::kPoll,
+                                     Way::kStart,
+                                     Way::kOutage,
+                                     Way::kLostHistory)),
+    [](const auto& info) {
+      return common::StrCat(std::get<0>(info.param).name,
+                            common::NameOf(kWayNames, std::get<1>(info.param)));
+    });
+
+// Without the field requests need no key; an empty list takes that back.
+TEST(OddConfigurationTest, OnlyAConfigurationWithoutTheListNeedsNoKeys) {
+  HostedWorld world(1);
+  const auto set = [&](int version, const std::function<void(json&)>& change) {
+    json configuration = HostedWorld::Configuration(version);
+    change(configuration);
+    world.store().SetConfiguration(configuration);
+  };
+  set(2, [](json& configuration) { configuration.erase("tenants"); });
+  EXPECT_TRUE(world.RunUntil([&] { return StatusOf(world, "") == 200; }));
+  set(3, [](json& configuration) { Set(configuration, json::array()); });
+  EXPECT_TRUE(world.RunUntil([&] { return StatusOf(world, "") == 401; }));
+  EXPECT_EQ(StatusOf(world, "key"), 401);
+  set(4, [](json&) {});
+  EXPECT_TRUE(world.RunUntil([&] { return StatusOf(world, "key") == 200; }));
+  EXPECT_EQ(StatusOf(world, ""), 401);
+}
+
+}  // namespace
+}  // namespace wagtailshore::hosted_world
--- a/tests/unit/state/serving/route_table_test.cc
+++ b/tests/unit/state/serving/route_table_test.cc
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <memory>
+#include <utility>
+
 namespace wagtailshore::serving {
 namespace {
 
@@ -64,5 +67,14 @@
   EXPECT_FALSE(table->NeedsKey(*table->FindRoute("two.example", "/only/")));
 }
 
+// Guards against routes that open when the last customer is taken away.
+TEST(RouteTableTest, NobodyHasAKeyWithoutCustomers) {
+  Configuration configuration;
+  configuration.routes.push_back({.host = "h", .prefix = "/"});
+  const RouteTable table(std::move(configuration));
+  EXPECT_TRUE(table.NeedsKey(*table.FindRoute("h", "/")));
+  EXPECT_EQ(table.FindCustomer(""), nullptr);
+}
+
 }  // namespace
 }  // namespace wagtailshore::serving
