Configuration: malformed fields admit nobody and are logged

What callers saw: with the list of customers as null, an object or a text, all routes were open, as without the list; an empty key and a customer without a name were accepted; a malformed split sent a route's requests to its service.

Cause: the adapter read a field of another type as an absent one.

--- a/packages/common/event_log.cc
+++ b/packages/common/event_log.cc
@@ -60,6 +60,12 @@
               "manifest conflict",
               "Another manifest was accepted since the base version was read.",
               "Compare with the version in force and submit again."},
+    EventSpec{EventId::kManifestFieldsMalformed, Severity::kWarning,
+              "manifest fields malformed",
+              "Fields of the configuration in force have another type than "
+              "documented. Each has its default, which admits nobody: a list "
+              "of customers or keys that cannot be read is empty.",
+              "Correct the places named."},
     EventSpec{EventId::kEndpointListed, Severity::kInfo, "endpoint listed",
               "The platform's list contains a new or restarted endpoint.",
               "None."},
--- a/packages/common/event_log.h
+++ b/packages/common/event_log.h
@@ -22,6 +22,7 @@
   kManifestInForce = 1101,
   kManifestRefused = 1102,
   kManifestConflict = 1103,
+  kManifestFieldsMalformed = 1104,
   kEndpointListed = 1202,
   kEndpointLeaving = 1203,
   kSlowEndpoints = 1204,
--- a/packages/daemon/gateway/store_watch.cc
+++ b/packages/daemon/gateway/store_watch.cc
@@ -236,7 +236,15 @@
       common::EventId::kManifestInForce,
       common::StrCat("version=", routes_->version(),
                      " routes=", routes_->configuration().routes.size(),
-                     " customers=", routes_->configuration().customers.size()));
+                     " customers=", routes_->configuration().customers.size(),
+                     " needs_keys=", routes_->configuration().needs_keys));
+  if (const auto& findings = routes_->configuration().findings;
+      !findings.empty()) {
+    common::LogEvent(common::EventId::kManifestFieldsMalformed,
+                     common::StrCat("version=", routes_->version(),
+                                    " findings=", findings.size(), " ",
+                                    common::SummaryOf(findings)));
+  }
 }
 
 void StoreWatch::ReadEndpoints(const std::string& start_key) {
--- a/packages/state/serving/configuration.h
+++ b/packages/state/serving/configuration.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "common/enum_names.h"
+#include "common/finding.h"
 #include "common/time.h"
 
 // The operators' configuration of a hosted gateway, as plain values.
@@ -125,6 +126,9 @@
   // all. With keys needed and no customers, no request has a valid one.
   bool needs_keys = true;
   std::vector<Customer> customers;
+  // Malformed fields of the text that it was decoded from. Each has its
+  // default, which admits nobody and repeats nothing.
+  common::Findings findings;
 };
 
 }  // namespace wagtailshore::serving
--- a/tests/unit/daemon/gateway/odd_configuration_test.cc
+++ b/tests/unit/daemon/gateway/odd_configuration_test.cc
@@ -93,15 +93,46 @@
 INSTANTIATE_TEST_SUITE_P(
     Customers,
     ClosedShapeTest,
-    testing::Combine(testing::Values(ShapeCase{"EmptyList",
-                                               [](json& configuration) {
-                                                 Set(configuration,
-                                                     json::array());
-                                               }}),
-                     testing::Values(Way::kPoll,
-                                     Way::kStart,
-                                     Way::kOutage,
-                                     Way::kLostHistory)),
+    testing::Combine(
+        testing::Values(
+            ShapeCase{
+                "EmptyList",
+                [](json& configuration) { Set(configuration, json::array()); }},
+            ShapeCase{"Null",
+                      [](json& configuration) { Set(configuration, nullptr); }},
+            ShapeCase{"ByName",
+                      [](json& configuration) {
+                        Set(configuration, {{"c", {{"api_keys", {"key"}}}}});
+                      }},
+            ShapeCase{"Text",
+                      [](json& configuration) { Set(configuration, "c"); }},
+            ShapeCase{"NullCustomer",
+                      [](json& configuration) {
+                        Set(configuration, json::array({nullptr}));
+                      }},
+            ShapeCase{"NullKeys",
+                      [](json& configuration) {
+                        configuration["tenants"][0]["api_keys"] = nullptr;
+                      }},
+            ShapeCase{"KeysAsText",
+                      [](json& configuration) {
+                        configuration["tenants"][0]["api_keys"] = "key";
+                      }},
+            ShapeCase{"EmptyAndNullKeys",
+                      [](json& configuration) {
+                        configuration["tenants"][0]["api_keys"] = {"", nullptr};
+                      }},
+            ShapeCase{"OpenRoutesAsText",
+                      [](json& configuration) {
+                        Set(configuration, json::array());
+                        for (json& route : configuration["routes"]) {
+                          route["public"] = "true";
+                        }
+                      }}),
+        testing::Values(Way::kPoll,
+                        Way::kStart,
+                        Way::kOutage,
+                        Way::kLostHistory)),
     [](const auto& info) {
       return common::StrCat(std::get<0>(info.param).name,
                             common::NameOf(kWayNames, std::get<1>(info.param)));
--- a/tests/unit/platform/store_test.cc
+++ b/tests/unit/platform/store_test.cc
@@ -3,6 +3,9 @@
 #include <gtest/gtest.h>
 
 #include <nlohmann/json.hpp>
+#include <ostream>
+#include <string>
+#include <vector>
 
 #include "absl/strings/escaping.h"
 
@@ -19,6 +22,9 @@
           {"row_version", revision}};
 }
 
+// Stands for a field that is left out.
+const json kAbsent = json(json::value_t::discarded);
+
 http_channel::CallAnswer AnswerOf(const json& rows) {
   return {
       .status = 200,
@@ -153,6 +159,19 @@
         BadTextCase{"List", "[]"},
         BadTextCase{"NoVersion", "{}"},
         BadTextCase{"NegativeVersion", R"({"version":-1})"},
+        BadTextCase{"TextVersion", R"({"version":"2"})"},
+        BadTextCase{"NullVersion", R"({"version":null})"},
+        BadTextCase{"NullRoutes", R"({"version":1,"routes":null})"},
+        BadTextCase{"RoutesByName", R"({"version":1,"routes":{}})"},
+        BadTextCase{"NullRoute", R"({"version":1,"routes":[null]})"},
+        BadTextCase{"NullSplit",
+                    R"({"version":1,"routes":[{"host":"h","prefix":"/",)"
+                    R"("route_kind":"safe","service":"s",)"
+                    R"("traffic_split":null}]})"},
+        BadTextCase{"WeightIsAText",
+                    R"({"version":1,"routes":[{"host":"h","prefix":"/",)"
+                    R"("route_kind":"safe","traffic_split":[)"
+                    R"({"service":"s","weight":"0"}]}]})"},
         BadTextCase{"RouteWithoutService",
                     R"({"version":1,"routes":[{"host":"h","prefix":"/",)"
                     R"("route_kind":"safe"}]})"},
@@ -161,6 +180,178 @@
                     R"("route_kind":"odd","service":"s"}]})"}),
     [](const auto& info) { return std::string(info.param.name); });
 
+// A field of a configuration, by its JSON pointer, a value for it, and what
+// follows: who has a valid key, and whether the route is open to all.
+struct FieldCase {
+  const char* name;
+  const char* pointer;
+  json value;
+  bool needs_keys = true;
+  std::vector<std::string> keys;
+  bool open_to_all = false;
+  bool resumable = true;
+  size_t findings = 0;
+};
+
+std::ostream& operator<<(std::ostream& out, const FieldCase& param) {
+  return out << param.name;
+}
+
+class ConfigurationFieldTest : public testing::TestWithParam<FieldCase> {};
+
+// Guards against a malformed field that counts as absent: it must not admit
+// anybody whom a valid one would not.
+TEST_P(ConfigurationFieldTest, AdmitsNobodyWhenInDoubt) {
+  const FieldCase& param = GetParam();
+  json text = {{"version", 1},
+               {"routes",
+                {{{"host", "h"},
+                  {"prefix", "/"},
+                  {"route_kind", "streaming"},
+                  {"service", "s"},
+                  {"public", false},
+                  {"stream_resume", true}}}},
+               {"tenants", {{{"name", "c"}, {"api_keys", {"k"}}}}}};
+  const json::json_pointer pointer(param.pointer);
+  if (param.value.is_discarded()) {
+    text.at(pointer.parent_pointer()).erase(pointer.back());
+  } else {
+    text[pointer] = param.value;
+  }
+  const auto configuration = DecodeConfiguration(text.dump());
+  ASSERT_TRUE(configuration.ok()) << configuration.status().message();
+  EXPECT_EQ(configuration->needs_keys, param.needs_keys);
+  std::vector<std::string> keys;
+  for (const serving::Customer& customer : configuration->customers) {
+    keys.insert(keys.end(), customer.keys.begin(), customer.keys.end());
+  }
+  EXPECT_EQ(keys, param.keys);
+  EXPECT_EQ(configuration->routes.front().open_to_all, param.open_to_all);
+  EXPECT_EQ(configuration->routes.front().resumable, param.resumable);
+  EXPECT_EQ(configuration->findings.size(), param.findings)
+      << common::FormatFindings(configuration->findings);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Shapes,
+    ConfigurationFieldTest,
+    testing::Values(FieldCase{"CustomersAbsent", "/tenants", kAbsent, false},
+                    FieldCase{"CustomersEmpty", "/tenants", json::array()},
+                    FieldCase{.name = "CustomersNull",
+                              .pointer = "/tenants",
+                              .value = nullptr,
+                              .findings = 1},
+                    FieldCase{.name = "CustomersByName",
+                              .pointer = "/tenants",
+                              .value = json::object(),
+                              .findings = 1},
+                    FieldCase{.name = "CustomersText",
+                              .pointer = "/tenants",
+                              .value = "",
+                              .findings = 1},
+                    FieldCase{.name = "CustomersFalse",
+                              .pointer = "/tenants",
+                              .value = false,
+                              .findings = 1},
+                    FieldCase{.name = "CustomersNumber",
+                              .pointer = "/tenants",
+                              .value = 0,
+                              .findings = 1},
+                    FieldCase{.name = "CustomerNull",
+                              .pointer = "/tenants/0",
+                              .value = nullptr,
+                              .findings = 3},
+                    FieldCase{"KeysAbsent", "/tenants/0/api_keys", kAbsent},
+                    FieldCase{"KeysEmpty", "/tenants/0/api_keys",
+                              json::array()},
+                    FieldCase{.name = "KeysNull",
+                              .pointer = "/tenants/0/api_keys",
+                              .value = nullptr,
+                              .findings = 1},
+                    FieldCase{.name = "KeysText",
+                              .pointer = "/tenants/0/api_keys",
+                              .value = "k",
+                              .findings = 1},
+                    FieldCase{.name = "KeysByName",
+                              .pointer = "/tenants/0/api_keys",
+                              .value = {{"k", true}},
+                              .findings = 1},
+                    FieldCase{.name = "KeyNull",
+                              .pointer = "/tenants/0/api_keys/0",
+                              .value = nullptr,
+                              .findings = 1},
+                    FieldCase{.name = "KeyEmpty",
+                              .pointer = "/tenants/0/api_keys/0",
+                              .value = "",
+                              .findings = 1},
+                    FieldCase{.name = "KeyNumber",
+                              .pointer = "/tenants/0/api_keys/0",
+                              .value = 7,
+                              .findings = 1},
+                    FieldCase{.name = "NameAbsent",
+                              .pointer = "/tenants/0/name",
+                              .value = kAbsent,
+                              .findings = 2},
+                    FieldCase{.name = "NameEmpty",
+                              .pointer = "/tenants/0/name",
+                              .value = "",
+                              .findings = 1},
+                    FieldCase{.name = "NameNull",
+                              .pointer = "/tenants/0/name",
+                              .value = nullptr,
+                              .findings = 2},
+                    FieldCase{.name = "PriorityText",
+                              .pointer = "/tenants/0/priority",
+                              .value = "1",
+                              .keys = {"k"},
+                              .findings = 1},
+                    FieldCase{.name = "OpenAbsent",
+                              .pointer = "/routes/0/public",
+                              .value = kAbsent,
+                              .keys = {"k"}},
+                    FieldCase{.name = "OpenTrue",
+                              .pointer = "/routes/0/public",
+                              .value = true,
+                              .keys = {"k"},
+                              .open_to_all = true},
+                    FieldCase{.name = "OpenNull",
+                              .pointer = "/routes/0/public",
+                              .value = nullptr,
+                              .keys = {"k"},
+                              .findings = 1},
+                    FieldCase{.name = "OpenText",
+                              .pointer = "/routes/0/public",
+                              .value = "true",
+                              .keys = {"k"},
+                              .findings = 1},
+                    FieldCase{.name = "OpenNumber",
+                              .pointer = "/routes/0/public",
+                              .value = 1,
+                              .keys = {"k"},
+                              .findings = 1},
+                    FieldCase{.name = "ResumeText",
+                              .pointer = "/routes/0/stream_resume",
+                              .value = "true",
+                              .keys = {"k"},
+                              .resumable = false,
+                              .findings = 1},
+                    FieldCase{.name = "AttemptsNull",
+                              .pointer = "/routes/0/max_attempts",
+                              .value = nullptr,
+                              .keys = {"k"},
+                              .findings = 1},
+                    FieldCase{.name = "LimitsNull",
+                              .pointer = "/limits",
+                              .value = nullptr,
+                              .keys = {"k"},
+                              .findings = 1},
+                    FieldCase{.name = "ServicesNull",
+                              .pointer = "/services",
+                              .value = nullptr,
+                              .keys = {"k"},
+                              .findings = 1}),
+    [](const auto& info) { return std::string(info.param.name); });
+
 class BadEndpointTest : public testing::TestWithParam<BadTextCase> {};
 
 // Other writers may write malformed entries into the list, which must not be
