--- a/packages/common/msgpack.h
+++ b/packages/common/msgpack.h
@@ -1,6 +1,7 @@
 #ifndef COMMON_MSGPACK_H_
 #define COMMON_MSGPACK_H_
 
+#include <exception>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <string_view>
@@ -37,7 +38,7 @@
   }
   try {
     return read(value);
-  } catch (const nlohmann::json::exception& error) {
+  } catch (const std::exception& error) {
     return absl::InvalidArgumentError(error.what());
   }
 }
--- a/packages/coordination/bucket_leases/bucket_row.cc
+++ b/packages/coordination/bucket_leases/bucket_row.cc
@@ -1,7 +1,9 @@
 #include "coordination/bucket_leases/bucket_row.h"
 
+#include <exception>
 #include <nlohmann/json.hpp>
 
+#include "common/json_integer.h"
 #include "common/strings.h"
 
 namespace wagtailshore::bucket_leases {
@@ -28,7 +30,7 @@
                    .value_or(RecordState::kUnknown)};
   if (record.state == RecordState::kDone) {
     const auto& body = json.at("body").get_binary();
-    record.answer = {.status = json.at("status"),
+    record.answer = {.status = common::IntegerFrom<int>(json.at("status")),
                      .body = {body.begin(), body.end()}};
   }
   return record;
@@ -53,15 +55,19 @@
   try {
     const Json json = Json::from_msgpack(value);
     BucketRow row{.owner = json.at("owner"),
-                  .epoch = json.at("epoch"),
+                  .epoch = common::IntegerFrom<uint64_t>(json.at("epoch")),
                   .held = json.at("held"),
                   .barred = json.at("barred"),
                   .records = {}};
-    for (const auto& [key, record] : json.at("records").items()) {
+    const Json& records = json.at("records");
+    if (!records.is_object()) {
+      return absl::DataLossError("bucket row: the records are not a map");
+    }
+    for (const auto& [key, record] : records.items()) {
       row.records[key] = RecordFrom(record);
     }
     return row;
-  } catch (const Json::exception& error) {
+  } catch (const std::exception& error) {
     return absl::DataLossError(common::StrCat("bucket row: ", error.what()));
   }
 }
--- a/packages/protocol/companion_messages/companion_messages.cc
+++ b/packages/protocol/companion_messages/companion_messages.cc
@@ -7,12 +7,15 @@
 
 #include "common/digest.h"
 #include "common/enum_names.h"
+#include "common/json_integer.h"
 #include "common/msgpack.h"
 #include "common/strings.h"
 
 namespace wagtailshore::companion_messages {
 namespace {
 
+using common::IntegerFrom;
+using common::IntegersFrom;
 using map_coordinator::ArmedMap;
 using map_coordinator::ArmMap;
 using map_coordinator::DisarmMap;
@@ -35,6 +38,23 @@
     {OrderKind::kRelease, "release"},
 }};
 
+// Lists of experts, one for each layer or rank.
+std::vector<std::vector<int>> LayersFrom(const json& value) {
+  std::vector<std::vector<int>> layers;
+  for (const json& layer : common::ArrayFrom(value)) {
+    layers.push_back(IntegersFrom<int>(layer));
+  }
+  return layers;
+}
+
+GroupMap GroupMapFrom(const json& value) {
+  GroupMap map;
+  for (const json& layer : common::ArrayFrom(value)) {
+    map.push_back(LayersFrom(layer));
+  }
+  return map;
+}
+
 json ToJson(const RankReport& report) {
   json value = {{"epoch", report.epoch},
                 {"open", report.open},
@@ -54,19 +74,20 @@
 }
 
 RankReport DecodeReport(const json& value) {
-  RankReport report{.epoch = value.at("epoch").get<uint64_t>(),
+  RankReport report{.epoch = IntegerFrom<uint64_t>(value.at("epoch")),
                     .open = value.at("open").get<bool>(),
-                    .step = value.at("step").get<uint64_t>(),
-                    .map_version = value.at("map").get<uint64_t>()};
+                    .step = IntegerFrom<uint64_t>(value.at("step")),
+                    .map_version = IntegerFrom<uint64_t>(value.at("map"))};
   if (value.contains("prepared")) {
-    report.prepared = value.at("prepared").get<uint64_t>();
+    report.prepared = IntegerFrom<uint64_t>(value.at("prepared"));
   }
   if (value.contains("armed_map")) {
-    report.armed = ArmedMap{.version = value.at("armed_map").get<uint64_t>(),
-                            .step = value.at("armed_step").get<uint64_t>()};
+    report.armed =
+        ArmedMap{.version = IntegerFrom<uint64_t>(value.at("armed_map")),
+                 .step = IntegerFrom<uint64_t>(value.at("armed_step"))};
   }
   if (value.contains("held")) {
-    report.held_step = value.at("held").get<uint64_t>();
+    report.held_step = IntegerFrom<uint64_t>(value.at("held"));
   }
   return report;
 }
@@ -146,16 +167,16 @@
     const json& encoded,
     const map_coordinator::MapHistory& known) {
   if (encoded.is_array()) {
-    return std::make_shared<const GroupMap>(encoded.get<GroupMap>());
+    return std::make_shared<const GroupMap>(GroupMapFrom(encoded));
   }
-  const auto base = known.Find(encoded.at("base").get<uint64_t>());
+  const auto base = known.Find(IntegerFrom<uint64_t>(encoded.at("base")));
   if (base == nullptr) {
     return absl::FailedPreconditionError(
         "the base map of the changes is unknown");
   }
   GroupMap map = *base;
-  const auto gaps = encoded.at("gaps").get<std::vector<size_t>>();
-  const auto experts = encoded.at("experts").get<std::vector<int>>();
+  const auto gaps = IntegersFrom<size_t>(encoded.at("gaps"));
+  const auto experts = IntegersFrom<int>(encoded.at("experts"));
   if (gaps.size() != experts.size() || !ApplyChanges(gaps, experts, map)) {
     return absl::FailedPreconditionError(
         "the changes do not fit the shape of the base map");
@@ -188,18 +209,18 @@
       if (!map.ok()) {
         return map.status();
       }
-      return PrepareMap{.version = value.at("version").get<uint64_t>(),
+      return PrepareMap{.version = IntegerFrom<uint64_t>(value.at("version")),
                         .map = *std::move(map)};
     }
     case OrderKind::kArm:
-      return ArmMap{.version = value.at("version").get<uint64_t>(),
-                    .step = value.at("step").get<uint64_t>()};
+      return ArmMap{.version = IntegerFrom<uint64_t>(value.at("version")),
+                    .step = IntegerFrom<uint64_t>(value.at("step"))};
     case OrderKind::kDisarm:
-      return DisarmMap{.version = value.at("version").get<uint64_t>()};
+      return DisarmMap{.version = IntegerFrom<uint64_t>(value.at("version"))};
     case OrderKind::kHold:
-      return HoldStep{.step = value.at("step").get<uint64_t>()};
+      return HoldStep{.step = IntegerFrom<uint64_t>(value.at("step"))};
     case OrderKind::kRelease:
-      return ReleaseStep{.step = value.at("step").get<uint64_t>()};
+      return ReleaseStep{.step = IntegerFrom<uint64_t>(value.at("step"))};
   }
   return absl::InvalidArgumentError("unknown order kind");
 }
@@ -217,12 +238,13 @@
 absl::StatusOr<Poll> DecodePoll(std::string_view text) {
   return common::UnpackMsgpack(text, [](const json& value) {
     return Poll{
-        .generation = value.at("generation").get<uint64_t>(),
+        .generation = IntegerFrom<uint64_t>(value.at("generation")),
         .want_choices = value.at("choices").get<bool>(),
         .want_map = value.at("map").get<bool>(),
         .slow_engines = value.at("slow").get<std::vector<std::string>>(),
         // Companions of an earlier release do not send it.
-        .store_era = value.value("era", uint64_t{0})};
+        .store_era =
+            value.contains("era") ? IntegerFrom<uint64_t>(value.at("era")) : 0};
   });
 }
 
@@ -244,15 +266,15 @@
 absl::StatusOr<RankState> DecodeRankState(std::string_view text) {
   return common::UnpackMsgpack(text, [](const json& value) {
     RankState state{.group = value.at("group").get<std::string>(),
-                    .rank = value.at("rank").get<int>(),
-                    .ranks = value.at("ranks").get<int>(),
-                    .pace = value.at("pace").get<double>(),
+                    .rank = IntegerFrom<int>(value.at("rank")),
+                    .ranks = IntegerFrom<int>(value.at("ranks")),
+                    .pace = common::NumberFrom(value.at("pace")),
                     .report = DecodeReport(value.at("report"))};
     if (value.contains("choices")) {
-      state.choices = value.at("choices").get<std::vector<uint64_t>>();
+      state.choices = IntegersFrom<uint64_t>(value.at("choices"));
     }
     if (value.contains("experts")) {
-      state.experts = value.at("experts").get<std::vector<std::vector<int>>>();
+      state.experts = LayersFrom(value.at("experts"));
     }
     return state;
   });
@@ -339,11 +361,12 @@
     return body->status();
   }
   return common::UnpackMsgpack(text, [&](const json& value) {
-    return RankOrder{.id = value.at("id").get<uint64_t>(),
-                     .rank = value.at("rank").get<int>(),
-                     .epoch = value.at("epoch").get<uint64_t>(),
-                     .generation = value.at("generation").get<uint64_t>(),
-                     .body = **body};
+    return RankOrder{
+        .id = IntegerFrom<uint64_t>(value.at("id")),
+        .rank = IntegerFrom<int>(value.at("rank")),
+        .epoch = IntegerFrom<uint64_t>(value.at("epoch")),
+        .generation = IntegerFrom<uint64_t>(value.at("generation")),
+        .body = **body};
   });
 }
 
@@ -370,7 +393,7 @@
 absl::StatusOr<CoordinatorEntry> DecodeCoordinator(std::string_view text) {
   return common::UnpackMsgpack(text, [](const json& value) {
     return CoordinatorEntry{
-        .generation = value.at("generation").get<uint64_t>(),
+        .generation = IntegerFrom<uint64_t>(value.at("generation")),
         .peer_address = value.at("peer").get<std::string>()};
   });
 }
--- a/packages/protocol/crash_report/crash_report.cc
+++ b/packages/protocol/crash_report/crash_report.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "common/json_integer.h"
 #include "common/msgpack.h"
 #include "common/strings.h"
 
@@ -39,7 +40,7 @@
   constexpr int64_t kMaxStoreTimeMs = 100LL * 365 * 24 * 3600 * 1000;
   int64_t store_time_ms = 0;
   auto report = common::UnpackMsgpack(value, [&](const json& fields) {
-    store_time_ms = fields.at("store_time_ms").get<int64_t>();
+    store_time_ms = common::IntegerFrom<int64_t>(fields.at("store_time_ms"));
     return CrashReport{
         .crash = *std::move(crash),
         .failure_domain = fields.at("failure_domain").get<std::string>()};
--- a/packages/protocol/messages/messages.cc
+++ b/packages/protocol/messages/messages.cc
@@ -116,10 +116,10 @@
 dissemination::DomainDigest DomainDigestFrom(const Json& json) {
   constexpr int64_t kMaxAgeMs = 3'600'000;
   return {.failure_domain = json.at("failure_domain"),
-          .endpoints = json.at("endpoints"),
+          .endpoints = IntegerFrom<uint32_t>(json.at("endpoints")),
           .leaving = json.at("leaving"),
           .age = common::milliseconds(std::clamp(
-              json.at("age_ms").get<int64_t>(), int64_t{0}, kMaxAgeMs))};
+              IntegerFrom<int64_t>(json.at("age_ms")), int64_t{0}, kMaxAgeMs))};
 }
 
 Json ToJson(const std::vector<quarantine::SharedRecord>& contents) {
@@ -135,12 +135,12 @@
 std::vector<quarantine::SharedRecord> CrashedContentsFrom(const Json& json) {
   constexpr int64_t kMaxEndsInMs = 3'600'000;
   std::vector<quarantine::SharedRecord> contents;
-  for (const Json& item : json) {
-    contents.push_back(
-        {.digest = item.at("digest"),
-         .crashes = item.at("crashes"),
-         .ends_in = common::milliseconds(std::clamp(
-             item.at("ends_in_ms").get<int64_t>(), int64_t{0}, kMaxEndsInMs))});
+  for (const Json& item : common::ArrayFrom(json)) {
+    contents.push_back({.digest = item.at("digest"),
+                        .crashes = item.at("crashes"),
+                        .ends_in = common::milliseconds(std::clamp(
+                            IntegerFrom<int64_t>(item.at("ends_in_ms")),
+                            int64_t{0}, kMaxEndsInMs))});
   }
   return contents;
 }
@@ -267,7 +267,7 @@
           .body = FromBinary(manifest.at("body"))};
     }
     if (json.contains("domains")) {
-      for (const Json& digest : json.at("domains")) {
+      for (const Json& digest : common::ArrayFrom(json.at("domains"))) {
         message.domains.push_back(DomainDigestFrom(digest));
       }
     }
--- a/packages/transport/platform_client/platform_client.cc
+++ b/packages/transport/platform_client/platform_client.cc
@@ -1,9 +1,11 @@
 #include "transport/platform_client/platform_client.h"
 
 #include <algorithm>
+#include <exception>
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "common/json_integer.h"
 #include "common/strings.h"
 #include "transport/http_client/http_client.h"
 
@@ -21,7 +23,7 @@
 
 table::Row RowFrom(const Json& json) {
   const auto& value = json.at("value").get_binary();
-  return {.version = json.at("version"),
+  return {.version = common::IntegerFrom<uint64_t>(json.at("version")),
           .value = {value.begin(), value.end()},
           .token = json.at("token")};
 }
@@ -92,7 +94,7 @@
   }
   try {
     return table::RowRead{RowFrom(reply->second)};
-  } catch (const Json::exception&) {
+  } catch (const std::exception&) {
     return table::Unavailable{};
   }
 }
@@ -114,7 +116,7 @@
       return table::WriteConflict{row};
     }
     return table::RowWritten{row.version};
-  } catch (const Json::exception&) {
+  } catch (const std::exception&) {
     return table::Unavailable{};
   }
 }
@@ -146,14 +148,15 @@
   }
   try {
     std::vector<Instance> instances;
-    for (const Json& item : Json::parse(reply->body)) {
+    const Json list = Json::parse(reply->body);
+    for (const Json& item : common::ArrayFrom(list)) {
       instances.push_back({.name = item.at("name"),
                            .peer_address = item.at("peer_address"),
                            .failure_domain = item.at("failure_domain"),
                            .leaving = item.at("leaving")});
     }
     return instances;
-  } catch (const Json::exception& error) {
+  } catch (const std::exception& error) {
     return absl::DataLossError(error.what());
   }
 }
--- a/tests/unit/platform/engine_test.cc
+++ b/tests/unit/platform/engine_test.cc
@@ -50,6 +50,65 @@
           .ok());
 }
 
+struct StateFieldCase {
+  const char* name;
+  const char* field;
+  json value;
+};
+
+class StateFieldTest : public testing::TestWithParam<StateFieldCase> {};
+
+// Guards against a rank that is armed or held and passes for one that is free,
+// because the field cannot be read.
+TEST_P(StateFieldTest, MakesTheStateMalformed) {
+  json body = {
+      {"group", {{"name", "g"}, {"epoch", 3}, {"rank", 2}, {"state", "open"}}},
+      {"size", 12},
+      {"step", 40},
+      {"map", 7}};
+  body[GetParam().field] = GetParam().value;
+  EXPECT_TRUE(absl::IsInvalidArgument(
+      DecodeEngineState(
+          http_channel::CallAnswer{.status = 200, .body = body.dump()})
+          .status()));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Fields,
+    StateFieldTest,
+    testing::Values(
+        StateFieldCase{"PreparedText", "prepared", "8"},
+        StateFieldCase{"PreparedNegative", "prepared", -8},
+        StateFieldCase{"ArmedNumber", "armed", 8},
+        StateFieldCase{"ArmedWithoutStep", "armed", {{"version", 8}}},
+        StateFieldCase{"ArmedAtNull",
+                       "armed",
+                       {{"version", 8}, {"step", nullptr}}},
+        StateFieldCase{"HeldText", "held", "43"},
+        StateFieldCase{"HeldList", "held", json::array({43})},
+        StateFieldCase{"MapNull", "map", nullptr},
+        StateFieldCase{"StepText", "step", "40"},
+        StateFieldCase{"SizeFraction", "size", 12.5}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+class BadListTest : public testing::TestWithParam<const char*> {};
+
+// Guards against counts or experts that cannot be read and pass for none.
+TEST_P(BadListTest, IsMalformed) {
+  const http_channel::CallAnswer answer{.status = 200, .body = GetParam()};
+  EXPECT_TRUE(absl::IsInvalidArgument(DecodeExpertCounts(answer).status()));
+  EXPECT_TRUE(absl::IsInvalidArgument(DecodeExperts(answer).status()));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Bodies,
+    BadListTest,
+    testing::Values("{}",
+                    R"({"counts":null,"map":{"experts":null}})",
+                    R"({"counts":{"0":1},"map":{"experts":{"0":[1]}}})",
+                    R"({"counts":[true],"map":{"experts":[{"0":1}]}})",
+                    R"({"counts":[1.5],"map":{"experts":[[-1]]}})"));
+
 TEST(EngineTest, OrderNamesEpochAndFencingNumber) {
   const http_channel::Call call =
       EngineOrderCall({.rank = 1,
--- a/tests/unit/platform/requests_test.cc
+++ b/tests/unit/platform/requests_test.cc
@@ -251,5 +251,19 @@
                  .status = 500}),
     [](const auto& info) { return info.param.name; });
 
+// Guards against a header without a value that passes for a receipt or for the
+// promise that the request did not run.
+TEST(RequestsTest, EmptyHeadersOfAnAnswerSayNothing) {
+  http1::ResponseHead head{.status = 503};
+  head.headers.Add("X-Wagtailshore-Server-Seal", "");
+  head.headers.Add("X-Wagtailshore-Not-Executed", "");
+  EXPECT_FALSE(DecodeEndpointAnswer(head).sealed);
+  EXPECT_FALSE(DecodeEndpointAnswer(head).not_run);
+  head.headers.Set("X-Wagtailshore-Server-Seal", "s");
+  head.headers.Set("X-Wagtailshore-Not-Executed", "1");
+  EXPECT_TRUE(DecodeEndpointAnswer(head).sealed);
+  EXPECT_TRUE(DecodeEndpointAnswer(head).not_run);
+}
+
 }  // namespace
 }  // namespace wagtailshore::platform
--- a/tests/unit/protocol/companion_messages/companion_messages_test.cc
+++ b/tests/unit/protocol/companion_messages/companion_messages_test.cc
@@ -6,6 +6,8 @@
 #include <utility>
 #include <variant>
 
+#include "common/msgpack.h"
+
 namespace wagtailshore::companion_messages {
 namespace {
 
@@ -140,6 +142,41 @@
   }
 }
 
+struct OtherTypeCase {
+  const char* name;
+  const char* field;
+  nlohmann::json value;
+};
+
+class OtherTypeTest : public testing::TestWithParam<OtherTypeCase> {};
+
+// Guards against conversions of the JSON library: a truth or a negative number
+// would become a fencing number.
+TEST_P(OtherTypeTest, IsRefused) {
+  nlohmann::json fields = {{"generation", 4}, {"choices", false},
+                           {"map", false},    {"slow", nlohmann::json::array()},
+                           {"era", 1},        {"peer", "127.0.0.1:1"}};
+  EXPECT_TRUE(DecodePoll(common::PackMsgpack(fields)).ok());
+  EXPECT_TRUE(DecodeCoordinator(common::PackMsgpack(fields)).ok());
+  fields[GetParam().field] = GetParam().value;
+  const std::string text = common::PackMsgpack(fields);
+  EXPECT_FALSE(DecodePoll(text).ok() && DecodeCoordinator(text).ok());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Fields,
+    OtherTypeTest,
+    testing::Values(OtherTypeCase{"GenerationTrue", "generation", true},
+                    OtherTypeCase{"GenerationNegative", "generation", -1},
+                    OtherTypeCase{"GenerationFraction", "generation", 4.5},
+                    OtherTypeCase{"GenerationNull", "generation", nullptr},
+                    OtherTypeCase{"EraNegative", "era", -1},
+                    OtherTypeCase{"EraNull", "era", nullptr},
+                    OtherTypeCase{"ChoicesNumber", "choices", 1},
+                    OtherTypeCase{"SlowNull", "slow", nullptr},
+                    OtherTypeCase{"PeerNull", "peer", nullptr}),
+    [](const auto& info) { return std::string(info.param.name); });
+
 TEST(CompanionMessagesTest, OtherBytesAreRefused) {
   for (const char* text : {"", "\xc1", "hello", "\x80", "\x81\xa4kind\xa1x"}) {
     EXPECT_FALSE(DecodeOrder(text, {}).ok());
--- a/tests/unit/protocol/messages/messages_test.cc
+++ b/tests/unit/protocol/messages/messages_test.cc
@@ -89,6 +89,33 @@
                                          InvalidNumber{"/tokens", 1.5},
                                          InvalidNumber{"/tokens", true}));
 
+class OddExchangeTest : public testing::TestWithParam<InvalidNumber> {};
+
+// Guards against lists that are null and pass for empty ones: a peer's crashed
+// contents would be forgotten.
+TEST_P(OddExchangeTest, IsRefused) {
+  auto json = nlohmann::json::from_msgpack(Encode(PeerExchange{
+      .info = {.name = "n", .incarnation = "i", .peer_address = "a:1"},
+      .domains = {{.failure_domain = "d"}}}));
+  ASSERT_TRUE(DecodePeerExchange(Pack(json)).ok());
+  json[nlohmann::json::json_pointer(GetParam().field)] = GetParam().value;
+  EXPECT_FALSE(DecodePeerExchange(Pack(json)).ok());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Fields,
+    OddExchangeTest,
+    testing::Values(InvalidNumber{"/crashed_contents", nullptr},
+                    InvalidNumber{"/crashed_contents",
+                                  nlohmann::json::object()},
+                    InvalidNumber{"/domains", nullptr},
+                    InvalidNumber{"/domains/0/age_ms", true},
+                    InvalidNumber{"/domains/0/endpoints", -1},
+                    InvalidNumber{"/entries", nullptr},
+                    InvalidNumber{"/info/leaving", 1},
+                    InvalidNumber{"/info/leaving", nullptr},
+                    InvalidNumber{"/manifest", nullptr}));
+
 TEST(MessagesTest, DeepNestingIsRefused) {
   // Each byte 0x91 opens an array with one item.
   const std::string bytes(1 << 20, '\x91');
