HTTP API: an empty key is no key

Who sent "Authorization: Bearer " without a key was the customer whose key's hash is that of an empty text, if a manifest had one. Such a request is now unauthorized, and such a hash is a finding.

--- a/packages/protocol/http_api/http_api.cc
+++ b/packages/protocol/http_api/http_api.cc
@@ -136,7 +136,8 @@
 std::variant<Envelope, refusal::Refusal> ParseEnvelope(const Headers& headers) {
   Envelope envelope;
   const std::string_view authorization = Find(headers, "authorization");
-  if (!authorization.starts_with(kBearerPrefix)) {
+  if (!authorization.starts_with(kBearerPrefix) ||
+      authorization.size() == kBearerPrefix.size()) {
     return refusal::Refusal{.code = refusal::Code::kUnauthorized,
                             .message = "a bearer key is required"};
   }
--- a/packages/state/manifest/manifest.cc
+++ b/packages/state/manifest/manifest.cc
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr size_t kSha256HexDigits = 64;
+constexpr std::string_view kEmptyKeySha256 =
+    "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855";
 constexpr int kMaxRanks = 4096;
 constexpr int kMaxExperts = 4096;
 constexpr int kMaxLayers = 1024;
@@ -94,6 +96,8 @@
           });
       if (customer.key_sha256.size() != kSha256HexDigits || !hexadecimal) {
         Report(place + "/key_sha256", "must be 64 lower-case hex digits");
+      } else if (customer.key_sha256 == kEmptyKeySha256) {
+        Report(place + "/key_sha256", "is the hash of an empty key");
       } else if (!hashes.insert(customer.key_sha256).second) {
         Report(place + "/key_sha256", "another customer has the same key");
       }
--- a/tests/unit/protocol/http_api/http_api_test.cc
+++ b/tests/unit/protocol/http_api/http_api_test.cc
@@ -46,5 +46,25 @@
                     BodyCase{"TooManyNames", R"({"a":0})", 50'001, false}),
     [](const auto& info) { return std::string(info.param.name); });
 
+class NoKeyTest : public testing::TestWithParam<Headers> {};
+
+// Guards against an empty key, which would be that of a customer whose key was
+// hashed from an empty text.
+TEST_P(NoKeyTest, IsUnauthorized) {
+  const auto envelope = ParseEnvelope(GetParam());
+  const auto* refusal = std::get_if<refusal::Refusal>(&envelope);
+  ASSERT_NE(refusal, nullptr);
+  EXPECT_EQ(refusal->code, refusal::Code::kUnauthorized);
+}
+
+INSTANTIATE_TEST_SUITE_P(Keys,
+                         NoKeyTest,
+                         testing::Values(Headers{},
+                                         Headers{{"authorization", ""}},
+                                         Headers{{"authorization", "Bearer"}},
+                                         Headers{{"authorization", "Bearer "}},
+                                         Headers{
+                                             {"authorization", "Basic k"}}));
+
 }  // namespace
 }  // namespace wagtailshore::http_api
--- a/tests/unit/protocol/manifest_codec/manifest_codec_test.cc
+++ b/tests/unit/protocol/manifest_codec/manifest_codec_test.cc
@@ -3,6 +3,11 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
+#include <ostream>
+
+#include "common/digest.h"
+#include "state/manifest/customer_index.h"
 
 namespace wagtailshore::manifest_codec {
 namespace {
@@ -53,6 +58,72 @@
   }
 }
 
+// A field of a manifest, by its JSON pointer, and a value that is not the
+// field's.
+struct FieldCase {
+  const char* name;
+  const char* pointer;
+  nlohmann::json value;
+};
+
+std::ostream& operator<<(std::ostream& out, const FieldCase& param) {
+  return out << param.name;
+}
+
+class BadFieldTest : public testing::TestWithParam<FieldCase> {};
+
+// Guards against a field that decides who may pass and counts as absent because
+// it cannot be read.
+TEST_P(BadFieldTest, IsAFinding) {
+  nlohmann::json text = nlohmann::json::parse(kValidManifest);
+  text[nlohmann::json::json_pointer(GetParam().pointer)] = GetParam().value;
+  const auto parsed = Parse(text.dump());
+  const auto* findings = std::get_if<common::Findings>(&parsed);
+  ASSERT_NE(findings, nullptr);
+  EXPECT_EQ(findings->front().place, GetParam().pointer);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Fields,
+    BadFieldTest,
+    testing::Values(
+        FieldCase{"CustomersNull", "/customers", nullptr},
+        FieldCase{"CustomersByName", "/customers", nlohmann::json::object()},
+        FieldCase{"CustomersText", "/customers", ""},
+        FieldCase{"CustomersFalse", "/customers", false},
+        FieldCase{"CustomerNull", "/customers/0", nullptr},
+        FieldCase{"KeyNull", "/customers/0/key_sha256", nullptr},
+        FieldCase{"KeyEmpty", "/customers/0/key_sha256", ""},
+        FieldCase{"KeyList", "/customers/0/key_sha256",
+                  nlohmann::json::array()},
+        FieldCase{
+            "HashOfAnEmptyKey", "/customers/0/key_sha256",
+            "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855"},
+        FieldCase{"NewCustomerNull", "/customers/0/new_customer", nullptr},
+        FieldCase{"NewCustomerText", "/customers/0/new_customer", "true"},
+        FieldCase{"LimitNull", "/customers/0/requests_per_second", nullptr},
+        FieldCase{"PriorityNull", "/customers/0/priority", nullptr},
+        FieldCase{"PhaseNull", "/phase", nullptr},
+        FieldCase{"CallsNull", "/services/0/non_idempotent_calls", nullptr}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+class NoCustomersTest : public testing::TestWithParam<const char*> {};
+
+// Unlike with a hosting platform, no manifest opens the system to all.
+TEST_P(NoCustomersTest, AdmitNobody) {
+  const auto parsed = Parse(GetParam());
+  const auto* manifest = std::get_if<manifest::Manifest>(&parsed);
+  ASSERT_NE(manifest, nullptr);
+  EXPECT_EQ(manifest::CustomerIndex(*manifest).Find(*manifest, ""), nullptr);
+  EXPECT_EQ(
+      manifest::CustomerIndex(*manifest).Find(*manifest, common::Sha256Hex("")),
+      nullptr);
+}
+
+INSTANTIATE_TEST_SUITE_P(Texts,
+                         NoCustomersTest,
+                         testing::Values("{}", R"({"customers":[]})"));
+
 TEST(ManifestCodecTest, TextThatIsNotJsonIsAFinding) {
   const auto parsed = Parse("{");
   EXPECT_TRUE(std::holds_alternative<common::Findings>(parsed));
