Endpoint channel: bytes without end are the server's failure and are bounded

A request that may be repeated ended at its deadline although a sound endpoint stood by.

Cause: input that the parser cannot use yet grew to 1 MiB a connection and was counted nowhere; interim responses, answers of earlier exchanges, refusals and comments had no limit, so that only the caller's deadline ended them; an answer over its limit ended the request instead of the attempt.

A status that is none is no longer reported to the router like an endpoint's own error.

--- a/packages/common/event_log.cc
+++ b/packages/common/event_log.cc
@@ -108,6 +108,10 @@
               "have lapsed or been lost with an outage, so they stay in use "
               "for left_ms at most.",
               "None."},
+    EventSpec{EventId::kBadResponse, Severity::kWarning, "bad response",
+              "A server sent bytes that are no response, or more than a limit "
+              "allows; the connection to it was closed.",
+              "If frequent, check the named server."},
     EventSpec{
         EventId::kAttemptFailed, Severity::kWarning, "attempt failed",
         "An endpoint refused an attempt, its connection broke, or it sent "
--- a/packages/common/event_log.h
+++ b/packages/common/event_log.h
@@ -32,6 +32,7 @@
   kEndpointLimit = 1207,
   kEndpointRests = 1208,
   kEndpointsKept = 1209,
+  kBadResponse = 1210,
   kAttemptFailed = 1301,
   kRequestRefused = 1302,
   kStreamResumed = 1303,
--- a/packages/coordination/client_budget/client_budget.cc
+++ b/packages/coordination/client_budget/client_budget.cc
@@ -9,7 +9,8 @@
 namespace {
 
 // Memory of a process without clients: code, configuration, list of endpoints,
-// and what the allocator keeps.
+// and what the allocator keeps; and a share of the machine's for the answers to
+// its own calls.
 constexpr size_t kOwnBytes = size_t{20} << 20;
 constexpr size_t kOwnShare = 8;
 // Part of the memory for clients that may be freed and not yet given back.
@@ -45,6 +46,10 @@
           .max_clients = std::max<size_t>(sockets / kSocketsPerClient, 1)};
 }
 
+size_t CallBytes(const MachineLimits& limits) {
+  return limits.memory_bytes / kOwnShare;
+}
+
 bool FitsAlone(const BudgetOptions& options, size_t bytes) {
   const size_t held = bytes + options.connection_bytes;
   return held <= Ceiling(options, held);
--- a/packages/coordination/client_budget/client_budget.h
+++ b/packages/coordination/client_budget/client_budget.h
@@ -22,11 +22,12 @@
 struct BudgetOptions {
   // Memory for all clients together, in bytes.
   size_t memory_bytes = SIZE_MAX;
-  // What a client holds as long as it is connected.
-  size_t connection_bytes = size_t{16} << 10;
+  // What a client holds as long as it is connected, with the connection to an
+  // endpoint that its request may have.
+  size_t connection_bytes = size_t{48} << 10;
   size_t max_clients = SIZE_MAX;
   // A client that holds no more than this is small.
-  size_t small_bytes = size_t{64} << 10;
+  size_t small_bytes = size_t{96} << 10;
   // Part of the memory that only small clients may use, so that they find room
   // beside large ones that cannot be evicted.
   double small_share = 1.0 / 8;
@@ -37,6 +38,10 @@
 // The part of the machine's limits that is for clients.
 BudgetOptions OptionsFor(const MachineLimits& limits);
 
+// Memory for the answers to the process's own calls to other processes, all
+// together, in bytes. It is not part of that for clients.
+size_t CallBytes(const MachineLimits& limits);
+
 // Whether a client that is alone may hold `bytes` beside its connection.
 bool FitsAlone(const BudgetOptions& options, size_t bytes);
 
--- a/packages/daemon/gateway/proxied_run.cc
+++ b/packages/daemon/gateway/proxied_run.cc
@@ -39,12 +39,22 @@
 // An attempt from which nothing arrived for this long may be at an endpoint
 // that ended without closing its connections.
 constexpr common::Duration kSilence = common::seconds(1);
-// Largest answer that is buffered before it is relayed, and largest sum of such
-// answers: a faulty endpoint may send bytes without end to many requests.
+// Limits on what endpoints can make a gateway hold or read, in bytes; a faulty
+// one may send bytes without end. See docs/design/server-limits.md.
+//
+// Largest answer that is buffered before it is relayed, if it is a success and
+// if it is not.
 constexpr size_t kMaxAnswerBytes = 8 << 20;
+constexpr size_t kMaxErrorBytes = 1 << 20;
+// Largest sum of answers that are buffered. It does not bind those of up to
+// kSmallAnswerBytes, so that large ones cannot exclude them.
 constexpr size_t kMaxBufferedBytes = 32 << 20;
-// Largest event of a stream.
+constexpr size_t kSmallAnswerBytes = 64 << 10;
+// Largest body that is read of an answer that is not relayed.
+constexpr size_t kMaxDroppedBytes = 64 << 10;
+// Largest event of a stream, and most that a stream sends without a new one.
 constexpr size_t kMaxEventBytes = 256 << 10;
+constexpr size_t kMaxBytesWithoutEvent = 256 << 10;
 // Parts of a prompt are left out of the log beyond this.
 constexpr size_t kMaxLoggedPartsBytes = 200;
 // Unsent stream data at which a caller that does not read is disconnected.
@@ -328,6 +338,8 @@
   attempt_events_ = 0;
   answer_.reset();
   DropBufferedBody();
+  dropped_bytes_ = 0;
+  bytes_without_event_ = 0;
   splitter_.Reset();
   streaming_ = false;
   resuming_ = last_event_id_.has_value();
@@ -442,23 +454,60 @@
     RelayEvents(data);
     return;
   }
-  if (buffered_body_.size() + data.size() > kMaxAnswerBytes ||
-      core_.buffered_bytes + data.size() > kMaxBufferedBytes) {
-    exchange_->Abandon();
-    EndAttempt("answer_too_large");
-    Fail("answer_too_large", kRetryWhenFull);
+  if (!IsRelayed()) {
+    DropBody(data.size());
+    return;
+  }
+  const size_t size = buffered_body_.size() + data.size();
+  if (size > MaxBodyBytes()) {
+    EndOversized("answer_too_large");
     return;
   }
-  if (!ReserveForAnswer(data.size())) {
+  const bool exceeds_sum =
+      size > kSmallAnswerBytes &&
+      core_.buffered_bytes + data.size() > kMaxBufferedBytes;
+  if (exceeds_sum || !ReserveForAnswer(data.size())) {
     exchange_->Abandon();
-    EndAttempt("no_room_for_answer");
-    Fail("no_room_for_answer", kRetryWhenFull);
+    RetryOrFail("no_room_for_answer");
     return;
   }
   buffered_body_ += data;
   core_.buffered_bytes += data.size();
 }
 
+bool ProxiedRun::IsRelayed() const {
+  const proxied::EndpointAnswer& answer = *answer_;
+  const bool refused = answer.not_run && answer.status != http1::kBadRequest;
+  const bool spoilt =
+      answer.encoded || (IsSuccess(answer.status) && !answer.sealed);
+  return !refused && !spoilt;
+}
+
+size_t ProxiedRun::MaxBodyBytes() const {
+  return IsSuccess(answer_->status) ? kMaxAnswerBytes : kMaxErrorBytes;
+}
+
+void ProxiedRun::DropBody(size_t bytes) {
+  dropped_bytes_ += bytes;
+  if (dropped_bytes_ <= kMaxDroppedBytes) {
+    return;
+  }
+  if (answer_->not_run) {
+    exchange_->Abandon();
+    OnRefusedByEndpoint("refusal_too_large");
+  } else {
+    EndOversized("answer_too_large");
+  }
+}
+
+void ProxiedRun::EndOversized(std::string_view cause) {
+  common::LogEvent(common::EventId::kBadResponse,
+                   common::StrCat("endpoint=", endpoint_process_, " request=",
+                                  request_.attempt_id, " why=", cause));
+  exchange_->Abandon();
+  RetryOrFail(cause);
+}
+
 bool ProxiedRun::ReserveForAnswer(size_t more) {
   const size_t size = buffered_body_.size() + more;
   if (size <= buffered_body_.capacity()) {
@@ -492,8 +541,12 @@
       RetryOrFail("event_without_number");
       return;
     }
+    if (event.comment) {
+      bytes_without_event_ += event.text.size();
+    }
     if (event.id.has_value() && last_event_id_.has_value()) {
       if (*event.id <= *last_event_id_) {
+        bytes_without_event_ += event.text.size();
         continue;
       }
       if (*event.id != *last_event_id_ + 1) {
@@ -508,6 +561,9 @@
       core_.metrics.OnFirstEvent(first_event_after_);
       channel_.BeginStream(answer_->status, answer_->headers);
     }
+    if (!event.comment) {
+      bytes_without_event_ = 0;
+    }
     if (event.id.has_value()) {
       last_event_id_ = event.id;
     }
@@ -517,9 +573,7 @@
     last_event_at_ = now();
     has_room = channel_.WriteStream(event.text) && has_room;
   }
-  if (splitter_.partial_bytes() > kMaxEventBytes) {
-    exchange_->Abandon();
-    RetryOrFail("event_too_large");
+  if (!CheckStreamLimits()) {
     return;
   }
   if (!has_room || channel_.unsent() > kMaxUnsentBytes) {
@@ -530,6 +584,26 @@
   }
 }
 
+bool ProxiedRun::CheckStreamLimits() {
+  if (splitter_.partial_bytes() > kMaxEventBytes) {
+    EndOversized("event_too_large");
+    return false;
+  }
+  if (bytes_without_event_ > kMaxBytesWithoutEvent) {
+    EndOversized("no_new_event");
+    return false;
+  }
+  // In whole blocks, as the budget is not asked for each event.
+  constexpr size_t kBlockBytes = 16 << 10;
+  if (!channel_.ReserveForAnswer(splitter_.partial_bytes() / kBlockBytes *
+                                 kBlockBytes)) {
+    exchange_->Abandon();
+    RetryOrFail("no_room_for_answer");
+    return false;
+  }
+  return true;
+}
+
 void ProxiedRun::OnComplete() {
   if (streaming_) {
     OnStreamEnd();
@@ -558,12 +632,12 @@
 
 void ProxiedRun::OnBufferedAnswer() {
   const proxied::EndpointAnswer& answer = *answer_;
-  if (answer.not_run && answer.status != http1::kBadRequest) {
-    OnRefusedByEndpoint();
-    return;
-  }
-  if (answer.encoded || (IsSuccess(answer.status) && !answer.sealed)) {
-    RetryOrFail("answer_spoilt");
+  if (!IsRelayed()) {
+    if (answer.not_run) {
+      OnRefusedByEndpoint(answer.rest.has_value() ? "resting" : "busy");
+    } else {
+      RetryOrFail("answer_spoilt");
+    }
     return;
   }
   const bool failed = answer.status >= http1::kInternalError;
@@ -591,7 +665,7 @@
   End(IsSuccess(answer.status) ? "complete" : outcome);
 }
 
-void ProxiedRun::OnRefusedByEndpoint() {
+void ProxiedRun::OnRefusedByEndpoint(std::string_view result) {
   const bool misdirected = answer_->status == http1::kMisdirected;
   // A refusal that names another endpoint comes from a group that cannot run
   // steps without that endpoint, so its other ranks would refuse too.
@@ -601,9 +675,7 @@
     core_.fleet.OnMisdirected(endpoint_id_);
     core_.router.OnLeaving(endpoint_id_);
   }
-  EndAttempt(misdirected                 ? "misdirected"
-             : answer_->rest.has_value() ? "resting"
-                                         : "busy");
+  EndAttempt(misdirected ? "misdirected" : result);
   if (group_stalled) {
     Fail("group_stalled", kRetryWhenGroupStalled);
     return;
@@ -630,6 +702,12 @@
     }
     return;
   }
+  if (failure.bad_response) {
+    common::LogEvent(common::EventId::kBadResponse,
+                     common::StrCat("endpoint=", endpoint_process_,
+                                    " request=", request_.attempt_id,
+                                    " why=", failure.detail));
+  }
   execution_ = Execution::kMayHaveRun;
   RetryOrFail(failure.detail);
 }
@@ -762,10 +840,11 @@
       result.starts_with("status_") || result == "busy" ||
       result == "misdirected" || result == "unreachable" ||
       result == "resting" || result == "withdrawn" ||
-      result == "answer_spoilt" || result == "answer_too_large" ||
-      result == "no_room_for_answer" || result == "event_too_large" ||
-      result == "caller_not_reading" || result == "event_missing" ||
-      result == "event_without_number";
+      result.starts_with("bad_response") || result == "refusal_too_large" ||
+      result == "no_new_event" || result == "answer_spoilt" ||
+      result == "answer_too_large" || result == "no_room_for_answer" ||
+      result == "event_too_large" || result == "caller_not_reading" ||
+      result == "event_missing" || result == "event_without_number";
   if (result == "complete") {
     core_.crashes.OnAnswered(content_attempt_);
   } else if (endpoint_responds || (given_up && !silent)) {
--- a/packages/daemon/gateway/proxied_run.h
+++ b/packages/daemon/gateway/proxied_run.h
@@ -98,11 +98,24 @@
   // Takes over what the endpoint asks for in its answer.
   void NoteDemands(const proxied::EndpointAnswer& answer);
   void OnBufferedAnswer();
+  // Whether the answer is relayed if it is complete. Others are read to their
+  // end, so that the connection can be reused, and their bodies dropped.
+  bool IsRelayed() const;
+  // Largest body of the answer, in bytes.
+  size_t MaxBodyBytes() const;
+  // Drops the body of an answer that is not relayed.
+  void DropBody(size_t bytes);
   // Makes room for `more` bytes of an answer that is buffered.
   bool ReserveForAnswer(size_t more);
+  // Ends the attempt because the endpoint sends more than a limit allows.
+  void EndOversized(std::string_view cause);
   void DropBufferedBody();
-  void OnRefusedByEndpoint();
+  // Ends the attempt, which the endpoint has refused, as `result`.
+  void OnRefusedByEndpoint(std::string_view result);
   void RelayEvents(std::string_view data);
+  // Checks what a stream sends without making progress. Ends the attempt and
+  // returns false beyond a limit.
+  bool CheckStreamLimits();
   void OnStreamEnd();
 
   // Sends the caller a response made by the gateway and ends the run.
@@ -160,6 +173,11 @@
   uint32_t attempt_events_ = 0;
   std::optional<proxied::EndpointAnswer> answer_;
   std::string buffered_body_;
+  // Bytes of the answer's body that were dropped.
+  size_t dropped_bytes_ = 0;
+  // Bytes of a stream since its last new event: comments, and events that the
+  // caller has already.
+  size_t bytes_without_event_ = 0;
   event_stream::Splitter splitter_;
   bool streaming_ = false;
   // Whether the attempt is to go on after the last event that the caller has.
--- a/packages/transport/http_channel/caller_channel.cc
+++ b/packages/transport/http_channel/caller_channel.cc
@@ -13,16 +13,15 @@
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr char kRetryAfterSeconds[] = "1";
 
-// Memory of a connection's objects.
-constexpr size_t kObjectBytes = 6UL * 1024;
+// Memory of a connection's objects, and the input that the connection to an
+// endpoint can hold for it.
+constexpr size_t kObjectBytes = 6UL * 1024 + EndpointChannel::kMaxInputBytes;
 // A holding up to this counts as this, so that that of an ordinary request does
 // not change.
 constexpr size_t kLeastHeldBytes =
     client_budget::BudgetOptions{}.connection_bytes;
 // Copies of a head: the reader's, the handler's and the forwarded one.
 constexpr size_t kHeadCopies = 3;
-// Input beyond the largest head, one read of the socket.
-constexpr size_t kReadBytes = 16UL * 1024;
 // Input that is read while a request is answered and there is room for it.
 constexpr size_t kMaxReadAheadBytes = 1UL << 20;
 // The kernel's buffers of a caller's connection.
@@ -39,7 +38,7 @@
 constexpr size_t kProgressBytes = 16UL * 1024;
 
 size_t MaxInputOf(const CallerChannelOptions& options) {
-  return options.max_header_bytes + kReadBytes;
+  return options.max_header_bytes + stream_socket::kReadBytes;
 }
 
 stream_socket::StreamOptions SocketOptionsOf(
--- a/packages/transport/http_channel/endpoint_channel.cc
+++ b/packages/transport/http_channel/endpoint_channel.cc
@@ -19,9 +19,10 @@
 
 constexpr int kFirstFinalStatus = 200;
 
-stream_socket::StreamOptions WithSendBuffer(
+stream_socket::StreamOptions WithBufferSizes(
     stream_socket::StreamOptions options) {
   options.kernel_send_bytes = EndpointChannel::kKernelSendBytes;
+  options.max_input_bytes = EndpointChannel::kMaxInputBytes;
   return options;
 }
 
@@ -32,7 +33,7 @@
                                  const stream_socket::StreamOptions& options,
                                  OnStateChange on_state_change)
     : loop_(loop),
-      socket_(loop, address, *this, WithSendBuffer(options)),
+      socket_(loop, address, *this, WithBufferSizes(options)),
       on_state_change_(std::move(on_state_change)),
       reader_(http1::ReaderOptions{}),
       heard_at_(loop.Now()) {}
@@ -44,6 +45,9 @@
   WS_INVARIANT(idle()) << "one exchange at a time";
   listener_ = &listener;
   without_body_ = without_body;
+  interim_responses_ = 0;
+  discarded_responses_ = 0;
+  discarded_bytes_ = 0;
   ResetReader();
   body_rest_ = body;
   if (socket_.connected()) {
@@ -85,7 +89,10 @@
 }
 
 void EndpointChannel::ResetReader() {
-  reader_ = http1::ResponseReader({.without_body = without_body_});
+  reader_ = http1::ResponseReader(
+      {.max_header_bytes = kMaxPendingBytes, .without_body = without_body_});
+  body_bytes_ = 0;
+  framing_bytes_ = 0;
   response_origin_ = ResponseOrigin::kThisExchange;
 }
 
@@ -126,39 +133,89 @@
     }
     auto progress = reader_.Read(socket_.input());
     if (!progress.ok()) {
-      Fail({.detail = common::StrCat("not an HTTP response: ",
-                                     progress.status().message())});
+      FailBadResponse(std::string(progress.status().message()));
       return;
     }
     socket_.Consume(progress->consumed);
     const bool stalled = progress->consumed == 0;
-    if (!OnProgress(*progress) || stalled) {
+    if (!CheckLimits(*progress) || !OnProgress(*progress) || stalled) {
       return;
     }
   }
 }
 
-bool EndpointChannel::OnProgress(const http1::Progress& progress) {
-  if (progress.head_complete) {
-    if (!http1::IsStatus(reader_.head().status)) {
-      Fail({.detail = common::StrCat("status_", reader_.head().status)});
+void EndpointChannel::FailBadResponse(std::string_view detail) {
+  Fail({.bad_response = true,
+        .detail = common::StrCat("bad_response: ", detail)});
+}
+
+bool EndpointChannel::CheckLimits(const http1::Progress& progress) {
+  if (progress.consumed == 0 && socket_.input().size() > kMaxPendingBytes) {
+    FailBadResponse("a chunk line or trailer is too long");
+    return false;
+  }
+  if (!reader_.head_complete() || progress.head_complete) {
+    return true;
+  }
+  body_bytes_ += progress.body.size();
+  framing_bytes_ += progress.consumed - progress.body.size();
+  if (framing_bytes_ >
+      kMaxFramingBytes + kMaxFramingPerBodyByte * body_bytes_) {
+    FailBadResponse("too much framing");
+    return false;
+  }
+  if (response_origin_ == ResponseOrigin::kEarlierExchange) {
+    discarded_bytes_ += progress.consumed;
+    if (discarded_bytes_ > kMaxDiscardedBytes) {
+      FailBadResponse("responses of earlier exchanges are too long");
       return false;
     }
-    if (reader_.head().status < kFirstFinalStatus) {
-      if (progress.complete) {
-        ResetReader();
-      }
-      return true;
-    }
-    response_origin_ = listener_->OnHead(reader_.head());
-    if (listener_ == nullptr) {
+  }
+  return true;
+}
+
+bool EndpointChannel::OnResponseHead() {
+  const int status = reader_.head().status;
+  if (!http1::IsStatus(status)) {
+    FailBadResponse(common::StrCat("status ", status));
+    return false;
+  }
+  if (status < kFirstFinalStatus) {
+    if (++interim_responses_ > kMaxInterimResponses) {
+      FailBadResponse("too many interim responses");
       return false;
     }
-    if (response_origin_ == ResponseOrigin::kEarlierExchange &&
-        reader_.head().until_close) {
-      Fail({.detail = "foreign_answer_without_end"});
+    return true;
+  }
+  response_origin_ = listener_->OnHead(reader_.head());
+  if (listener_ == nullptr) {
+    return false;
+  }
+  if (response_origin_ == ResponseOrigin::kThisExchange) {
+    return true;
+  }
+  if (reader_.head().until_close) {
+    FailBadResponse("the response of an earlier exchange has no end");
+    return false;
+  }
+  if (++discarded_responses_ > kMaxDiscardedResponses) {
+    FailBadResponse("too many responses of earlier exchanges");
+    return false;
+  }
+  return true;
+}
+
+bool EndpointChannel::OnProgress(const http1::Progress& progress) {
+  if (progress.head_complete && !OnResponseHead()) {
+    return false;
+  }
+  if (reader_.head_complete() && reader_.head().status < kFirstFinalStatus) {
+    if (!progress.complete) {
+      FailBadResponse("interim response with a body");
       return false;
     }
+    ResetReader();
+    return true;
   }
   if (response_origin_ == ResponseOrigin::kThisExchange &&
       !progress.body.empty()) {
--- a/packages/transport/http_channel/endpoint_channel.h
+++ b/packages/transport/http_channel/endpoint_channel.h
@@ -1,6 +1,7 @@
 #ifndef TRANSPORT_HTTP_CHANNEL_ENDPOINT_CHANNEL_H_
 #define TRANSPORT_HTTP_CHANNEL_ENDPOINT_CHANNEL_H_
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -17,6 +18,9 @@
   bool nothing_sent = false;
   // Whether the connection was closed by CloseSilent().
   bool silent = false;
+  // Whether the endpoint sent bytes that are no response, or that exceed a
+  // limit of EndpointChannel.
+  bool bad_response = false;
   // Short reason for logs, usually one word.
   std::string detail;
 };
@@ -52,6 +56,26 @@
   // Size of the kernel's buffer for sending.
   static constexpr int kKernelSendBytes = 128 * 1024;
 
+  // Limits on what an endpoint can make this process hold or read beside the
+  // body of a response, which the listener limits. An exchange that exceeds one
+  // fails.
+  //
+  // Input that is not complete enough to be read: a head, a chunk's line or a
+  // trailer, in bytes.
+  static constexpr size_t kMaxPendingBytes = 16UL * 1024;
+  // All input that is held, in bytes: the above and what one read adds.
+  static constexpr size_t kMaxInputBytes =
+      kMaxPendingBytes + stream_socket::kReadBytes;
+  // Bytes of a response that belong neither to its head nor to its body: this
+  // many, and so many for each byte of the body.
+  static constexpr uint64_t kMaxFramingBytes = 64UL * 1024;
+  static constexpr uint64_t kMaxFramingPerBodyByte = 8;
+  // Interim responses (status 100 to 199) before the final one.
+  static constexpr int kMaxInterimResponses = 16;
+  // Responses of earlier exchanges that are discarded, and their bytes.
+  static constexpr int kMaxDiscardedResponses = 16;
+  static constexpr uint64_t kMaxDiscardedBytes = 1024UL * 1024;
+
   // Called when the channel has closed and when it becomes idle. The call can
   // come from within one of the channel's callbacks, so the channel must not be
   // destroyed in it.
@@ -101,6 +125,11 @@
  private:
   // Returns whether to continue reading from the connection.
   bool OnProgress(const http1::Progress& progress);
+  bool OnResponseHead();
+  // Counts what was read and fails the exchange beyond a limit. Returns whether
+  // to continue.
+  bool CheckLimits(const http1::Progress& progress);
+  void FailBadResponse(std::string_view detail);
   void Fail(const ExchangeFailure& failure);
   void Finish(bool reusable);
   void ResetReader();
@@ -121,6 +150,13 @@
   http1::ResponseReader reader_;
   bool without_body_ = false;
   ResponseOrigin response_origin_ = ResponseOrigin::kThisExchange;
+  // Of the response that is read: bytes of its body and of its framing.
+  uint64_t body_bytes_ = 0;
+  uint64_t framing_bytes_ = 0;
+  // Of the exchange.
+  int interim_responses_ = 0;
+  int discarded_responses_ = 0;
+  uint64_t discarded_bytes_ = 0;
   std::optional<common::Duration> idle_limit_;
   common::Time idle_since_{};
   common::Time heard_at_;
--- a/packages/transport/stream_socket/stream_socket.cc
+++ b/packages/transport/stream_socket/stream_socket.cc
@@ -14,9 +14,6 @@
 namespace wagtailshore::stream_socket {
 namespace {
 
-// Bytes read per system call; large enough for a streamed event and for most
-// responses.
-constexpr size_t kReadBytes = 16UL * 1024;
 // An empty buffer with more capacity than this is returned to the allocator.
 constexpr size_t kMaxEmptyBufferBytes = 64UL * 1024;
 // TCP keep-alive: seconds without traffic before the first probe, seconds
--- a/packages/transport/stream_socket/stream_socket.h
+++ b/packages/transport/stream_socket/stream_socket.h
@@ -1,6 +1,7 @@
 #ifndef TRANSPORT_STREAM_SOCKET_STREAM_SOCKET_H_
 #define TRANSPORT_STREAM_SOCKET_STREAM_SOCKET_H_
 
+#include <cstddef>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -36,6 +37,10 @@
   virtual void OnClosed(CloseReason reason) = 0;
 };
 
+// Bytes read per system call; large enough for a streamed event and for most
+// responses.
+inline constexpr size_t kReadBytes = 16UL * 1024;
+
 struct StreamOptions {
   // A connection attempt that takes longer fails.
   common::Duration connect_timeout = common::seconds(1);
--- a/tests/unit/daemon/gateway/gateway_test.cc
+++ b/tests/unit/daemon/gateway/gateway_test.cc
@@ -453,6 +453,10 @@
   bool buffered = true;
 };
 
+std::ostream& operator<<(std::ostream& out, const EndlessCase& param) {
+  return out << param.name;
+}
+
 class EndlessBytesTest : public testing::TestWithParam<EndlessCase> {};
 
 // Guards against an endpoint that makes the gateway buffer until it runs out of
@@ -522,6 +526,104 @@
         EndlessCase{"Event", "/stream/x", ChunkedHead, "8\r\ndata: x\n\r\n"}),
     [](const auto& test) { return std::string(test.param.name); });
 
+class FaultyEndpointTest : public testing::TestWithParam<EndlessCase> {};
+
+// Guards against bytes without end that count as nobody's failure: the request
+// would wait for its deadline instead of being sent to another endpoint.
+TEST_P(FaultyEndpointTest, RequestIsServedByAnother) {
+  constexpr size_t kSent = 12 << 20;
+  const EndlessCase& param = GetParam();
+  HostedWorld world(2);
+  world.endpoint(0).set_script([&](const Received& request) {
+    std::string bytes = param.start(request);
+    while (bytes.size() < kSent) {
+      bytes += param.repeated;
+    }
+    return Reply{.bytes = std::move(bytes)};
+  });
+  world.endpoint(1).set_script([](const Received& request) {
+    return request.head.target.starts_with("/stream/")
+               ? Stream(request, 0, 4)
+               : Plain(request, 200, "ok");
+  });
+  int asked = 0;
+  while (world.endpoint(0).received().empty()) {
+    ASSERT_LT(++asked, 50);
+    const CallerAnswer answer =
+        world.Ask({.path = param.path, .id = common::StrCat("a", asked)});
+    ASSERT_EQ(answer.status, 200);
+    ASSERT_TRUE(answer.complete);
+  }
+  EXPECT_TRUE(world.RunUntil([&] { return world.endpoint(0).closed() > 0; }));
+}
+
+std::string HeadWith(const Received& request,
+                     int status,
+                     const std::string& fields) {
+  return common::StrCat(HeadOf(request, status, fields), "\r\n");
+}
+
+std::string ForeignHead(const std::string& length) {
+  return common::StrCat(
+      "HTTP/1.1 200 OK\r\nX-Wagtailshore-Attempt-Id: other\r\n"
+      "X-Wagtailshore-Server-Seal: s\r\nContent-Length: ",
+      length, "\r\n\r\n");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    FaultyEndpointTest,
+    testing::Values(
+        EndlessCase{"Letters", "/safe/x",
+                    [](const Received&) { return std::string(); }, "xxxxxxxx"},
+        EndlessCase{"InterimResponses", "/safe/x",
+                    [](const Received&) { return std::string(); },
+                    "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"},
+        EndlessCase{
+            "ForeignResponse", "/safe/x",
+            [](const Received&) { return ForeignHead("1000000000000"); },
+            "xxxxxxxx"},
+        EndlessCase{"ForeignResponses", "/safe/x",
+                    [](const Received&) { return ForeignHead("0"); },
+                    "HTTP/1.1 200 OK\r\nX-Wagtailshore-Attempt-Id: other\r\n"
+                    "Content-Length: 0\r\n\r\n"},
+        EndlessCase{
+            "ChunkLine", "/safe/x",
+            [](const Received& request) { return ChunkedHead(request) + "8;"; },
+            "xxxxxxxx"},
+        EndlessCase{"ChunkSize", "/safe/x", ChunkedHead, "00000000"},
+        EndlessCase{"Extensions", "/safe/x", ChunkedHead,
+                    "1;xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx\r\na\r\n"},
+        EndlessCase{"Trailer", "/safe/x",
+                    [](const Received& request) {
+                      return ChunkedHead(request) + "0\r\n";
+                    },
+                    "X-Field: value\r\n"},
+        EndlessCase{"Body", "/safe/x", ChunkedHead, kChunk},
+        EndlessCase{"ErrorBody", "/safe/x",
+                    [](const Received& request) {
+                      return HeadWith(request, 500, "Connection: close\r\n");
+                    },
+                    "xxxxxxxx"},
+        EndlessCase{"RefusalBody", "/safe/x",
+                    [](const Received& request) {
+                      return HeadWith(request, 503,
+                                      "X-Wagtailshore-Not-Executed: 1\r\n"
+                                      "Connection: close\r\n");
+                    },
+                    "xxxxxxxx"},
+        EndlessCase{"Event", "/stream/x",
+                    [](const Received& request) {
+                      return HeadWith(request, 200, "Connection: close\r\n");
+                    },
+                    "data: x\n"},
+        EndlessCase{"Comments", "/stream/x",
+                    [](const Received& request) {
+                      return HeadWith(request, 200, "Connection: close\r\n");
+                    },
+                    ": comment\n\n"}),
+    [](const auto& test) { return std::string(test.param.name); });
+
 // All ranks of a group that lost a rank refuse, so a retry on another rank
 // would be wasted.
 TEST(GatewayTest, StalledGroupIsNotAskedTwice) {
