HTTP caller: a call fails at its limit, and all share an eighth of the memory

An answer of more than 16 MiB was dropped but read on until the call's timeout, each call had 16 MiB for itself, and a companion's machine may have less for three. A call now fails at its own limit (1 MiB, 8 MiB of the store), and the longest answer when all together exceed an eighth of the machine's memory. A feed that is too large is followed by a read, which comes in pages.

It uses the new options, so it could not be run on the code before; the fault there is found by reading.

--- a/packages/daemon/companion/companion.cc
+++ b/packages/daemon/companion/companion.cc
@@ -42,7 +42,11 @@
       settings_(std::move(settings)),
       options_(options),
       pool_(loop, {.connect_timeout = common::milliseconds(200)}),
-      caller_(loop, pool_),
+      caller_(loop,
+              pool_,
+              {.max_held_bytes = client_budget::CallBytes(
+                   machine::LimitsWithin(settings_.memory_bytes,
+                                         settings_.max_sockets))}),
       limiter_(loop,
                client_budget::OptionsFor(
                    machine::LimitsWithin(settings_.memory_bytes,
--- a/packages/daemon/gateway/crash_exchange.cc
+++ b/packages/daemon/gateway/crash_exchange.cc
@@ -184,6 +184,11 @@
     ReadLater(history_failures_ == 1 ? common::Duration::zero() : delay);
     return;
   }
+  if (absl::IsResourceExhausted(changes.status())) {
+    // Unlike a feed, a read comes in pages.
+    ReadLater(NextRetryDelay(read_failures_));
+    return;
+  }
   if (!changes.ok()) {
     RetryLater();
     return;
--- a/packages/daemon/gateway/gateway.cc
+++ b/packages/daemon/gateway/gateway.cc
@@ -107,7 +107,11 @@
           budget_.max_clients),
       call_pool_(loop,
                  {.connect_timeout = kConnectTimeout, .activity = "call"}),
-      caller_(loop, call_pool_),
+      caller_(loop,
+              call_pool_,
+              {.max_held_bytes = client_budget::CallBytes(
+                   machine::LimitsWithin(settings_.memory_bytes,
+                                         settings_.max_sockets))}),
       freshness_({.revocation_bound = settings_.revocation_bound}),
       fleet_({}),
       router_(RouterOptionsOf(settings_)),
--- a/packages/daemon/gateway/store_watch.cc
+++ b/packages/daemon/gateway/store_watch.cc
@@ -166,9 +166,12 @@
   if (!rows.ok()) {
     UpdateAvailability(rows.status());
     const bool history_gone = absl::IsFailedPrecondition(rows.status());
+    // A read has the latest configuration only, a feed all since its revision.
+    const bool read = history_gone || routes_ == nullptr ||
+                      absl::IsResourceExhausted(rows.status());
     RunAfter(history_gone ? common::Duration::zero() : retry_delay_.Next(),
-             [this, history_gone] {
-               if (history_gone || routes_ == nullptr) {
+             [this, read] {
+               if (read) {
                  ReadConfiguration();
                } else {
                  AwaitConfiguration(options_.configuration_wait);
--- a/packages/transport/http_channel/http_call.cc
+++ b/packages/transport/http_channel/http_call.cc
@@ -1,5 +1,6 @@
 #include "transport/http_channel/http_call.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "common/event_log.h"
@@ -11,9 +12,6 @@
 
 // Idle time after which a connection is replaced instead of reused.
 constexpr common::Duration kIdleLimit = common::seconds(20);
-// Upper bound on a response body; larger than any stored object.
-constexpr size_t kMaxAnswerBytes = 16 << 20;
-
 // A timer that runs later than this shows that the process was suspended.
 constexpr common::Duration kMaxTimerDelay = common::milliseconds(100);
 
@@ -44,12 +42,17 @@
     wait_ = call.wait;
     repeatable_ = call.method == "GET" && wait_ == common::Duration::zero();
     timeout_ = timeout;
+    max_answer_bytes_ = call.max_answer_bytes;
     Send(caller_.pool_.Acquire(address_, address_));
   }
   void Cancel() {
     CancelTimers();
     channel_->Abandon();
   }
+  const std::string& address() const { return address_; }
+  const std::string& target() const { return target_; }
+  // Bytes of the answer's body so far.
+  size_t held_bytes() const { return held_bytes_; }
   std::function<void(CallResult)> TakeDone() {
     CancelTimers();
     return std::move(done_);
@@ -63,25 +66,27 @@
     return ResponseOrigin::kThisExchange;
   }
   void OnBody(std::string_view data) override {
-    if (answer_.body.size() + data.size() <= kMaxAnswerBytes) {
-      answer_.body += data;
-    } else {
-      too_large_ = true;
+    if (held_bytes_ + data.size() > max_answer_bytes_) {
+      caller_.FailTooLarge(id_);
+      return;
     }
+    answer_.body += data;
+    held_bytes_ += data.size();
+    caller_.Hold(data.size());
   }
   void OnComplete() override {
     if (caller_.unanswered_.erase(address_) > 0) {
       caller_.CloseSilent(address_, sent_at_,
                           common::StrCat("answers_again=1 target=", target_));
     }
-    if (too_large_) {
-      caller_.End(id_, absl::ResourceExhaustedError(
-                           "response body exceeds the size limit"));
-      return;
-    }
     caller_.End(id_, std::move(answer_));
   }
   void OnFailed(const ExchangeFailure& failure) override {
+    if (failure.bad_response) {
+      common::LogEvent(common::EventId::kBadResponse,
+                       common::StrCat("address=", address_, " target=", target_,
+                                      " why=", failure.detail));
+    }
     if (repeatable_ && (reused_ || failure.silent)) {
       Repeat();
       return;
@@ -121,8 +126,8 @@
   }
 
   void Repeat() {
+    caller_.held_bytes_ -= std::exchange(held_bytes_, 0);
     answer_ = {};
-    too_large_ = false;
     Send(caller_.pool_.Open(address_, address_));
   }
 
@@ -189,13 +194,16 @@
   common::Time sent_at_{};
   EndpointChannel* channel_ = nullptr;
   CallAnswer answer_;
-  bool too_large_ = false;
+  size_t held_bytes_ = 0;
+  size_t max_answer_bytes_ = 0;
   event_loop::TimerId timer_ = event_loop::kNoTimer;
   event_loop::TimerId silence_timer_ = event_loop::kNoTimer;
 };
 
-HttpCaller::HttpCaller(event_loop::EventLoop& loop, EndpointPool& pool)
-    : loop_(loop), pool_(pool) {}
+HttpCaller::HttpCaller(event_loop::EventLoop& loop,
+                       EndpointPool& pool,
+                       const HttpCallerOptions& options)
+    : loop_(loop), pool_(pool), options_(options) {}
 
 HttpCaller::~HttpCaller() {
   for (auto& [id, exchange] : exchanges_) {
@@ -223,11 +231,35 @@
                                   " others_closed=", closed));
 }
 
+void HttpCaller::Hold(size_t more) {
+  held_bytes_ += more;
+  if (held_bytes_ <= options_.max_held_bytes) {
+    return;
+  }
+  const auto longest = std::max_element(
+      exchanges_.begin(), exchanges_.end(), [](const auto& a, const auto& b) {
+        return a.second->held_bytes() < b.second->held_bytes();
+      });
+  FailTooLarge(longest->first);
+}
+
+void HttpCaller::FailTooLarge(uint64_t id) {
+  Exchange& exchange = *exchanges_.at(id);
+  common::LogEvent(
+      common::EventId::kBadResponse,
+      common::StrCat("address=", exchange.address(),
+                     " target=", exchange.target(),
+                     " why=answer_too_large bytes=", exchange.held_bytes()));
+  exchange.Cancel();
+  End(id, absl::ResourceExhaustedError("the response exceeds the size limit"));
+}
+
 void HttpCaller::End(uint64_t id, CallResult result) {
   const auto found = exchanges_.find(id);
   if (found == exchanges_.end()) {
     return;
   }
+  held_bytes_ -= found->second->held_bytes();
   const auto done = found->second->TakeDone();
   // The exchange is still running its callback, so it is destroyed later.
   loop_.Post([ended = std::shared_ptr<Exchange>(std::move(found->second))] {});
--- a/packages/transport/http_channel/http_call.h
+++ b/packages/transport/http_channel/http_call.h
@@ -1,6 +1,7 @@
 #ifndef TRANSPORT_HTTP_CHANNEL_HTTP_CALL_H_
 #define TRANSPORT_HTTP_CHANNEL_HTTP_CALL_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -25,7 +26,7 @@
 // timeout; the call may have been executed in both cases, unless the message is
 // "not_connected". Aborted when the connection of a long poll went silent,
 // which says nothing about the server. ResourceExhausted when the response is
-// too large.
+// larger than allowed, or no memory is left for it.
 using CallResult = absl::StatusOr<CallAnswer>;
 
 // A complete request, without its framing.
@@ -36,6 +37,14 @@
   std::string body;
   // How long the server may hold its answer back, as in a long poll.
   common::Duration wait = {};
+  // The call fails when the body of the answer is longer.
+  size_t max_answer_bytes = size_t{1} << 20;
+};
+
+struct HttpCallerOptions {
+  // For the bodies of all answers that are being received, in bytes. When they
+  // exceed it, the call with the longest fails.
+  size_t max_held_bytes = size_t{16} << 20;
 };
 
 // Makes calls with a timeout over pooled connections.
@@ -55,7 +64,9 @@
   // it is slow.
   static constexpr common::Duration kSilenceLimit = common::milliseconds(400);
 
-  HttpCaller(event_loop::EventLoop& loop, EndpointPool& pool);
+  HttpCaller(event_loop::EventLoop& loop,
+             EndpointPool& pool,
+             const HttpCallerOptions& options = {});
   ~HttpCaller();
   HttpCaller(const HttpCaller&) = delete;
   HttpCaller& operator=(const HttpCaller&) = delete;
@@ -71,6 +82,10 @@
   class Exchange;
 
   void End(uint64_t id, CallResult result);
+  // Makes room for `more` bytes of a body; the call with the longest one fails
+  // if there is none.
+  void Hold(size_t more);
+  void FailTooLarge(uint64_t id);
   // Closes the connections to `address` from which nothing arrived since
   // `since`, and logs it with `fields`.
   void CloseSilent(const std::string& address,
@@ -79,6 +94,9 @@
 
   event_loop::EventLoop& loop_;
   EndpointPool& pool_;
+  HttpCallerOptions options_;
+  // Bytes of all bodies that are being received.
+  size_t held_bytes_ = 0;
   std::map<uint64_t, std::unique_ptr<Exchange>> exchanges_;
   uint64_t next_id_ = 1;
   // Addresses at which a call on a new connection got no answer in time since
--- a/tests/unit/transport/http_channel/http_call_test.cc
+++ b/tests/unit/transport/http_channel/http_call_test.cc
@@ -2,7 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <functional>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "common/strings.h"
@@ -253,5 +255,99 @@
   EXPECT_FALSE(poll.result.has_value());
 }
 
+// Answers each call with a body in pieces that does not end.
+class EndlessBody final : public RequestHandler {
+ public:
+  explicit EndlessBody(event_loop::EventLoop& loop)
+      : loop_(loop), limiter_(loop, {}), server_(loop, *this, limiter_) {
+    EXPECT_TRUE(server_.Listen("127.0.0.1:0").ok());
+  }
+  std::string address() const {
+    return common::StrCat("127.0.0.1:", server_.port());
+  }
+  size_t open() const { return open_.size(); }
+
+  void OnRequest(CallerChannel& channel,
+                 const http1::RequestHead&,
+                 std::string) override {
+    open_.insert(&channel);
+    channel.BeginStream(200, {});
+    Write(channel);
+  }
+  void OnCallerGone(CallerChannel& channel) override { open_.erase(&channel); }
+
+ private:
+  void Write(CallerChannel& channel) {
+    if (!open_.contains(&channel)) {
+      return;
+    }
+    if (channel.unsent() == 0) {
+      channel.WriteStream(std::string(size_t{16} << 10, 'x'));
+    }
+    loop_.RunAfter(common::milliseconds(1),
+                   [this, &channel] { Write(channel); });
+  }
+
+  event_loop::EventLoop& loop_;
+  ChannelLimiter limiter_;
+  ChannelServer server_;
+  std::set<CallerChannel*> open_;
+};
+
+class EndlessBodyTest : public testing::Test {
+ protected:
+  EndlessBodyTest() : server_(loop_), pool_(loop_, {}) {}
+
+  void RunUntil(const std::function<bool()>& condition) {
+    const common::Time end = loop_.Now() + common::seconds(20);
+    while (!condition() && loop_.Now() < end) {
+      loop_.RunAfter(common::milliseconds(1), [this] { loop_.Stop(); });
+      loop_.Run();
+    }
+  }
+
+  event_loop::EventLoop loop_;
+  EndlessBody server_;
+  EndpointPool pool_;
+};
+
+// Guards against a server whose answer is read, though it is too large, until
+// the call's timeout.
+TEST_F(EndlessBodyTest, CallFailsAtItsLimit) {
+  HttpCaller caller(loop_, pool_);
+  Call call = kGet;
+  call.max_answer_bytes = 100'000;
+  std::optional<CallResult> result;
+  caller.Start(server_.address(), call, common::seconds(60),
+               [&](const CallResult& answer) { result = answer; });
+  RunUntil([&] { return result.has_value() && server_.open() == 0; });
+  ASSERT_TRUE(result.has_value());
+  EXPECT_TRUE(absl::IsResourceExhausted(result->status()));
+  EXPECT_EQ(server_.open(), 0U);
+}
+
+// Guards against many answers that are each within their limit. Calls fail
+// until the rest fit, and a call after them succeeds.
+TEST_F(EndlessBodyTest, CallsFailAtTheLimitOfAll) {
+  constexpr int kCalls = 8;
+  HttpCaller caller(loop_, pool_, {.max_held_bytes = 400'000});
+  Server sound(loop_);
+  int failed = 0;
+  for (int i = 0; i < kCalls; ++i) {
+    caller.Start(server_.address(), kGet, common::seconds(60),
+                 [&](const CallResult& answer) {
+                   failed += absl::IsResourceExhausted(answer.status()) ? 1 : 0;
+                 });
+  }
+  RunUntil([&] { return failed == kCalls; });
+  EXPECT_EQ(failed, kCalls);
+  std::optional<CallResult> result;
+  caller.Start(sound.address(), kGet, common::seconds(60),
+               [&](const CallResult& answer) { result = answer; });
+  RunUntil([&] { return result.has_value(); });
+  ASSERT_TRUE(result.has_value());
+  EXPECT_TRUE(result->ok());
+}
+
 }  // namespace
 }  // namespace wagtailshore::http_channel
