HTTP client: heads, responses together and an answer's text are bounded

A response could take 64 MiB, each connection's thread for itself, and frames of an endpoint made an answer's text grow without end.

--- a/packages/daemon/entry/generate_run.cc
+++ b/packages/daemon/entry/generate_run.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr size_t kMaxFrameBytes = size_t{1} << 20;
+// Largest text of an answer; endpoints may send frames without end.
+constexpr size_t kMaxTextBytes = size_t{8} << 20;
 constexpr int kOk = 200;
 // Interval at which a request checks whether the quarantine lets its content
 // run.
@@ -210,7 +212,8 @@
 
 exchange::Action GenerateRun::OnData(const std::string& bytes) {
   const auto frame = messages::DecodeFrame(bytes);
-  if (!frame.ok()) {
+  if (!frame.ok() || exchange_.assembler().text().size() + frame->text.size() >
+                         kMaxTextBytes) {
     return EndAttempt(exchange::AttemptEnd::kBroken, std::nullopt);
   }
   return exchange_.OnFrame(*frame, common::Clock::now());
--- a/packages/daemon/main.cc
+++ b/packages/daemon/main.cc
@@ -138,7 +138,8 @@
   }
   const sigset_t stop_signals = BlockStopSignals();
   signal(SIGPIPE, SIG_IGN);
-  http_client::InitializeLibrary();
+  http_client::InitializeLibrary(client_budget::CallBytes(
+      machine::LimitsWithin(settings.memory_bytes, settings.max_descriptors)));
   return settings.role == settings::Role::kEntry
              ? Run<entry::Entry>(settings, stop_signals)
              : Run<endpoint::Endpoint>(settings, stop_signals);
--- a/packages/transport/http_client/http_client.cc
+++ b/packages/transport/http_client/http_client.cc
@@ -3,8 +3,10 @@
 #include <curl/curl.h>
 
 #include <algorithm>
+#include <atomic>
 #include <string_view>
 
+#include "common/event_log.h"
 #include "common/invariant.h"
 #include "common/strings.h"
 #include "protocol/http1/status.h"
@@ -22,21 +24,78 @@
   void operator()(curl_slist* list) const { curl_slist_free_all(list); }
 };
 
+// Memory for all responses of this process together, in bytes, and what they
+// take.
+std::atomic<size_t> g_max_held_bytes = SIZE_MAX;
+std::atomic<size_t> g_held_bytes = 0;
+// A response that holds no more than this is not refused for the others.
+constexpr size_t kSmallReplyBytes = size_t{64} << 10;
+// Largest sum of all heads and trailers of a response, in bytes.
+constexpr size_t kMaxHeadBytes = size_t{64} << 10;
+
+// What a response holds of the memory for all.
+class HeldBytes {
+ public:
+  HeldBytes() = default;
+  ~HeldBytes() { g_held_bytes -= bytes_; }
+  HeldBytes(const HeldBytes&) = delete;
+  HeldBytes& operator=(const HeldBytes&) = delete;
+
+  // Returns whether there was room for them.
+  bool Add(size_t more) {
+    bytes_ += more;
+    return (g_held_bytes += more) <= g_max_held_bytes ||
+           bytes_ <= kSmallReplyBytes;
+  }
+  // Counts the bytes that were read as gone.
+  void Clear() { g_held_bytes -= std::exchange(bytes_, 0); }
+
+ private:
+  size_t bytes_ = 0;
+};
+
+// What has arrived of a response.
+struct Received {
+  // The body, as far as it was not read.
+  std::string body;
+  HeldBytes held;
+  size_t head_bytes = 0;
+  // Whether the latest head is complete.
+  bool head_complete = false;
+  // Why the response is refused; empty if it is not.
+  std::string_view refused;
+};
+
+// The callbacks end the exchange by another result than the size.
+constexpr size_t kRefuse = 0;
+
 size_t AppendBody(char* data, size_t size, size_t count, void* into) {
-  static_cast<std::string*>(into)->append(data, size * count);
-  return size * count;
+  auto& received = *static_cast<Received*>(into);
+  const size_t bytes = size * count;
+  if (!received.held.Add(bytes)) {
+    received.refused = "no memory is left for the response";
+    return kRefuse;
+  }
+  received.body.append(data, bytes);
+  return bytes;
 }
 
-// Gets the lines of all heads one by one, those of interim responses first.
-// Sets the bool `into` to whether the latest head is complete.
+// Gets the lines of all heads one by one, those of interim responses first, and
+// those of a trailer.
 size_t NoteHeadLine(char* data, size_t size, size_t count, void* into) {
+  auto& received = *static_cast<Received*>(into);
   const std::string_view line(data, size * count);
+  received.head_bytes += line.size();
+  if (received.head_bytes > kMaxHeadBytes) {
+    received.refused = "the response's heads exceed the size limit";
+    return kRefuse;
+  }
   if (line == "\r\n" || line == "\n") {
-    *static_cast<bool*>(into) = true;
+    received.head_complete = true;
   } else if (line.starts_with("HTTP/")) {
-    *static_cast<bool*>(into) = false;
+    received.head_complete = false;
   }
-  return size * count;
+  return line.size();
 }
 
 }  // namespace
@@ -63,13 +122,14 @@
     while (true) {
       int running = 0;
       curl_multi_perform(multi_.get(), &running);
-      if (head_complete_ && !http1::IsStatus(status())) {
+      if (received_.head_complete && !http1::IsStatus(status())) {
         return Failed{
             .sent = true,
             .reason = common::StrCat("the response's status is ", status())};
       }
-      if (!received_.empty()) {
-        return Data{std::exchange(received_, {})};
+      if (!received_.body.empty()) {
+        received_.held.Clear();
+        return Data{std::exchange(received_.body, {})};
       }
       if (running == 0) {
         return Result();
@@ -117,7 +177,7 @@
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &AppendBody);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &received_);
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &NoteHeadLine);
-    curl_easy_setopt(easy, CURLOPT_HEADERDATA, &head_complete_);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, &received_);
     curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request_.method.c_str());
     if (request_.method == "POST" || request_.method == "PUT") {
       curl_easy_setopt(easy, CURLOPT_POST, 1L);
@@ -144,9 +204,15 @@
     if (message != nullptr) {
       result_ = message->data.result;
     }
-    if (result_ == CURLE_OK && head_complete_) {
+    if (result_ == CURLE_OK && received_.head_complete) {
       return Finished{};
     }
+    if (!received_.refused.empty()) {
+      common::LogEvent(
+          common::EventId::kBadResponse,
+          common::StrCat("url=", request_.url, " why=", received_.refused));
+      return Failed{.sent = true, .reason = std::string(received_.refused)};
+    }
     if (result_ == CURLE_OK) {
       // The library takes a connection that closes inside the head for the end
       // of a response without a body.
@@ -162,8 +228,7 @@
   std::unique_ptr<curl_slist, HeadersDeleter> headers_;
   std::unique_ptr<CURL, EasyDeleter> easy_;
   std::unique_ptr<CURLM, MultiDeleter> multi_;
-  std::string received_;
-  bool head_complete_ = false;
+  Received received_;
   mutable CURLcode result_ = CURLE_OK;
 };
 
@@ -188,18 +253,24 @@
                                       common::Duration timeout) {
   const common::Time deadline = common::Clock::now() + timeout;
   const size_t max_reply_bytes = request.max_reply_bytes;
+  const std::string url = request.url;
   Exchange exchange(std::move(request));
   Reply reply;
+  HeldBytes held;
   while (true) {
     const common::Duration left =
         std::max(deadline - common::Clock::now(), common::Duration::zero());
     ReadOutcome outcome = exchange.Read(left);
     if (auto* data = std::get_if<Data>(&outcome)) {
-      reply.body += data->bytes;
-      if (reply.body.size() > max_reply_bytes) {
-        return CallFailure{.sent = true,
-                           .reason = "response body exceeds the size limit"};
+      if (reply.body.size() + data->bytes.size() > max_reply_bytes ||
+          !held.Add(data->bytes.size())) {
+        constexpr std::string_view kWhy =
+            "the response's body exceeds the size limit";
+        common::LogEvent(common::EventId::kBadResponse,
+                         common::StrCat("url=", url, " why=", kWhy));
+        return CallFailure{.sent = true, .reason = std::string(kWhy)};
       }
+      reply.body += data->bytes;
       continue;
     }
     if (std::holds_alternative<Finished>(outcome)) {
@@ -214,7 +285,8 @@
   }
 }
 
-void InitializeLibrary() {
+void InitializeLibrary(size_t max_held_bytes) {
+  g_max_held_bytes = max_held_bytes;
   const CURLcode done = curl_global_init(CURL_GLOBAL_DEFAULT);
   WS_INVARIANT(done == CURLE_OK) << "the HTTP library initializes";
 }
--- a/packages/transport/http_client/http_client.h
+++ b/packages/transport/http_client/http_client.h
@@ -1,6 +1,8 @@
 #ifndef TRANSPORT_HTTP_CLIENT_HTTP_CLIENT_H_
 #define TRANSPORT_HTTP_CLIENT_HTTP_CLIENT_H_
 
+#include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -22,7 +24,7 @@
   std::string body;
   common::Duration connect_timeout = common::milliseconds(500);
   // Call() fails when the response body is longer.
-  size_t max_reply_bytes = size_t{64} << 20;
+  size_t max_reply_bytes = size_t{8} << 20;
 };
 
 struct Reply {
@@ -81,7 +83,9 @@
                                       common::Duration timeout);
 
 // Must be called once, before any other thread uses this module.
-void InitializeLibrary();
+// `max_held_bytes` bounds the memory for the bodies of all responses that are
+// being received; a response that exceeds it fails unless it is small.
+void InitializeLibrary(size_t max_held_bytes = SIZE_MAX);
 
 }  // namespace wagtailshore::http_client
 
--- a/tests/unit/transport/http_client/http_client_test.cc
+++ b/tests/unit/transport/http_client/http_client_test.cc
@@ -16,24 +16,41 @@
 
 constexpr common::Duration kTimeout = common::seconds(10);
 
+// Opens a listening socket on a free loopback port.
+int ListenOnLoopback(uint16_t& port) {
+  const int listener = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  EXPECT_EQ(bind(listener, reinterpret_cast<const sockaddr*>(&address),
+                 sizeof(address)),
+            0);
+  EXPECT_EQ(listen(listener, 1), 0);
+  socklen_t length = sizeof(address);
+  EXPECT_EQ(
+      getsockname(listener, reinterpret_cast<sockaddr*>(&address), &length), 0);
+  port = ntohs(address.sin_port);
+  return listener;
+}
+
+void ReadRequest(int connection) {
+  std::string request;
+  while (request.find("\r\n\r\n") == std::string::npos) {
+    char buffer[1024];
+    const ssize_t size = read(connection, buffer, sizeof(buffer));
+    if (size <= 0) {
+      return;
+    }
+    request.append(buffer, size);
+  }
+}
+
 // Accepts one connection on a loopback port, reads a request, sends fixed bytes
 // and closes the connection in order.
 class ClosingServer {
  public:
   explicit ClosingServer(std::string_view bytes)
-      : bytes_(bytes), listener_(socket(AF_INET, SOCK_STREAM, 0)) {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    EXPECT_EQ(bind(listener_, reinterpret_cast<const sockaddr*>(&address),
-                   sizeof(address)),
-              0);
-    EXPECT_EQ(listen(listener_, 1), 0);
-    socklen_t length = sizeof(address);
-    EXPECT_EQ(
-        getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &length),
-        0);
-    port_ = ntohs(address.sin_port);
+      : bytes_(bytes), listener_(ListenOnLoopback(port_)) {
     thread_ = std::thread([this] { Serve(); });
   }
   ~ClosingServer() {
@@ -50,23 +67,15 @@
  private:
   void Serve() const {
     const int connection = accept(listener_, nullptr, nullptr);
-    std::string request;
-    while (request.find("\r\n\r\n") == std::string::npos) {
-      char buffer[1024];
-      const ssize_t size = read(connection, buffer, sizeof(buffer));
-      if (size <= 0) {
-        break;
-      }
-      request.append(buffer, size);
-    }
+    ReadRequest(connection);
     EXPECT_EQ(send(connection, bytes_.data(), bytes_.size(), MSG_NOSIGNAL),
               static_cast<ssize_t>(bytes_.size()));
     close(connection);
   }
 
   std::string bytes_;
-  int listener_;
   uint16_t port_ = 0;
+  int listener_;
   std::thread thread_;
 };
 
@@ -146,5 +155,107 @@
                      "abc"}),
     [](const auto& info) { return std::string(info.param.name); });
 
+// Sends a response whose unit is repeated until its client closes.
+class EndlessServer {
+ public:
+  EndlessServer(std::string_view begin, std::string_view unit)
+      : begin_(begin), listener_(ListenOnLoopback(port_)) {
+    while (units_.size() < kBlockBytes) {
+      units_ += unit;
+    }
+    thread_ = std::thread([this] { Serve(); });
+  }
+  ~EndlessServer() {
+    thread_.join();
+    close(listener_);
+  }
+  EndlessServer(const EndlessServer&) = delete;
+  EndlessServer& operator=(const EndlessServer&) = delete;
+
+  std::string url() const {
+    return common::StrCat("http://127.0.0.1:", port_, "/");
+  }
+
+ private:
+  static constexpr size_t kBlockBytes = size_t{64} << 10;
+
+  void Serve() const {
+    const int connection = accept(listener_, nullptr, nullptr);
+    ReadRequest(connection);
+    std::string_view bytes = begin_;
+    while (true) {
+      if (bytes.empty()) {
+        bytes = units_;
+      }
+      const ssize_t sent =
+          send(connection, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+      if (sent <= 0) {
+        break;
+      }
+      bytes.remove_prefix(sent);
+    }
+    close(connection);
+  }
+
+  std::string begin_;
+  std::string units_;
+  uint16_t port_ = 0;
+  int listener_;
+  std::thread thread_;
+};
+
+struct EndlessCase {
+  const char* name;
+  const char* begin;
+  const char* unit;
+};
+
+std::ostream& operator<<(std::ostream& out, const EndlessCase& param) {
+  return out << param.name;
+}
+
+class EndlessResponseTest : public testing::TestWithParam<EndlessCase> {};
+
+// Guards against a response that is read until the timeout, and kept.
+TEST_P(EndlessResponseTest, FailsAtItsLimit) {
+  const EndlessServer server(GetParam().begin, GetParam().unit);
+  const auto outcome =
+      Call({.url = server.url(), .max_reply_bytes = size_t{1} << 20},
+           common::seconds(60));
+  const auto* failure = std::get_if<CallFailure>(&outcome);
+  ASSERT_NE(failure, nullptr);
+  EXPECT_TRUE(failure->sent);
+  EXPECT_NE(failure->reason, "timed out");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    EndlessResponseTest,
+    testing::Values(
+        EndlessCase{"Letters", "", "aaaaaaaa"},
+        EndlessCase{"Field", "HTTP/1.1 200 OK\r\nX-Field: ", "aaaaaaaa"},
+        EndlessCase{"Fields", "HTTP/1.1 200 OK\r\n", "X-Field: value\r\n"},
+        EndlessCase{"InterimResponses", "",
+                    "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"},
+        EndlessCase{"Body", "HTTP/1.1 200 OK\r\n\r\n", "aaaaaaaa"},
+        EndlessCase{"Trailer",
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    "2\r\nok\r\n0\r\n",
+                    "X-Field: value\r\n"}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+// Guards against responses that are each within their limit and together take
+// the memory of the machine; a small one is read beside them.
+TEST(HeldResponsesTest, FailAtTheLimitOfAll) {
+  InitializeLibrary(/*max_held_bytes=*/size_t{256} << 10);
+  const EndlessServer endless("HTTP/1.1 200 OK\r\n\r\n", "aaaaaaaa");
+  const auto outcome = Call({.url = endless.url()}, common::seconds(60));
+  ASSERT_TRUE(std::holds_alternative<CallFailure>(outcome));
+  const ClosingServer sound("HTTP/1.1 200 OK\r\n\r\nok");
+  const auto small = Call({.url = sound.url()}, kTimeout);
+  EXPECT_TRUE(std::holds_alternative<Reply>(small));
+  InitializeLibrary();
+}
+
 }  // namespace
 }  // namespace wagtailshore::http_client
