Object reader: reading a field tells whether it was valid

Three ways to require a field and two to bound a duration were copies of each other, and two readers compared the number of findings before and after to see whether a field was valid. Optional() now returns that, one template requires any field, and seconds and milliseconds share one function.

--- a/packages/common/object_reader.cc
+++ b/packages/common/object_reader.cc
@@ -1,7 +1,5 @@
 #include "common/object_reader.h"
 
-#include <chrono>
-
 namespace wagtailshore::common {
 
 using nlohmann::json;
@@ -15,48 +13,23 @@
   }
 }
 
-void ObjectReader::Required(const char* field, std::string& value) {
-  if (Find(field) == nullptr) {
-    Report(field, "is missing");
-    return;
-  }
-  Optional(field, value);
-}
-
-void ObjectReader::Optional(const char* field, std::string& value) {
-  ReadIf(field, value, "must be a string",
-         [](const json& found) { return found.is_string(); });
+bool ObjectReader::Optional(const char* field, std::string& value) {
+  return ReadIf(field, value, "must be a string",
+                [](const json& found) { return found.is_string(); });
 }
 
-void ObjectReader::Optional(const char* field, bool& value) {
-  ReadIf(field, value, "must be true or false",
-         [](const json& found) { return found.is_boolean(); });
+bool ObjectReader::Optional(const char* field, bool& value) {
+  return ReadIf(field, value, "must be true or false",
+                [](const json& found) { return found.is_boolean(); });
 }
 
-void ObjectReader::Optional(const char* field, double& value) {
-  ReadIf(field, value, "must be a number",
-         [](const json& found) { return found.is_number(); });
-}
-
-void ObjectReader::OptionalMilliseconds(const char* field, Duration& value) {
-  // Longer than a year is not a plausible duration in any setting or message.
-  constexpr double kMaxMs = 365.0 * 24 * 3600 * 1000;
-  double milliseconds = -1;
-  const size_t findings = findings_.size();
-  Optional(field, milliseconds);
-  if (!Has(field) || findings_.size() > findings) {
-    return;
-  }
-  if (!(milliseconds >= 0 && milliseconds <= kMaxMs)) {
-    Report(field, "must be from 0 to a year, in milliseconds");
-    return;
-  }
-  value = std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double, std::milli>(milliseconds));
+bool ObjectReader::Optional(const char* field, double& value) {
+  return ReadIf(field, value, "must be a number",
+                [](const json& found) { return found.is_number(); });
 }
 
-void ObjectReader::Optional(const char* field,
-                            std::vector<std::string>& values) {
+void ObjectReader::OptionalStrings(const char* field,
+                                   std::vector<std::string>& values) {
   ForEach(field, [&](const json& item, const std::string& place) {
     if (!item.is_string()) {
       findings_.push_back({place, "must be a string"});
--- a/packages/common/object_reader.h
+++ b/packages/common/object_reader.h
@@ -1,11 +1,13 @@
 #ifndef COMMON_OBJECT_READER_H_
 #define COMMON_OBJECT_READER_H_
 
+#include <chrono>
 #include <concepts>
 #include <cstddef>
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <ratio>
 #include <set>
 #include <string>
 #include <string_view>
@@ -30,62 +32,47 @@
                std::string place,
                Findings& findings);
 
-  // Read the field, and report it when it is missing or malformed.
-  // `value` stays as it is then.
-  void Required(const char* field, std::string& value);
-  template <std::integral Value>
-  void Required(const char* field, Value& value) {
-    if (Find(field) == nullptr) {
+  // Reads the field like Optional(), and reports it when it is missing.
+  template <typename... Value>
+  void Required(const char* field, Value&... value) {
+    if (!Has(field)) {
       Report(field, "is missing");
       return;
     }
-    Optional(field, value);
+    Optional(field, value...);
   }
 
-  // Read the field if it is there, and report it when it is malformed. `value`
-  // stays as it is without a valid field.
-  void Optional(const char* field, std::string& value);
-  void Optional(const char* field, bool& value);
-  void Optional(const char* field, double& value);
-  // A time in whole or fractional milliseconds, from 0 to a year.
-  void OptionalMilliseconds(const char* field, Duration& value);
-  void Optional(const char* field, std::vector<std::string>& values);
+  // Read the field if it is there, and report it when it is malformed. Return
+  // whether it is there and valid; `value` stays as it is otherwise.
+  bool Optional(const char* field, std::string& value);
+  bool Optional(const char* field, bool& value);
+  bool Optional(const char* field, double& value);
   template <std::integral Value>
-  void Optional(const char* field, Value& value) {
-    ReadIf(field, value, "must be a whole number in range",
-           [](const nlohmann::json& json) {
-             return json.is_number_unsigned()
-                        ? std::in_range<Value>(json.get<uint64_t>())
-                        : json.is_number_integer() &&
-                              std::in_range<Value>(json.get<int64_t>());
-           });
+  bool Optional(const char* field, Value& value) {
+    return ReadIf(field, value, "must be a whole number in range",
+                  [](const nlohmann::json& json) {
+                    return json.is_number_unsigned()
+                               ? std::in_range<Value>(json.get<uint64_t>())
+                               : json.is_number_integer() &&
+                                     std::in_range<Value>(json.get<int64_t>());
+                  });
   }
   template <std::integral Value>
-  void Optional(const char* field, std::optional<Value>& value) {
+  bool Optional(const char* field, std::optional<Value>& value) {
     Value found{};
-    const size_t findings = findings_.size();
-    Optional(field, found);
-    if (Has(field) && findings_.size() == findings) {
-      value = found;
+    if (!Optional(field, found)) {
+      return false;
     }
+    value = found;
+    return true;
   }
   template <typename Enum, size_t N>
-  void Required(const char* field,
-                Enum& value,
-                const EnumNames<Enum, N>& names) {
-    if (Find(field) == nullptr) {
-      Report(field, "is missing");
-      return;
-    }
-    Optional(field, value, names);
-  }
-  template <typename Enum, size_t N>
-  void Optional(const char* field,
+  bool Optional(const char* field,
                 Enum& value,
                 const EnumNames<Enum, N>& names) {
     const nlohmann::json* json = Find(field);
     if (json == nullptr) {
-      return;
+      return false;
     }
     const std::optional<Enum> found =
         json->is_string() ? ValueOf(names, json->get_ref<const std::string&>())
@@ -96,11 +83,25 @@
         StrAppend(&message, " \"", entry.name, "\"");
       }
       Report(field, std::move(message));
-      return;
+      return false;
     }
     value = *found;
+    return true;
+  }
+
+  // Read a whole or fractional number of milliseconds or seconds, from 0 to a
+  // year, like Optional().
+  void OptionalMilliseconds(const char* field, Duration& value) {
+    ReadDuration<std::milli>(field, "milliseconds", value);
+  }
+  void OptionalSeconds(const char* field, Duration& value) {
+    ReadDuration<std::ratio<1>>(field, "seconds", value);
   }
 
+  // Appends the array's strings, if the field is there, and reports each item
+  // that is none.
+  void OptionalStrings(const char* field, std::vector<std::string>& values);
+
   // Calls `visit(item, place)` for each item of the array, if the field is
   // there.
   template <typename Visit>
@@ -128,22 +129,39 @@
   void ReportUnknownFields();
 
  private:
-  // Reads the field if it is there and satisfies `fits`. Reports `expected` if
-  // it is there but does not.
+  // Reads the field if it is there and satisfies `fits`, and returns whether.
+  // Reports `expected` if it is there but does not.
   template <typename Value, typename Fits>
-  void ReadIf(const char* field,
+  bool ReadIf(const char* field,
               Value& value,
               const char* expected,
               Fits fits) {
     const nlohmann::json* json = Find(field);
     if (json == nullptr) {
-      return;
+      return false;
     }
     if (!fits(*json)) {
       Report(field, expected);
-      return;
+      return false;
     }
     value = json->get<Value>();
+    return true;
+  }
+
+  template <typename Period>
+  void ReadDuration(const char* field, const char* unit, Duration& value) {
+    // Longer than a year is not a plausible duration in any setting or message.
+    constexpr std::chrono::duration<double> kMax = std::chrono::hours(365 * 24);
+    double count = 0;
+    if (!Optional(field, count)) {
+      return;
+    }
+    const std::chrono::duration<double, Period> found(count);
+    if (found < found.zero() || found > kMax) {
+      Report(field, StrCat("must be from 0 to a year, in ", unit));
+      return;
+    }
+    value = std::chrono::duration_cast<Duration>(found);
   }
 
   // The field; null when it is absent.
--- a/packages/protocol/manifest_codec/manifest_codec.cc
+++ b/packages/protocol/manifest_codec/manifest_codec.cc
@@ -36,7 +36,7 @@
   manifest::Service service;
   ObjectReader reader(json, place, findings);
   reader.Required("name", service.name);
-  reader.Optional("non_idempotent_calls", service.non_idempotent_calls);
+  reader.OptionalStrings("non_idempotent_calls", service.non_idempotent_calls);
   reader.ReportUnknownFields();
   return service;
 }
