--- a/packages/daemon/gateway/crash_exchange.cc
+++ b/packages/daemon/gateway/crash_exchange.cc
@@ -81,8 +81,7 @@
 void CrashExchange::OnPage(const http_channel::CallResult& result) {
   const auto page = platform::DecodeRows(result);
   UpdateAvailability(reads_available_, "read", page.status());
-  // The next page begins behind the last readable row.
-  if (!page.ok() || (page->has_more && page->rows.empty())) {
+  if (!page.ok()) {
     RetryLater();
     return;
   }
--- a/packages/daemon/gateway/store_watch.cc
+++ b/packages/daemon/gateway/store_watch.cc
@@ -288,13 +288,8 @@
 void StoreWatch::OnEndpointsAnswer(common::Time requested_at,
                                    const http_channel::CallResult& result) {
   const auto rows = platform::DecodeRows(result);
-  // The next page begins behind the last readable row.
-  const bool page_unusable =
-      !rows.ok() || (rows->has_more && rows->rows.empty());
-  if (page_unusable) {
-    UpdateAvailability(
-        rows.ok() ? absl::InvalidArgumentError("no row of a page can be read")
-                  : rows.status());
+  if (!rows.ok()) {
+    UpdateAvailability(rows.status());
     fleet_.OnListUnavailable();
     const common::Time next = requested_at + options_.endpoints_timeout;
     RunAfter(std::max(next - loop_.Now(), common::Duration::zero()) +
--- a/tests/unit/platform/store_test.cc
+++ b/tests/unit/platform/store_test.cc
@@ -154,7 +154,8 @@
                     RowFieldCase{"TimeText", "now_ms", "1"},
                     RowFieldCase{"TimeNegative", "now_ms", -1},
                     RowFieldCase{"MoreNull", "has_more", nullptr},
-                    RowFieldCase{"MoreText", "has_more", "false"}),
+                    RowFieldCase{"MoreText", "has_more", "false"},
+                    RowFieldCase{"MoreBehindNoRow", "has_more", true}),
     [](const auto& info) { return std::string(info.param.name); });
 
 struct StatusCase {
