--- a/packages/daemon/gateway/proxied_run.cc
+++ b/packages/daemon/gateway/proxied_run.cc
@@ -493,6 +493,7 @@
     return;
   }
   if (answer_->not_run) {
+    LogBadResponse("refusal_too_large");
     exchange_->Abandon();
     OnRefusedByEndpoint("refusal_too_large");
   } else {
@@ -500,10 +501,14 @@
   }
 }
 
-void ProxiedRun::EndOversized(std::string_view cause) {
+void ProxiedRun::LogBadResponse(std::string_view cause) const {
   common::LogEvent(common::EventId::kBadResponse,
                    common::StrCat("endpoint=", endpoint_process_, " request=",
                                   request_.attempt_id, " why=", cause));
+}
+
+void ProxiedRun::EndOversized(std::string_view cause) {
+  LogBadResponse(cause);
   exchange_->Abandon();
   RetryOrFail(cause);
 }
@@ -703,10 +708,7 @@
     return;
   }
   if (failure.bad_response) {
-    common::LogEvent(common::EventId::kBadResponse,
-                     common::StrCat("endpoint=", endpoint_process_,
-                                    " request=", request_.attempt_id,
-                                    " why=", failure.detail));
+    LogBadResponse(failure.detail);
   }
   execution_ = Execution::kMayHaveRun;
   RetryOrFail(failure.detail);
--- a/packages/daemon/gateway/proxied_run.h
+++ b/packages/daemon/gateway/proxied_run.h
@@ -107,6 +107,7 @@
   void DropBody(size_t bytes);
   // Makes room for `more` bytes of an answer that is buffered.
   bool ReserveForAnswer(size_t more);
+  void LogBadResponse(std::string_view cause) const;
   // Ends the attempt because the endpoint sends more than a limit allows.
   void EndOversized(std::string_view cause);
   void DropBufferedBody();
--- a/packages/transport/http_channel/http_call.cc
+++ b/packages/transport/http_channel/http_call.cc
@@ -49,8 +49,11 @@
     CancelTimers();
     channel_->Abandon();
   }
-  const std::string& address() const { return address_; }
-  const std::string& target() const { return target_; }
+  void LogBadResponse(std::string_view why) const {
+    common::LogEvent(common::EventId::kBadResponse,
+                     common::StrCat("address=", address_, " target=", target_,
+                                    " why=", why, " bytes=", held_bytes_));
+  }
   // Bytes of the answer's body so far.
   size_t held_bytes() const { return held_bytes_; }
   std::function<void(CallResult)> TakeDone() {
@@ -83,9 +86,7 @@
   }
   void OnFailed(const ExchangeFailure& failure) override {
     if (failure.bad_response) {
-      common::LogEvent(common::EventId::kBadResponse,
-                       common::StrCat("address=", address_, " target=", target_,
-                                      " why=", failure.detail));
+      LogBadResponse(failure.detail);
     }
     if (repeatable_ && (reused_ || failure.silent)) {
       Repeat();
@@ -245,11 +246,7 @@
 
 void HttpCaller::FailTooLarge(uint64_t id) {
   Exchange& exchange = *exchanges_.at(id);
-  common::LogEvent(
-      common::EventId::kBadResponse,
-      common::StrCat("address=", exchange.address(),
-                     " target=", exchange.target(),
-                     " why=answer_too_large bytes=", exchange.held_bytes()));
+  exchange.LogBadResponse("answer_too_large");
   exchange.Cancel();
   End(id, absl::ResourceExhaustedError("the response exceeds the size limit"));
 }
