Object reader: one item may stand in place of its list

The contract says "each with `name` and `api_keys`" and refuses no such object.

Change: in the reader, so for every list that it reads, one item of a kind that the list can have stands for a list of one. Whatever else is in the list's place stays a single finding.

--- a/packages/common/object_reader.cc
+++ b/packages/common/object_reader.cc
@@ -35,9 +35,10 @@
   ForEach(field, [&](const json& item, const std::string& place) {
     if (!item.is_string()) {
       findings_.push_back({place, "must be a string"});
-      return;
+      return false;
     }
     values.push_back(item.get<std::string>());
+    return true;
   });
 }
 
--- a/packages/common/object_reader.h
+++ b/packages/common/object_reader.h
@@ -21,9 +21,12 @@
 
 namespace wagtailshore::common {
 
-// Reads the fields of one JSON object of another writer. A field that is
-// absent, null, empty or of another type is four different things: only an
-// absent one is left at its default without a finding.
+// Reads the fields of one JSON object of another writer.
+//
+// A value whose meaning is certain is read: one item may stand in place of a
+// list of one. Any other value of another type, null included, is malformed: it
+// is reported, and the field keeps its default. Only an absent field keeps it
+// without a finding.
 class ObjectReader {
  public:
   // `place` is the object's JSON pointer. `object` and `findings` must outlive
@@ -98,24 +101,31 @@
     ReadDuration<std::ratio<1>>(field, "seconds", value);
   }
 
-  // Appends the array's strings, if the field is there, and reports each item
+  // Appends the list's strings, if the field is there, and reports each item
   // that is none.
   void OptionalStrings(const char* field, std::vector<std::string>& values);
 
-  // Calls `visit(item, place)` for each item of the array, if the field is
-  // there.
+  // Calls `visit(item, place)` for each item of the list, if the field is
+  // there. `visit` returns whether the item is one that the list can have. One
+  // such item may stand in place of the list; anything else there is a single
+  // finding, whatever `visit` reported of it.
   template <typename Visit>
   void ForEach(const char* field, Visit visit) {
     const nlohmann::json* json = Find(field);
     if (json == nullptr) {
       return;
     }
-    if (!json->is_array()) {
-      Report(field, "must be an array");
+    const std::string place = StrCat(place_, "/", field);
+    if (json->is_array()) {
+      for (size_t i = 0; i < json->size(); ++i) {
+        visit((*json)[i], StrCat(place, "/", i));
+      }
       return;
     }
-    for (size_t i = 0; i < json->size(); ++i) {
-      visit((*json)[i], StrCat(place_, "/", field, "/", i));
+    const size_t earlier_findings = findings_.size();
+    if (!visit(*json, place)) {
+      findings_.resize(earlier_findings);
+      Report(field, "must be a list, or one item of it");
     }
   }
 
--- a/packages/protocol/manifest_codec/manifest_codec.cc
+++ b/packages/protocol/manifest_codec/manifest_codec.cc
@@ -90,15 +90,19 @@
   ObjectReader reader(json, "", findings);
   reader.ForEach("groups", [&](const Json& item, const std::string& place) {
     manifest.groups.push_back(ReadGroup(item, place, findings));
+    return !manifest.groups.back().name.empty();
   });
   reader.ForEach("services", [&](const Json& item, const std::string& place) {
     manifest.services.push_back(ReadService(item, place, findings));
+    return !manifest.services.back().name.empty();
   });
   reader.ForEach("customers", [&](const Json& item, const std::string& place) {
     manifest.customers.push_back(ReadCustomer(item, place, findings));
+    return !manifest.customers.back().name.empty();
   });
   reader.ForEach("endpoints", [&](const Json& item, const std::string& place) {
     manifest.endpoints.push_back(ReadEndpoint(item, place, findings));
+    return !manifest.endpoints.back().name.empty();
   });
   reader.Optional("end_date", manifest.end_date);
   reader.Optional("phase", manifest.phase, manifest::kWindDownPhaseNames);
