Object reader: whole numbers are read however they are written

What callers saw: nothing yet; found by going through all that the decoders refuse. A version of 3.0 made the whole configuration unreadable, max_attempts of 2.0 counted as 1, an endpoint with 12.0 slots was not used, and a process whose max_fds is 4200.0 did not start.

Cause: the JSON library keeps such numbers as doubles, and ObjectReader and IntegerFrom() each took only what it keeps as integers.

Change: FindInteger() is used by both. A double counts if it is whole and below 2^53, from where on one double stands for several whole numbers. Texts stay refused: the contract says that an entry with a field of another type names no server, and it has forms in which texts are hexadecimal or have units.

--- a/packages/common/object_reader.cc
+++ b/packages/common/object_reader.cc
@@ -16,18 +16,23 @@
 }
 
 bool ObjectReader::Optional(const char* field, std::string& value) {
-  return ReadIf(field, value, "must be a string",
-                [](const json& found) { return found.is_string(); });
+  return ReadIf(field, value, "must be a string", [](const json& found) {
+    return found.is_string() ? std::optional(found.get<std::string>())
+                             : std::nullopt;
+  });
 }
 
 bool ObjectReader::Optional(const char* field, bool& value) {
-  return ReadIf(field, value, "must be true or false",
-                [](const json& found) { return found.is_boolean(); });
+  return ReadIf(field, value, "must be true or false", [](const json& found) {
+    return found.is_boolean() ? std::optional(found.get<bool>()) : std::nullopt;
+  });
 }
 
 bool ObjectReader::Optional(const char* field, double& value) {
-  return ReadIf(field, value, "must be a number",
-                [](const json& found) { return found.is_number(); });
+  return ReadIf(field, value, "must be a number", [](const json& found) {
+    return found.is_number() ? std::optional(found.get<double>())
+                             : std::nullopt;
+  });
 }
 
 void ObjectReader::OptionalStrings(const char* field,
--- a/packages/common/object_reader.h
+++ b/packages/common/object_reader.h
@@ -16,6 +16,7 @@
 #include "absl/container/inlined_vector.h"
 #include "common/enum_names.h"
 #include "common/finding.h"
+#include "common/json_integer.h"
 #include "common/strings.h"
 #include "common/time.h"
 
@@ -23,10 +24,10 @@
 
 // Reads the fields of one JSON object of another writer.
 //
-// A value whose meaning is certain is read: one item may stand in place of a
-// list of one. Any other value of another type, null included, is malformed: it
-// is reported, and the field keeps its default. Only an absent field keeps it
-// without a finding.
+// A value whose meaning is certain is read, however it is written: a whole
+// number also as 4.0 or 4e0, and one item also in place of a list of one. Any
+// other value of another type, null included, is malformed: it is reported, and
+// the field keeps its default. Only an absent field keeps it without a finding.
 class ObjectReader {
  public:
   // `place` is the object's JSON pointer. `object` and `findings` must outlive
@@ -53,12 +54,7 @@
   template <std::integral Value>
   bool Optional(const char* field, Value& value) {
     return ReadIf(field, value, "must be a whole number in range",
-                  [](const nlohmann::json& json) {
-                    return json.is_number_unsigned()
-                               ? std::in_range<Value>(json.get<uint64_t>())
-                               : json.is_number_integer() &&
-                                     std::in_range<Value>(json.get<int64_t>());
-                  });
+                  FindInteger<Value>);
   }
   template <std::integral Value>
   bool Optional(const char* field, std::optional<Value>& value) {
@@ -139,22 +135,23 @@
   void ReportUnknownFields();
 
  private:
-  // Reads the field if it is there and satisfies `fits`, and returns whether.
-  // Reports `expected` if it is there but does not.
-  template <typename Value, typename Fits>
+  // Reads the field if it is there and `convert` has a value for it, and
+  // returns whether. Reports `expected` if it is there without one.
+  template <typename Value, typename Convert>
   bool ReadIf(const char* field,
               Value& value,
               const char* expected,
-              Fits fits) {
+              Convert convert) {
     const nlohmann::json* json = Find(field);
     if (json == nullptr) {
       return false;
     }
-    if (!fits(*json)) {
+    auto found = convert(*json);
+    if (!found.has_value()) {
       Report(field, expected);
       return false;
     }
-    value = json->get<Value>();
+    value = *std::move(found);
     return true;
   }
 
--- a/tests/unit/platform/engine_test.cc
+++ b/tests/unit/platform/engine_test.cc
@@ -26,6 +26,27 @@
   EXPECT_EQ(state->report.held_step, 43U);
 }
 
+// Guards against a rank whose state or counts are refused for the way in which
+// whole numbers are written.
+TEST(EngineTest, WholeNumbersMayHaveAFraction) {
+  const auto state = DecodeEngineState(http_channel::CallAnswer{
+      .status = 200,
+      .body = R"({"group":{"name":"g","epoch":3.0,"rank":2.0,"state":"open"},)"
+              R"("size":12.0,"step":4e1,"map":7.0,"prepared":8.0,)"
+              R"("armed":{"version":8.0,"step":43.0},"held":43.0})"});
+  ASSERT_TRUE(state.ok()) << state.status().message();
+  EXPECT_EQ(state->rank, 2);
+  EXPECT_EQ(state->report.step, 40U);
+  EXPECT_EQ(state->report.held_step, 43U);
+  const http_channel::CallAnswer picked{
+      .status = 200,
+      .body = R"({"counts":[5120.0,88],"map":{"experts":[[0,2.0]]}})"};
+  EXPECT_EQ(DecodeExpertCounts(picked).value_or(std::vector<uint64_t>()),
+            (std::vector<uint64_t>{5120, 88}));
+  EXPECT_EQ(DecodeExperts(picked).value_or(std::vector<std::vector<int>>()),
+            (std::vector<std::vector<int>>{{0, 2}}));
+}
+
 TEST(EngineTest, NothingPreparedArmedOrHeld) {
   const auto state = DecodeEngineState(http_channel::CallAnswer{
       .status = 200,
--- a/tests/unit/platform/settings_test.cc
+++ b/tests/unit/platform/settings_test.cc
@@ -33,6 +33,19 @@
   EXPECT_EQ(settings->stop_grace, common::seconds(8));
 }
 
+// Guards against a process that does not start for the way in which a setting
+// is written.
+TEST(SettingsTest, OtherWritingsOfAValueAreRead) {
+  json text = ValidSettings();
+  text["internal_port_range"] = 7340.0;
+  text["limits"]["max_fds"] = 4200.0;
+  const SettingsResult result = DecodeSettings(text.dump());
+  const auto* settings = std::get_if<serving::HostedSettings>(&result);
+  ASSERT_NE(settings, nullptr);
+  EXPECT_EQ(settings->peer_port, 7340);
+  EXPECT_EQ(settings->max_sockets, 4000U);
+}
+
 TEST(SettingsTest, AbsentFieldsHaveDefaults) {
   json text = ValidSettings();
   for (const char* field : {"internal_port_range", "limits", "bounds"}) {
--- a/tests/unit/platform/store_test.cc
+++ b/tests/unit/platform/store_test.cc
@@ -508,6 +508,32 @@
             std::vector<std::string>({"k"}));
 }
 
+// Guards against a configuration, an answer or an endpoint that is refused for
+// the way in which a whole number is written.
+TEST(StoreTest, WholeNumbersMayHaveAFraction) {
+  const auto configuration = DecodeConfiguration(
+      R"({"version":3.0,"routes":[{"host":"h","prefix":"/","service":"s",)"
+      R"("route_kind":"safe","max_attempts":2.0,"priority":1e0}]})");
+  ASSERT_TRUE(configuration.ok()) << configuration.status().message();
+  EXPECT_TRUE(configuration->findings.empty())
+      << common::FormatFindings(configuration->findings);
+  EXPECT_EQ(configuration->version, 3U);
+  EXPECT_EQ(configuration->routes.front().max_attempts, 2);
+  EXPECT_EQ(configuration->routes.front().priority, 1);
+  json row = RowOf("config", "x", 1);
+  row["row_version"] = 24.0;
+  const auto rows = DecodeRows(AnswerOf(json::array({row})));
+  ASSERT_TRUE(rows.ok());
+  EXPECT_FALSE(HasUnreadableConfiguration(*rows));
+  const auto record = DecodeEndpoint(
+      {.key = "i",
+       .value = R"({"service":"s","address":"1.2.3.4:5","zone":"z",)"
+                R"("slots":12.0,"state":"ready","born":1.787e12})"});
+  ASSERT_TRUE(record.ok());
+  EXPECT_EQ(record->slots, 12);
+  EXPECT_EQ(record->started_at_ms, 1787000000000);
+}
+
 TEST(StoreTest, OneRowStandsForItsList) {
   const auto rows = DecodeRows(AnswerOf(RowOf("config", "x", 1)));
   ASSERT_TRUE(rows.ok()) << rows.status().message();
@@ -531,6 +557,15 @@
         BadTextCase{"UnknownState",
                     R"({"service":"s","address":"1.2.3.4:5","zone":"z",)"
                     R"("slots":1,"state":"odd"})"},
+        BadTextCase{"SlotsText",
+                    R"({"service":"s","address":"1.2.3.4:5","zone":"z",)"
+                    R"("slots":"1","state":"ready"})"},
+        BadTextCase{"SlotsFraction",
+                    R"({"service":"s","address":"1.2.3.4:5","zone":"z",)"
+                    R"("slots":1.5,"state":"ready"})"},
+        BadTextCase{"AddressInAList",
+                    R"({"service":"s","address":["1.2.3.4:5"],"zone":"z",)"
+                    R"("slots":1,"state":"ready"})"},
         BadTextCase{"NumberForText",
                     R"({"service":3,"address":"1.2.3.4:5","zone":"z",)"
                     R"("slots":1,"state":"ready"})"},
