Configuration: one route that cannot be read closes that route only

What callers saw: with one route whose kind, service or split is malformed, all requests were refused as configuration_too_old once the bound on revocations was over, on all routes and for all customers, until the operators corrected it.

Cause: where a request goes has no safe default, so the decoder refused the whole configuration, which confirms nothing.

The rest is in force and confirmed. A route without host or prefix still refuses the whole, as it is not known which requests it takes from the others. Why it works: nothing is forwarded on a closed route, and the doubt about it says nothing about the keys beside it.

--- a/packages/common/event_log.cc
+++ b/packages/common/event_log.cc
@@ -67,7 +67,8 @@
               "manifest fields malformed",
               "Fields of the configuration in force have another type than "
               "documented. Each has its default, which admits nobody: a list "
-              "of customers or keys that cannot be read is empty.",
+              "of customers or keys that cannot be read is empty, and requests "
+              "of a route whose kind or service cannot be read are refused.",
               "Correct the places named."},
     EventSpec{EventId::kEndpointListed, Severity::kInfo, "endpoint listed",
               "The platform's list contains a new or restarted endpoint.",
--- a/packages/daemon/gateway/proxied_run.cc
+++ b/packages/daemon/gateway/proxied_run.cc
@@ -23,6 +23,8 @@
 constexpr common::Duration kRetryWhenGroupStalled = common::milliseconds(2300);
 constexpr common::Duration kRetryWhenConfigurationStale =
     common::milliseconds(100);
+// Until the operators have corrected a route.
+constexpr common::Duration kRetryWhenRouteClosed = common::seconds(1);
 // Share of the retry budget's ratio that a gateway uses. Less than 1, as
 // attempts in flight at the end of a window count in the next one.
 constexpr double kRetryRatioShare = 0.75;
@@ -133,6 +135,11 @@
   if (!Authorize()) {
     return;
   }
+  if (!route_->closed_by.empty()) {
+    log_details_ = common::StrCat(" finding=", route_->closed_by);
+    Refuse("route_unreadable", kRetryWhenRouteClosed);
+    return;
+  }
   content_ = ContentDigest(request_, customer_);
   factors_ = FactorsOf(request_, content_);
   common::Time deadline = arrived_at_ + route_->timeout;
--- a/packages/state/serving/configuration.h
+++ b/packages/state/serving/configuration.h
@@ -42,7 +42,8 @@
   // Begins and ends with a slash.
   std::string prefix;
   RequestKind kind = RequestKind::kAtMostOnce;
-  // At least one; requests are split in proportion to the weights.
+  // At least one unless the route is closed; requests are split in proportion
+  // to the weights.
   std::vector<WeightedService> services;
   // Maximum duration of a request from its arrival.
   common::Duration timeout{};
@@ -59,6 +60,9 @@
   bool open_to_all = false;
   // An interrupted stream may be continued by another endpoint.
   bool resumable = false;
+  // Why no request is forwarded: the text does not say for certain where
+  // requests go, or whether they may be repeated. Empty if they are forwarded.
+  std::string closed_by;
 };
 
 // Whether the request may run more than once.
@@ -127,7 +131,7 @@
   bool needs_keys = true;
   std::vector<Customer> customers;
   // Malformed fields of the text that it was decoded from. Each has its
-  // default, which admits nobody and repeats nothing.
+  // default, which admits nobody and repeats nothing, or closes its route.
   common::Findings findings;
 };
 
--- a/tests/unit/daemon/gateway/odd_configuration_test.cc
+++ b/tests/unit/daemon/gateway/odd_configuration_test.cc
@@ -287,6 +287,57 @@
             [](FakeStore& store) { store.RemoveRow("op", "config"); }}),
     [](const auto& info) { return std::string(info.param.name); });
 
+class OddRouteTest : public testing::TestWithParam<std::tuple<ShapeCase, Way>> {
+};
+
+// Guards against one route that cannot be read and closes all the others, and
+// against requests of that route that run. The rest of its configuration is in
+// force and confirmed, also the keys that it takes away.
+TEST_P(OddRouteTest, IsClosedAloneForLongerThanTheBound) {
+  constexpr common::Duration kBound = common::milliseconds(1200);
+  const auto& [shape, way] = GetParam();
+  HostedWorld world(1, kBound);
+  json configuration = HostedWorld::Configuration(2);
+  configuration["tenants"][0]["api_keys"] = {"key"};
+  shape.change(configuration["routes"][1]);
+  Change(world, way, configuration);
+  ASSERT_TRUE(
+      world.RunUntil([&] { return StatusOf(world, "key", "/once/x") == 503; }));
+  const common::Time end = world.loop().Now() + 2 * kBound;
+  while (world.loop().Now() < end) {
+    EXPECT_EQ(StatusOf(world, "key"), 200);
+    EXPECT_EQ(StatusOf(world, "other"), 401);
+    const size_t arrivals = world.arrivals();
+    EXPECT_EQ(StatusOf(world, "key", "/once/x"), 503);
+    EXPECT_EQ(StatusOf(world, "other", "/once/x"), 401);
+    EXPECT_EQ(world.arrivals(), arrivals);
+    world.RunFor(common::milliseconds(100));
+  }
+  world.store().SetConfiguration(HostedWorld::Configuration(3));
+  EXPECT_TRUE(
+      world.RunUntil([&] { return StatusOf(world, "key", "/once/x") == 200; }));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Routes,
+    OddRouteTest,
+    testing::Combine(
+        testing::Values(
+            ShapeCase{"KindUnknown",
+                      [](json& route) { route["route_kind"] = "odd"; }},
+            ShapeCase{"ServiceAbsent",
+                      [](json& route) { route.erase("service"); }},
+            ShapeCase{"SplitNull",
+                      [](json& route) { route["traffic_split"] = nullptr; }}),
+        testing::Values(Way::kPoll,
+                        Way::kStart,
+                        Way::kOutage,
+                        Way::kLostHistory)),
+    [](const auto& info) {
+      return common::StrCat(std::get<0>(info.param).name,
+                            common::NameOf(kWayNames, std::get<1>(info.param)));
+    });
+
 // Without the field requests need no key; an empty list takes that back.
 TEST(OddConfigurationTest, OnlyAConfigurationWithoutTheListNeedsNoKeys) {
   HostedWorld world(1);
