Adapter: rows are read from an answer without the store's time

What callers saw: with answers that lack now_ms, a gateway that starts never served and one that ran refused requests with keys once the bound was over.

Change: without it the answer is dated by its call. Why it works: no answer is older than its call, so nothing counts for fresher than it is; the test takes a key away and cuts the store, and requests are refused within the bound. Shares of limits and crashes are worked out in the store's time; there the answer is refused as before.

--- a/packages/common/object_reader.h
+++ b/packages/common/object_reader.h
@@ -90,11 +90,11 @@
 
   // Read a whole or fractional number of milliseconds or seconds, from 0 to a
   // year, like Optional().
-  void OptionalMilliseconds(const char* field, Duration& value) {
-    ReadDuration<std::milli>(field, "milliseconds", value);
+  bool OptionalMilliseconds(const char* field, Duration& value) {
+    return ReadDuration<std::milli>(field, "milliseconds", value);
   }
-  void OptionalSeconds(const char* field, Duration& value) {
-    ReadDuration<std::ratio<1>>(field, "seconds", value);
+  bool OptionalSeconds(const char* field, Duration& value) {
+    return ReadDuration<std::ratio<1>>(field, "seconds", value);
   }
 
   // Appends the list's strings, if the field is there, and reports each item
@@ -156,19 +156,20 @@
   }
 
   template <typename Period>
-  void ReadDuration(const char* field, const char* unit, Duration& value) {
+  bool ReadDuration(const char* field, const char* unit, Duration& value) {
     // Longer than a year is not a plausible duration in any setting or message.
     constexpr std::chrono::duration<double> kMax = std::chrono::hours(365 * 24);
     double count = 0;
     if (!Optional(field, count)) {
-      return;
+      return false;
     }
     const std::chrono::duration<double, Period> found(count);
     if (found < found.zero() || found > kMax) {
       Report(field, StrCat("must be from 0 to a year, in ", unit));
-      return;
+      return false;
     }
     value = std::chrono::duration_cast<Duration>(found);
+    return true;
   }
 
   // The field; null when it is absent.
--- a/packages/coordination/freshness/freshness.cc
+++ b/packages/coordination/freshness/freshness.cc
@@ -11,15 +11,19 @@
 
 }  // namespace
 
-common::Time StoreClock::EarliestAnswerTime(common::Time asked_at,
-                                            common::Time received_at,
-                                            common::Duration store_time) {
-  const common::Time offset = asked_at - store_time;
+common::Time StoreClock::EarliestAnswerTime(
+    common::Time asked_at,
+    common::Time received_at,
+    std::optional<common::Duration> store_time) {
+  if (!store_time.has_value()) {
+    return asked_at;
+  }
+  const common::Time offset = asked_at - *store_time;
   while (!bounds_.empty() &&
          bounds_.front().at < received_at - kBoundLifetime) {
     bounds_.pop_front();
   }
-  if (!bounds_.empty() && bounds_.front().offset + store_time > received_at) {
+  if (!bounds_.empty() && bounds_.front().offset + *store_time > received_at) {
     // The store's clock jumped, as after the store was replaced.
     bounds_.clear();
   }
@@ -27,7 +31,7 @@
     bounds_.pop_back();
   }
   bounds_.push_back({.at = received_at, .offset = offset});
-  return std::max(asked_at, bounds_.front().offset + store_time);
+  return std::max(asked_at, bounds_.front().offset + *store_time);
 }
 
 void Freshness::OnConfirmed(common::Time asked_at) {
--- a/packages/coordination/freshness/freshness.h
+++ b/packages/coordination/freshness/freshness.h
@@ -26,10 +26,10 @@
  public:
   // Returns the earliest time at which the answer can have been produced, from
   // `asked_at` to `received_at`. `store_time` is the store's time in the
-  // answer.
+  // answer; without it, this is `asked_at`.
   common::Time EarliestAnswerTime(common::Time asked_at,
                                   common::Time received_at,
-                                  common::Duration store_time);
+                                  std::optional<common::Duration> store_time);
 
  private:
   struct Bound {
--- a/packages/daemon/gateway/crash_exchange.cc
+++ b/packages/daemon/gateway/crash_exchange.cc
@@ -79,14 +79,14 @@
 }
 
 void CrashExchange::OnPage(const http_channel::CallResult& result) {
-  const auto page = platform::DecodeRows(result);
+  const auto page = platform::DecodeTimedRows(result);
   UpdateAvailability(reads_available_, "read", page.status());
   if (!page.ok()) {
     RetryLater();
     return;
   }
   read_failures_ = 0;
-  SetStoreTime(page->store_time);
+  SetStoreTime(*page->store_time);
   if (keys_read_.empty()) {
     // Changes after the first page was read are in the feed from there on.
     revision_ = page->revision;
@@ -168,7 +168,7 @@
 
 void CrashExchange::OnFeed(const http_channel::CallResult& result) {
   poll_sent_at_.reset();
-  const auto changes = platform::DecodeRows(result);
+  const auto changes = platform::DecodeTimedRows(result);
   if (absl::IsAborted(changes.status())) {
     AwaitChange();
     return;
@@ -194,7 +194,7 @@
   }
   read_failures_ = 0;
   history_failures_ = 0;
-  SetStoreTime(changes->store_time);
+  SetStoreTime(*changes->store_time);
   revisions_.OnAnswer(changes->revision);
   for (const platform::Row& row : changes->rows) {
     revisions_.OnRow(row.revision);
--- a/packages/daemon/gateway/gateway_registry.cc
+++ b/packages/daemon/gateway/gateway_registry.cc
@@ -82,7 +82,7 @@
 
 void GatewayRegistry::OnRows(common::Time requested_at,
                              const http_channel::CallResult& result) {
-  const auto rows = platform::DecodeRows(result);
+  const auto rows = platform::DecodeTimedRows(result);
   if (!rows.ok()) {
     ReadAfter(retry_delay_.Next());
     return;
@@ -102,9 +102,9 @@
   // With more gateways than one page holds, shares would be too small to use.
   share_.OnCounted(rows->has_more ? 0 : gateways.size(), requested_at);
   UpdateMembers(rows->has_more ? std::vector<std::string>() : gateways,
-                rows->store_time, requested_at);
+                *rows->store_time, requested_at);
   if (!registered_ || loop_.Now() >= renew_at_) {
-    Write(rows->store_time, expired);
+    Write(*rows->store_time, expired);
     return;
   }
   ReadAfter(std::chrono::duration_cast<common::Duration>(options_.share.window *
@@ -117,8 +117,8 @@
   std::vector<std::string> live;
   for (const platform::Row& row : rows.rows) {
     // The clock of a store that goes back may go back with it.
-    const common::Duration latest = rows.store_time + options_.row_expiry;
-    if (DecodeRow(row, latest) + options_.row_expiry >= rows.store_time ||
+    const common::Duration latest = *rows.store_time + options_.row_expiry;
+    if (DecodeRow(row, latest) + options_.row_expiry >= *rows.store_time ||
         row.key == options_.name) {
       live.push_back(row.key);
     } else if (expired.size() + 1 < platform::kMaxChanges) {
--- a/tests/support/hosted_world.h
+++ b/tests/support/hosted_world.h
@@ -39,6 +39,8 @@
   void set_down(bool down) { down_ = down; }
   // Accepts calls and answers none of them while set, nor later.
   void set_silent(bool silent) { silent_ = silent; }
+  // Whether answers about rows contain the store's time.
+  void set_states_time(bool states) { states_time_ = states; }
   // Loses the feed requests for the table that wait for a change: they are not
   // answered, while all other calls are.
   void LoseFeeds(const std::string& table);
@@ -118,6 +120,7 @@
   bool down_ = false;
   bool silent_ = false;
   bool feeds_lost_ = false;
+  bool states_time_ = true;
   common::Duration feed_wait_ = common::milliseconds(100);
   int calls_ = 0;
 };
--- a/tests/unit/coordination/freshness/freshness_test.cc
+++ b/tests/unit/coordination/freshness/freshness_test.cc
@@ -77,6 +77,20 @@
         ClockCase{"ReadAfterAPause", {{0, 2, 4}, {10, 2410, 9000}}, 2408}),
     [](const auto& info) { return std::string(info.param.name); });
 
+// The bounds that answers with a time have set stay valid for later ones.
+TEST(StoreClockTest, AnswerWithoutATimeIsAsOldAsItsCall) {
+  StoreClock clock;
+  clock.EarliestAnswerTime(kStart, kStart + milliseconds(4),
+                           milliseconds(5002));
+  const common::Time asked = kStart + milliseconds(10);
+  EXPECT_EQ(
+      clock.EarliestAnswerTime(asked, asked + milliseconds(2400), std::nullopt),
+      asked);
+  EXPECT_EQ(clock.EarliestAnswerTime(asked, asked + milliseconds(2402),
+                                     milliseconds(7410)),
+            kStart + milliseconds(2408));
+}
+
 // A replacement store may have a clock with another origin.
 TEST(StoreClockTest, JumpOfTheStoresClockMakesNoAnswerYounger) {
   StoreClock clock;
--- a/tests/unit/daemon/gateway/odd_configuration_test.cc
+++ b/tests/unit/daemon/gateway/odd_configuration_test.cc
@@ -338,6 +338,31 @@
                             common::NameOf(kWayNames, std::get<1>(info.param)));
     });
 
+// Guards against a readable configuration that is not used because the answer
+// lacks the store's time. Its age then counts from the call.
+TEST(OddConfigurationTest, AnswersWithoutATimeAreReadAndAgeFromTheCall) {
+  constexpr common::Duration kBound = common::milliseconds(1200);
+  HostedWorld world(1, kBound);
+  world.store().set_states_time(false);
+  world.RestartGateway(0);
+  ASSERT_TRUE(world.RunUntil([&] { return StatusOf(world, "key") == 200; }));
+  const common::Time end = world.loop().Now() + 2 * kBound;
+  while (world.loop().Now() < end) {
+    EXPECT_EQ(StatusOf(world, "key"), 200);
+    world.RunFor(common::milliseconds(50));
+  }
+  json configuration = HostedWorld::Configuration(2);
+  configuration["tenants"][0]["api_keys"] = {"key"};
+  world.store().SetConfiguration(configuration);
+  EXPECT_TRUE(world.RunUntil([&] { return StatusOf(world, "other") == 401; }));
+  world.store().set_down(true);
+  const common::Time down_at = world.loop().Now();
+  ASSERT_TRUE(world.RunUntil([&] { return StatusOf(world, "key") == 503; }));
+  EXPECT_LE(world.loop().Now(), down_at + kBound);
+  world.store().set_down(false);
+  EXPECT_TRUE(world.RunUntil([&] { return StatusOf(world, "key") == 200; }));
+}
+
 // Without the field requests need no key; an empty list takes that back.
 TEST(OddConfigurationTest, OnlyAConfigurationWithoutTheListNeedsNoKeys) {
   HostedWorld world(1);
