Gateway: a refusal for a key leads to the configuration's malformed fields

Evidence: on the earlier code the line ends after loop_busy_ms (a run of odd_configuration_test); the page of operations had no row.

--- a/packages/common/object_reader.cc
+++ b/packages/common/object_reader.cc
@@ -15,6 +15,16 @@
   }
 }
 
+std::string ObjectReader::RequiredText(const char* field) {
+  std::string text;
+  if (!Has(field)) {
+    Report(field, "is missing");
+  } else if (Optional(field, text) && text.empty()) {
+    Report(field, "must not be empty");
+  }
+  return text;
+}
+
 bool ObjectReader::Optional(const char* field, std::string& value) {
   return ReadIf(field, value, "must be a string", [](const json& found) {
     return found.is_string() ? std::optional(found.get<std::string>())
--- a/packages/common/object_reader.h
+++ b/packages/common/object_reader.h
@@ -46,6 +46,10 @@
     Optional(field, value...);
   }
 
+  // Returns the field's text, and reports it when it is missing, malformed or
+  // empty.
+  std::string RequiredText(const char* field);
+
   // Read the field if it is there, and report it when it is malformed. Return
   // whether it is there and valid; `value` stays as it is otherwise.
   bool Optional(const char* field, std::string& value);
--- a/packages/daemon/gateway/gateway.cc
+++ b/packages/daemon/gateway/gateway.cc
@@ -300,6 +300,14 @@
 std::string Gateway::Metrics() {
   metrics_.SetGauge("wagtailshore_gateway_store_calls",
                     static_cast<double>(store_watch_.calls()));
+  const auto& routes = store_watch_.routes();
+  metrics_.SetGauge(
+      "wagtailshore_gateway_configuration_malformed_fields",
+      routes == nullptr
+          ? 0
+          : static_cast<double>(routes->configuration().findings.size()));
+  metrics_.SetGauge("wagtailshore_gateway_configuration_refused",
+                    store_watch_.newest_refused() ? 1 : 0);
   metrics_.SetGauge("wagtailshore_gateway_endpoint_connections_opened",
                     static_cast<double>(endpoint_pool_.opened()));
   metrics_.SetGauge("wagtailshore_gateway_requests_in_flight",
--- a/packages/daemon/gateway/gateway.h
+++ b/packages/daemon/gateway/gateway.h
@@ -31,6 +31,8 @@
   // Whether the load balancer may send callers here: the configuration is known
   // and recent, the endpoint list is known, and the process is not draining.
   bool IsReady() const;
+  // All series in the text exposition format.
+  std::string Metrics();
   // Fails the readiness probe, finishes requests in flight, then stops the
   // loop.
   void Drain();
@@ -51,7 +53,6 @@
   void CheckMaxBody(uint64_t max_body_bytes);
   void OnFleetChange(const fleet::FleetChange& change);
   void EndRun(http_channel::CallerChannel& channel);
-  std::string Metrics();
   // Stops the loop when no request and no caller's connection is left, or at
   // `latest`.
   void StopWhenIdle(common::Time latest);
--- a/packages/daemon/gateway/proxied_run.cc
+++ b/packages/daemon/gateway/proxied_run.cc
@@ -235,6 +235,11 @@
   const serving::Customer* customer =
       request_.key.has_value() ? routes_->FindCustomer(*request_.key) : nullptr;
   if (customer == nullptr) {
+    const serving::Configuration& configuration = routes_->configuration();
+    log_details_ =
+        common::StrCat(" key=", request_.key.has_value() ? "unknown" : "absent",
+                       " customers=", configuration.customers.size(),
+                       " malformed_fields=", configuration.findings.size());
     RespondLocally(http1::kUnauthorized, "unknown_key", std::nullopt);
     return false;
   }
--- a/tests/unit/daemon/gateway/odd_configuration_test.cc
+++ b/tests/unit/daemon/gateway/odd_configuration_test.cc
@@ -1,3 +1,4 @@
+#include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
 #include <functional>
@@ -338,6 +339,39 @@
                             common::NameOf(kWayNames, std::get<1>(info.param)));
     });
 
+// Guards against a refusal whose cause cannot be found from the request's id.
+TEST(OddConfigurationTest, RefusedRequestLeadsToItsFinding) {
+  HostedWorld world(1);
+  json configuration = HostedWorld::Configuration(2);
+  Set(configuration, {{"api_keys", {"key"}}});
+  configuration["routes"][1]["public"] = true;
+  configuration["routes"][1].erase("service");
+  world.store().SetConfiguration(configuration);
+  testing::internal::CaptureStderr();
+  EXPECT_TRUE(world.RunUntil([&] { return StatusOf(world, "key") == 401; }));
+  EXPECT_EQ(StatusOf(world, "", "/once/x"), 503);
+  const std::string log = testing::internal::GetCapturedStderr();
+  EXPECT_THAT(log, testing::HasSubstr("WS-1104 manifest fields malformed "
+                                      "version=2 findings=2 /tenants: must be "
+                                      "a list, or one item of it; /routes/1"));
+  EXPECT_THAT(
+      log, testing::ContainsRegex("WS-1320 .*request=a1 .*outcome=unknown_key "
+                                  ".*configuration=2 .*key=unknown customers=0 "
+                                  "malformed_fields=2"));
+  EXPECT_THAT(
+      log, testing::ContainsRegex("WS-1320 .*outcome=route_unreadable "
+                                  ".*finding=/routes/1/service: is missing"));
+  const std::string metrics = world.gateway(0).Metrics();
+  EXPECT_THAT(metrics,
+              testing::HasSubstr("gateway_configuration_malformed_fields 2\n"));
+  EXPECT_THAT(metrics, testing::HasSubstr("gateway_configuration_refused 0\n"));
+  SetText(world.store(), "{");
+  EXPECT_TRUE(world.RunUntil([&] {
+    return world.gateway(0).Metrics().find(
+               "gateway_configuration_refused 1\n") != std::string::npos;
+  }));
+}
+
 // Guards against a readable configuration that is not used because the answer
 // lacks the store's time. Its age then counts from the call.
 TEST(OddConfigurationTest, AnswersWithoutATimeAreReadAndAgeFromTheCall) {
