--- a/tests/unit/protocol/manifest_codec/manifest_codec_test.cc
+++ b/tests/unit/protocol/manifest_codec/manifest_codec_test.cc
@@ -37,6 +37,26 @@
   EXPECT_EQ(std::get<manifest::Manifest>(again), *manifest);
 }
 
+// A manifest in which single items stand in place of their lists, and whole
+// numbers have a fraction.
+TEST(ManifestCodecTest, EveryWritingOfAValueIsRead) {
+  nlohmann::json text = nlohmann::json::parse(kValidManifest);
+  text.erase("endpoints");
+  const auto expected = Parse(text.dump());
+  ASSERT_TRUE(std::holds_alternative<manifest::Manifest>(expected));
+  text["groups"][0]["ranks"] = 2.0;
+  text["services"][0]["non_idempotent_calls"] = "print";
+  for (const char* list : {"groups", "services", "customers"}) {
+    const nlohmann::json item = text[list][0];
+    text[list] = item;
+  }
+  const auto found = Parse(text.dump());
+  ASSERT_TRUE(std::holds_alternative<manifest::Manifest>(found))
+      << common::FormatFindings(std::get<common::Findings>(found));
+  EXPECT_EQ(std::get<manifest::Manifest>(found),
+            std::get<manifest::Manifest>(expected));
+}
+
 TEST(ManifestCodecTest, ReportsFiveFaultsWithTheirPlaces) {
   const auto parsed = Parse(R"({
     "groups": [{"name": "g", "model": "m", "ranks": 0}],
