--- a/tests/unit/platform/configuration_property_test.cc
+++ b/tests/unit/platform/configuration_property_test.cc
@@ -174,7 +174,7 @@
   std::vector<json::json_pointer> pointers;
   AddPointers(text, json::json_pointer(), pointers);
   const json::json_pointer pointer = *rc::gen::elementOf(pointers);
-  // None of them is a text that could be a key or a service, or the truth.
+  // Without `true`, which may open a route.
   const json odd =
       *rc::gen::elementOf(std::vector<json>({nullptr,
                                              "",
