--- a/tests/unit/daemon/gateway/odd_configuration_test.cc
+++ b/tests/unit/daemon/gateway/odd_configuration_test.cc
@@ -62,6 +62,12 @@
   return out << param.name;
 }
 
+std::string ShapeAndWay(
+    const testing::TestParamInfo<std::tuple<ShapeCase, Way>>& info) {
+  return common::StrCat(std::get<0>(info.param).name,
+                        common::NameOf(kWayNames, std::get<1>(info.param)));
+}
+
 class ClosedShapeTest
     : public testing::TestWithParam<std::tuple<ShapeCase, Way>> {};
 
@@ -158,10 +164,7 @@
                         Way::kStart,
                         Way::kOutage,
                         Way::kLostHistory)),
-    [](const auto& info) {
-      return common::StrCat(std::get<0>(info.param).name,
-                            common::NameOf(kWayNames, std::get<1>(info.param)));
-    });
+    ShapeAndWay);
 
 class SingleItemTest
     : public testing::TestWithParam<std::tuple<ShapeCase, Way>> {};
@@ -214,10 +217,7 @@
                         Way::kStart,
                         Way::kOutage,
                         Way::kLostHistory)),
-    [](const auto& info) {
-      return common::StrCat(std::get<0>(info.param).name,
-                            common::NameOf(kWayNames, std::get<1>(info.param)));
-    });
+    ShapeAndWay);
 
 struct UnreadableCase {
   const char* name;
@@ -334,10 +334,7 @@
                         Way::kStart,
                         Way::kOutage,
                         Way::kLostHistory)),
-    [](const auto& info) {
-      return common::StrCat(std::get<0>(info.param).name,
-                            common::NameOf(kWayNames, std::get<1>(info.param)));
-    });
+    ShapeAndWay);
 
 // Guards against a refusal whose cause cannot be found from the request's id.
 TEST(OddConfigurationTest, RefusedRequestLeadsToItsFinding) {
