--- a/review/support-3/crowd_refusal.cc
+++ b/review/support-3/crowd_refusal.cc
@@ -11,16 +11,18 @@
 
 using namespace review;
 
-// Clients whose bodies stop one byte short of their end and stay open.
-constexpr int kStallers = 470;
+// Clients whose bodies stop one byte short of their end and stay open. Together
+// they leave a few megabytes of the gateway's memory for clients.
+constexpr int kStallers = 420;
 constexpr size_t kStalledBytes = 390'000;
 // They have stalled for longer than a second when the posts come.
 constexpr double kStallSeconds = 1.5;
 // Whole unsafe requests, which run for some time at the server.
 constexpr int kPosts = 40;
-constexpr size_t kPostBytes = 215'000;
-constexpr double kPostSeconds = 3;
-constexpr double kPostGap = 0.02;
+constexpr size_t kLeastPostBytes = 200'000;
+constexpr size_t kMorePostBytes = 10'000;
+constexpr double kPostSeconds = 0.3;
+constexpr double kPostGap = 0.03;
 constexpr int kRounds = 8;
 
 std::string Head(const std::string& path, const std::string& id, size_t body) {
@@ -141,15 +143,18 @@
         const std::lock_guard<std::mutex> lock(ledger.mutex);
         ledger.sent[id] = kStalledBytes;
       }
-      // A refused one may close before it has sent everything.
+      // Keeps to the machine's link of 1,000 Mbit/s. A refused one may close
+      // before it has sent everything.
+      Sleep(kStalledBytes * 8 / 1e9);
       stallers.back()->Send(Head("/body/x", id, kStalledBytes) +
                             std::string(kStalledBytes - 1, 'x'));
     }
     Sleep(kStallSeconds);
     std::vector<std::thread> posts;
     for (int i = 0; i < kPosts; ++i) {
-      posts.emplace_back(ask, "/post/x", "post-" + round + std::to_string(i),
-                         kPostBytes);
+      posts.emplace_back(
+          ask, "/post/x", "post-" + round + std::to_string(i),
+          kLeastPostBytes + kMorePostBytes * ((7 * i + 3 * rounds) % 10));
       Sleep(kPostGap);
     }
     for (std::thread& post : posts) {
--- a/review/support-3/world.cc
+++ b/review/support-3/world.cc
@@ -7,6 +7,7 @@
 #include <signal.h>
 #include <stdlib.h>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -546,6 +547,8 @@
                          path_variable.data(), nullptr};
   pid_ = fork();
   if (pid_ == 0) {
+    // No process outlives the case, however that ends.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     const int output = open(log.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
     dup2(output, STDOUT_FILENO);
     dup2(output, STDERR_FILENO);
