--- a/review/support-3/crowd_refusal.cc
+++ b/review/support-3/crowd_refusal.cc
@@ -33,6 +33,19 @@
          "Content-Length: " + std::to_string(body) + "\r\n\r\n";
 }
 
+// Slots of the site's servers of one service together; the server sheds what
+// is beyond.
+constexpr int kSlots = 18;
+
+class Slot {
+ public:
+  explicit Slot(std::atomic<int>& running) : running_(running) { ++running_; }
+  ~Slot() { --running_; }
+
+ private:
+  std::atomic<int>& running_;
+};
+
 struct Ledger {
   std::mutex mutex;
   std::map<std::string, size_t> sent;
@@ -64,6 +77,7 @@
   }
   Record record(argv[1]);
   Ledger ledger;
+  std::atomic<int> running = 0;
   Listener server([&](Connection& connection) {
     Message request;
     while (connection.ReadHead(request)) {
@@ -74,6 +88,20 @@
             200, {{"X-Wagtailshore-Instance-Id", "i-desk"}}, "ok"));
         continue;
       }
+      if (request.Header("X-Wagtailshore-Expect-Instance") != "i-desk") {
+        connection.Send(FormatResponse(
+            421, {{"X-Wagtailshore-Instance-Id", "i-desk"}}, ""));
+        continue;
+      }
+      const Slot slot(running);
+      if (running > kSlots) {
+        record.Add("server sheds " + id);
+        connection.Send(FormatResponse(503,
+                                       {{"X-Wagtailshore-Attempt-Id", id},
+                                        {"X-Wagtailshore-Not-Executed", "1"}},
+                                       "full"));
+        continue;
+      }
       record.Add("server runs " + id + " " + request.Target() + " body=" +
                  std::to_string(request.body.size()) + (whole ? "" : " cut"));
       if (!whole) {
@@ -98,7 +126,7 @@
   config["routes"] = {Route("/body/", "safe"), Route("/post/", "unsafe")};
   store.SetConfig(config);
   json entry = ServerEntry("desk", server.address());
-  entry["slots"] = 1000;
+  entry["slots"] = kSlots;
   store.SetServer("i-desk", entry);
   Gateway gateway;
   gateway.Start("edge-1", store.address());
--- a/review/support-3/world.cc
+++ b/review/support-3/world.cc
@@ -418,6 +418,13 @@
         status = 412;
       }
     }
+    for (const char* list : {"puts", "remove"}) {
+      for (const json& item : call[list]) {
+        if (item["table"] == "op" || item["table"] == "servers") {
+          status = 403;
+        }
+      }
+    }
     if (status == 200) {
       const uint64_t version = ++version_;
       for (const json& put : call["puts"]) {
@@ -433,6 +440,13 @@
       changed_.notify_all();
     } else {
       answer["rows"] = json::array();
+      for (const json& expected : call["expected_revision"]) {
+        for (const json& row : Rows(expected["table"], 0, false)) {
+          if (row["key"] == expected["key"]) {
+            answer["rows"].push_back(row);
+          }
+        }
+      }
     }
   } else {
     status = 404;
